--- /dev/null
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/CliMain.java
@@ -0,0 +1,54 @@
+package org.toucansaddle.cli;
+
+import org.toucansaddle.cli.internal.AccountCommands;
+import org.toucansaddle.cli.internal.ClassCommands;
+import org.toucansaddle.cli.internal.CliErrors;
+import org.toucansaddle.cli.internal.DrainCommand;
+import org.toucansaddle.cli.internal.StatusCommand;
+import org.toucansaddle.cli.internal.UpstreamsCommand;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Entry point of {@code toucansaddle}. Stateless. */
+@Command(
+    name = "toucansaddle",
+    mixinStandardHelpOptions = true,
+    version = "toucansaddle 0.1.0",
+    description = "States the targets of classes of work and shows what the fleet does.",
+    subcommands = {
+      ClassCommands.class,
+      AccountCommands.class,
+      UpstreamsCommand.class,
+      StatusCommand.class,
+      DrainCommand.class,
+      AutoComplete.GenerateCompletion.class
+    },
+    footer = {
+      "",
+      "Exit codes: 0 done, 1 failed or unavailable, 2 wrong usage, 3 conflict with another change,",
+      "4 not found, 5 accepted but not yet in force at every live router.",
+      "",
+      "Examples:",
+      "  toucansaddle --admin 127.0.0.1:7201 --token-file token class list",
+      "  toucansaddle class set short-answer --pool chart-model --first-token 500ms \\",
+      "      --whole-answer 8s --wait",
+      "  source <(toucansaddle generate-completion)"
+    })
+public final class CliMain {
+
+  private CliMain() {}
+
+  /** Runs a command and exits with its code. */
+  public static void main(String[] args) {
+    System.exit(run(args));
+  }
+
+  /** Runs a command and returns its exit code. */
+  public static int run(String... args) {
+    return new CommandLine(new CliMain())
+        .setCaseInsensitiveEnumValuesAllowed(true)
+        .setExecutionExceptionHandler((e, line, result) -> CliErrors.report(e, line))
+        .execute(args);
+  }
+}
--- /dev/null
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/CliException.java
@@ -0,0 +1,18 @@
+package org.toucansaddle.cli.internal;
+
+/** A command that failed, with its exit code. Immutable. */
+final class CliException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final int exitCode;
+
+  CliException(int exitCode, String message) {
+    super(message);
+    this.exitCode = exitCode;
+  }
+
+  int exitCode() {
+    return exitCode;
+  }
+}
--- /dev/null
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/Durations.java
@@ -0,0 +1,28 @@
+package org.toucansaddle.cli.internal;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads durations such as {@code 500ms}, {@code 8s} or {@code 2m}. Stateless and thread-safe. */
+final class Durations {
+
+  private static final Pattern DURATION = Pattern.compile("([0-9]{1,8})(ms|s|m)");
+
+  private Durations() {}
+
+  /** Returns a duration in milliseconds. */
+  static int millis(String text) {
+    Matcher matcher = DURATION.matcher(text);
+    if (!matcher.matches()) {
+      throw CliErrors.badDuration(text);
+    }
+    long number = Long.parseLong(matcher.group(1));
+    long factor =
+        switch (matcher.group(2)) {
+          case "ms" -> 1;
+          case "s" -> 1_000;
+          default -> 60_000;
+        };
+    return (int) Math.min(Integer.MAX_VALUE, number * factor);
+  }
+}
--- /dev/null
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command-line tool of the operators. */
+package org.toucansaddle.cli;
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Implementation of the membership protocol. */
+package org.toucansaddle.coordination.internal.membership;
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/FileLogStorage.java
@@ -0,0 +1,316 @@
+package org.toucansaddle.coordination.internal.replication;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.toucansaddle.coordination.replication.HardState;
+import org.toucansaddle.coordination.replication.LogEntry;
+import org.toucansaddle.coordination.replication.LogStorage;
+import org.toucansaddle.coordination.replication.ReplicaId;
+import org.toucansaddle.coordination.replication.Snapshot;
+
+/**
+ * Log storage in one folder: {@code log} holds hard states and entries as checksummed frames,
+ * {@code snapshot} the newest snapshot.
+ *
+ * <p>Entries after the snapshot are also kept in memory. A snapshot is written to a new file,
+ * synced and renamed; then the log is rewritten the same way with what remains. Not thread-safe.
+ */
+public final class FileLogStorage implements LogStorage {
+
+  private static final byte HARD_STATE = 1;
+  private static final byte ENTRY = 2;
+
+  private final Path folder;
+  private final List<LogEntry> entries = new ArrayList<>();
+  private HardState hardState = HardState.initial();
+  private Snapshot snapshot = Snapshot.empty();
+  private FrameFile log;
+
+  private FileLogStorage(Path folder) {
+    this.folder = folder;
+  }
+
+  /** Opens the storage in a folder, creating the folder if it is missing. */
+  public static FileLogStorage open(Path folder) {
+    FileLogStorage storage = new FileLogStorage(folder);
+    try {
+      Files.createDirectories(folder);
+      storage.readSnapshot();
+      storage.log = FrameFile.open(folder.resolve("log"));
+      storage.log.readAll(storage::readFrame);
+      syncFolder(folder);
+    } catch (IOException e) {
+      throw StorageErrors.failed(folder, e);
+    }
+    return storage;
+  }
+
+  @Override
+  public HardState hardState() {
+    return hardState;
+  }
+
+  @Override
+  public void saveHardState(HardState state) {
+    hardState = state;
+    write(log, encodeHardState(state));
+  }
+
+  @Override
+  public Snapshot snapshot() {
+    return snapshot;
+  }
+
+  @Override
+  public long lastIndex() {
+    return snapshot.lastIndex() + entries.size();
+  }
+
+  @Override
+  public long termAt(long index) {
+    if (index == snapshot.lastIndex()) {
+      return snapshot.lastTerm();
+    }
+    if (index < snapshot.lastIndex() || index > lastIndex()) {
+      return -1;
+    }
+    return entries.get(offset(index)).term();
+  }
+
+  @Override
+  public List<LogEntry> entries(long fromIndex, int max) {
+    int from = Math.max(0, offset(fromIndex));
+    int to = Math.min(entries.size(), from + max);
+    return from >= to ? List.of() : List.copyOf(entries.subList(from, to));
+  }
+
+  @Override
+  public void append(List<LogEntry> added) {
+    for (LogEntry entry : added) {
+      place(entry);
+      write(log, encodeEntry(entry));
+    }
+  }
+
+  private int offset(long index) {
+    return (int) (index - snapshot.lastIndex() - 1);
+  }
+
+  private void place(LogEntry entry) {
+    int offset = offset(entry.index());
+    if (offset < 0) {
+      return;
+    }
+    if (offset > entries.size()) {
+      throw StorageErrors.corruptFrame(folder.resolve("log"), 0);
+    }
+    entries.subList(offset, entries.size()).clear();
+    entries.add(entry);
+  }
+
+  @Override
+  public void saveSnapshot(Snapshot next) {
+    try {
+      replaceFile("snapshot", file -> file.append(encodeSnapshot(next)));
+      keepEntriesAfter(next);
+      snapshot = next;
+      log.close();
+      replaceFile("log", this::writeWholeLog);
+      log = FrameFile.open(folder.resolve("log"));
+      log.readAll(body -> {});
+    } catch (IOException e) {
+      throw StorageErrors.failed(folder, e);
+    }
+  }
+
+  private void keepEntriesAfter(Snapshot next) {
+    boolean continues = termAt(next.lastIndex()) == next.lastTerm();
+    if (continues) {
+      int covered = Math.max(0, offset(next.lastIndex()) + 1);
+      entries.subList(0, covered).clear();
+    } else {
+      entries.clear();
+    }
+  }
+
+  private void writeWholeLog(FrameFile file) throws IOException {
+    file.append(encodeHardState(hardState));
+    for (LogEntry entry : entries) {
+      file.append(encodeEntry(entry));
+    }
+  }
+
+  @Override
+  public void sync() {
+    try {
+      log.sync();
+    } catch (IOException e) {
+      throw StorageErrors.failed(folder, e);
+    }
+  }
+
+  @Override
+  public void close() {
+    try {
+      log.close();
+    } catch (IOException e) {
+      throw StorageErrors.failed(folder, e);
+    }
+  }
+
+  // ---- files ----
+
+  /** Writes the content of a file. */
+  @FunctionalInterface
+  private interface FileWriter {
+    void writeTo(FrameFile file) throws IOException;
+  }
+
+  private void replaceFile(String name, FileWriter writer) throws IOException {
+    Path temporary = folder.resolve(name + ".new");
+    Files.deleteIfExists(temporary);
+    try (FrameFile file = FrameFile.open(temporary)) {
+      writer.writeTo(file);
+      file.sync();
+    }
+    Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+    syncFolder(folder);
+  }
+
+  private static void syncFolder(Path folder) throws IOException {
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
+  }
+
+  private void write(FrameFile file, byte[] body) {
+    try {
+      file.append(body);
+    } catch (IOException e) {
+      throw StorageErrors.failed(folder, e);
+    }
+  }
+
+  private void readSnapshot() throws IOException {
+    Path path = folder.resolve("snapshot");
+    if (!Files.exists(path)) {
+      return;
+    }
+    try (FrameFile file = FrameFile.open(path)) {
+      file.readAll(body -> snapshot = decodeSnapshot(body));
+    }
+  }
+
+  private void readFrame(ByteBuffer body) {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body.array()))) {
+      byte kind = in.readByte();
+      if (kind == HARD_STATE) {
+        hardState = decodeHardState(in);
+      } else if (kind == ENTRY) {
+        place(decodeEntry(in));
+      } else {
+        throw StorageErrors.corruptFrame(folder.resolve("log"), 0);
+      }
+    } catch (IOException e) {
+      throw StorageErrors.corruptFrame(folder.resolve("log"), 0);
+    }
+  }
+
+  // ---- encoding ----
+
+  /** Writes the fields of one record. */
+  @FunctionalInterface
+  private interface FieldWriter {
+    void writeTo(DataOutputStream out) throws IOException;
+  }
+
+  private static byte[] encode(FieldWriter writer) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      writer.writeTo(out);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static byte[] encodeHardState(HardState state) {
+    return encode(
+        out -> {
+          out.writeByte(HARD_STATE);
+          out.writeLong(state.term());
+          out.writeBoolean(state.votedFor().isPresent());
+          if (state.votedFor().isPresent()) {
+            out.writeUTF(state.votedFor().get().name());
+            out.writeLong(state.votedFor().get().folderId());
+          }
+        });
+  }
+
+  private static HardState decodeHardState(DataInputStream in) throws IOException {
+    long term = in.readLong();
+    Optional<ReplicaId> vote = Optional.empty();
+    if (in.readBoolean()) {
+      vote = Optional.of(new ReplicaId(in.readUTF(), in.readLong()));
+    }
+    return new HardState(term, vote);
+  }
+
+  private static byte[] encodeEntry(LogEntry entry) {
+    return encode(
+        out -> {
+          out.writeByte(ENTRY);
+          out.writeLong(entry.index());
+          out.writeLong(entry.term());
+          out.writeByte(entry.kind().ordinal());
+          out.write(entry.payload());
+        });
+  }
+
+  private static LogEntry decodeEntry(DataInputStream in) throws IOException {
+    long index = in.readLong();
+    long term = in.readLong();
+    int kind = in.readByte();
+    LogEntry.Kind[] kinds = LogEntry.Kind.values();
+    if (kind < 0 || kind >= kinds.length) {
+      throw new IOException("entry of unknown kind " + kind);
+    }
+    return new LogEntry(index, term, kinds[kind], in.readAllBytes());
+  }
+
+  private static byte[] encodeSnapshot(Snapshot snapshot) {
+    return encode(
+        out -> {
+          out.writeLong(snapshot.lastIndex());
+          out.writeLong(snapshot.lastTerm());
+          byte[] members = ReplicaSetCodec.encode(snapshot.members());
+          out.writeInt(members.length);
+          out.write(members);
+          out.write(snapshot.state());
+        });
+  }
+
+  private Snapshot decodeSnapshot(ByteBuffer body) {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body.array()))) {
+      long index = in.readLong();
+      long term = in.readLong();
+      byte[] members = in.readNBytes(in.readInt());
+      return new Snapshot(index, term, ReplicaSetCodec.decode(members), in.readAllBytes());
+    } catch (IOException e) {
+      throw StorageErrors.corruptFrame(folder.resolve("snapshot"), 0);
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/MemberHistory.java
@@ -0,0 +1,73 @@
+package org.toucansaddle.coordination.internal.replication;
+
+import java.util.List;
+import java.util.TreeMap;
+import org.toucansaddle.coordination.replication.LogEntry;
+import org.toucansaddle.coordination.replication.LogStorage;
+import org.toucansaddle.coordination.replication.ReplicaSet;
+import org.toucansaddle.coordination.replication.Snapshot;
+
+/**
+ * The replica sets of a log by the index they took effect at.
+ *
+ * <p>A set takes effect when its entry is appended, committed or not. Not thread-safe.
+ */
+final class MemberHistory {
+
+  private static final int SCAN_BATCH = 512;
+
+  private final TreeMap<Long, ReplicaSet> sets = new TreeMap<>();
+
+  /** Reads the sets that the storage holds. */
+  MemberHistory(LogStorage storage) {
+    restart(storage.snapshot());
+    long next = storage.snapshot().lastIndex() + 1;
+    while (next <= storage.lastIndex()) {
+      List<LogEntry> batch = storage.entries(next, SCAN_BATCH);
+      appended(batch);
+      next += batch.size();
+    }
+  }
+
+  /** Forgets all sets but the snapshot's. */
+  void restart(Snapshot snapshot) {
+    sets.clear();
+    sets.put(snapshot.lastIndex(), snapshot.members());
+  }
+
+  /** Records entries that were just appended, replacing any from the first one's index on. */
+  void appended(List<LogEntry> entries) {
+    if (entries.isEmpty()) {
+      return;
+    }
+    sets.tailMap(entries.get(0).index(), true).clear();
+    for (LogEntry entry : entries) {
+      if (entry.kind() == LogEntry.Kind.MEMBERS) {
+        sets.put(entry.index(), ReplicaSetCodec.decode(entry.payload()));
+      }
+    }
+  }
+
+  /** Forgets sets that a snapshot at {@code index} covers, but the one in force there. */
+  void compact(long index) {
+    Long inForce = sets.floorKey(index);
+    if (inForce != null) {
+      sets.headMap(inForce, false).clear();
+    }
+  }
+
+  /** Returns the newest set. */
+  ReplicaSet current() {
+    return sets.lastEntry().getValue();
+  }
+
+  /** Returns the index at which the newest set took effect. */
+  long currentIndex() {
+    return sets.lastKey();
+  }
+
+  /** Returns the set in force at {@code index}. */
+  ReplicaSet at(long index) {
+    return sets.floorEntry(index).getValue();
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/PeerProgress.java
@@ -0,0 +1,45 @@
+package org.toucansaddle.coordination.internal.replication;
+
+/** How far one peer has followed the leader's log. Not thread-safe. */
+final class PeerProgress {
+
+  private long nextIndex;
+  private long matchIndex;
+  private long ackedRound;
+
+  PeerProgress(long nextIndex) {
+    this.nextIndex = nextIndex;
+  }
+
+  long nextIndex() {
+    return nextIndex;
+  }
+
+  long matchIndex() {
+    return matchIndex;
+  }
+
+  long ackedRound() {
+    return ackedRound;
+  }
+
+  void ackRound(long round) {
+    ackedRound = Math.max(ackedRound, round);
+  }
+
+  /** Records that entries up to {@code lastIndex} were sent. */
+  void sent(long lastIndex) {
+    nextIndex = Math.max(nextIndex, lastIndex + 1);
+  }
+
+  /** Records that the peer's disk holds the leader's log up to {@code index}. */
+  void matched(long index) {
+    matchIndex = Math.max(matchIndex, index);
+    nextIndex = Math.max(nextIndex, matchIndex + 1);
+  }
+
+  /** Records that the peer lacks the entry before the ones sent. */
+  void rejected(long hint) {
+    nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex, Math.max(1, hint)));
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/RaftReplica.java
@@ -0,0 +1,485 @@
+package org.toucansaddle.coordination.internal.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.toucansaddle.coordination.replication.HardState;
+import org.toucansaddle.coordination.replication.LogEntry;
+import org.toucansaddle.coordination.replication.LogStorage;
+import org.toucansaddle.coordination.replication.RaftMessage;
+import org.toucansaddle.coordination.replication.RaftMessage.AppendRequest;
+import org.toucansaddle.coordination.replication.RaftMessage.AppendResponse;
+import org.toucansaddle.coordination.replication.RaftMessage.SnapshotRequest;
+import org.toucansaddle.coordination.replication.RaftMessage.VoteRequest;
+import org.toucansaddle.coordination.replication.RaftMessage.VoteResponse;
+import org.toucansaddle.coordination.replication.ReplicaId;
+import org.toucansaddle.coordination.replication.ReplicaSet;
+import org.toucansaddle.coordination.replication.ReplicaStatus;
+import org.toucansaddle.coordination.replication.ReplicaStatus.Role;
+import org.toucansaddle.coordination.replication.ReplicaTransport;
+import org.toucansaddle.coordination.replication.ReplicatedLog;
+import org.toucansaddle.coordination.replication.ReplicationErrors;
+import org.toucansaddle.coordination.replication.ReplicationSettings;
+import org.toucansaddle.coordination.replication.Snapshot;
+import org.toucansaddle.coordination.replication.StateMachine;
+
+/**
+ * Raft with pre-vote, check-quorum, a leader lease, learners and one-at-a-time member changes.
+ *
+ * <p>Invariants: a replica votes at most once a term; a leader commits only entries of its own term
+ * by counting; every outgoing message waits for the sync of the state it reveals. Not thread-safe.
+ */
+public final class RaftReplica implements ReplicatedLog {
+
+  private record Outgoing(ReplicaId to, RaftMessage message) {}
+
+  private final ReplicationSettings settings;
+  private final ReplicaId self;
+  private final LogStorage storage;
+  private final ReplicaTransport transport;
+  private final LongSupplier clock;
+  private final MemberHistory members;
+  private final FollowerLog followerLog;
+  private final Applier applier;
+  private final Election election;
+  private final PendingCalls pending = new PendingCalls();
+  private final List<Outgoing> outbox = new ArrayList<>();
+
+  private Role role = Role.FOLLOWER;
+  private Optional<ReplicaId> leader = Optional.empty();
+  private LeaderState leading;
+  private long commitIndex;
+  private long durableIndex;
+  private long nextHeartbeat;
+  private boolean dirty;
+
+  /** Creates a replica from what its storage holds; {@code clock} gives milliseconds. */
+  public RaftReplica(
+      ReplicationSettings settings,
+      ReplicaId self,
+      LogStorage storage,
+      StateMachine machine,
+      ReplicaTransport transport,
+      LongSupplier clock,
+      SplittableRandom random) {
+    this.settings = settings;
+    this.self = self;
+    this.storage = storage;
+    this.transport = transport;
+    this.clock = clock;
+    this.members = new MemberHistory(storage);
+    this.followerLog = new FollowerLog(storage);
+    this.applier = new Applier(storage, machine, members, settings.snapshotEntries());
+    this.election = new Election(settings.electionTimeoutMillis(), random, clock.getAsLong());
+    this.commitIndex = storage.snapshot().lastIndex();
+    this.durableIndex = storage.lastIndex();
+  }
+
+  @Override
+  public void bootstrap(ReplicaSet voters) {
+    if (storage.lastIndex() > 0 || storage.hardState().term() > 0) {
+      return;
+    }
+    saveTerm(1, Optional.empty());
+    append(List.of(new LogEntry(1, 1, LogEntry.Kind.MEMBERS, ReplicaSetCodec.encode(voters))));
+  }
+
+  @Override
+  public void receive(ReplicaId from, RaftMessage message) {
+    if (message instanceof VoteRequest request) {
+      onVoteRequest(from, request);
+      return;
+    }
+    if (message instanceof VoteResponse response) {
+      onVoteResponse(from, response);
+      return;
+    }
+    if (message.term() > term()) {
+      becomeFollower(message.term());
+    }
+    if (message instanceof AppendRequest request) {
+      onAppendRequest(from, request);
+    } else if (message instanceof SnapshotRequest request) {
+      onSnapshotRequest(from, request);
+    } else if (message instanceof AppendResponse response) {
+      onAppendResponse(from, response);
+    }
+  }
+
+  @Override
+  public void tick() {
+    long now = clock.getAsLong();
+    if (role == Role.LEADER) {
+      if (now - leading.quorumSentAt() > 2L * settings.electionTimeoutMillis()) {
+        becomeFollower(term());
+      } else if (now >= nextHeartbeat) {
+        broadcastRound();
+      }
+    } else if (election.timedOut(now)) {
+      startPreVote();
+    }
+  }
+
+  @Override
+  public void flush() {
+    do {
+      if (dirty) {
+        storage.sync();
+        dirty = false;
+      }
+      durableIndex = storage.lastIndex();
+      if (role == Role.LEADER) {
+        replicateNewEntries();
+        advanceCommit();
+      }
+      applier.applyUpTo(commitIndex, pending::applied);
+      if (role == Role.LEADER) {
+        pending.completeReads(leading.quorumRound(), applier.appliedIndex());
+        stepDownIfRemoved();
+      }
+    } while (dirty);
+    List<Outgoing> sending = List.copyOf(outbox);
+    outbox.clear();
+    sending.forEach(out -> transport.send(out.to(), out.message()));
+  }
+
+  @Override
+  public CompletableFuture<byte[]> propose(byte[] command) {
+    if (role != Role.LEADER) {
+      return CompletableFuture.failedFuture(ReplicationErrors.notLeader(leader));
+    }
+    return appendOwn(LogEntry.Kind.COMMAND, command);
+  }
+
+  @Override
+  public CompletableFuture<byte[]> proposeMembers(ReplicaSet next) {
+    boolean settled = members.currentIndex() <= commitIndex && hasCommittedInTerm();
+    if (role != Role.LEADER || !settled) {
+      return CompletableFuture.failedFuture(ReplicationErrors.notLeader(leader));
+    }
+    CompletableFuture<byte[]> future =
+        appendOwn(LogEntry.Kind.MEMBERS, ReplicaSetCodec.encode(next));
+    leading.retain(next);
+    return future;
+  }
+
+  @Override
+  public CompletableFuture<Long> confirmRead() {
+    if (role != Role.LEADER) {
+      return CompletableFuture.failedFuture(ReplicationErrors.notLeader(leader));
+    }
+    long index = hasCommittedInTerm() ? commitIndex : storage.lastIndex();
+    CompletableFuture<Long> future = pending.addRead(leading.round() + 1, index);
+    broadcastRound();
+    return future;
+  }
+
+  @Override
+  public ReplicaStatus status() {
+    ReplicaSet set = members.current();
+    Role shown = set.voters().contains(self) ? role : Role.LEARNER;
+    Map<ReplicaId, Long> matches = role == Role.LEADER ? leading.matchIndexes() : Map.of();
+    return new ReplicaStatus(
+        self,
+        shown,
+        term(),
+        leader,
+        storage.lastIndex(),
+        commitIndex,
+        applier.appliedIndex(),
+        set,
+        members.currentIndex() <= commitIndex,
+        matches,
+        leaseValid());
+  }
+
+  @Override
+  public Optional<ReplicaId> leader() {
+    return leader;
+  }
+
+  private long term() {
+    return storage.hardState().term();
+  }
+
+  private boolean leaseValid() {
+    if (role != Role.LEADER) {
+      return false;
+    }
+    long age = clock.getAsLong() - leading.quorumSentAt();
+    boolean proven = leading.quorumRound() > 0 && hasCommittedInTerm();
+    return proven && age < settings.electionTimeoutMillis() * 9L / 10;
+  }
+
+  private boolean hasCommittedInTerm() {
+    return storage.termAt(commitIndex) == term();
+  }
+
+  private void saveTerm(long term, Optional<ReplicaId> votedFor) {
+    storage.saveHardState(new HardState(term, votedFor));
+    dirty = true;
+  }
+
+  private void append(List<LogEntry> entries) {
+    storage.append(entries);
+    members.appended(entries);
+    dirty = true;
+  }
+
+  private CompletableFuture<byte[]> appendOwn(LogEntry.Kind kind, byte[] payload) {
+    LogEntry entry = new LogEntry(storage.lastIndex() + 1, term(), kind, payload);
+    append(List.of(entry));
+    return pending.addProposal(entry);
+  }
+
+  private void send(ReplicaId to, RaftMessage message) {
+    outbox.add(new Outgoing(to, message));
+  }
+
+  // ---- roles ----
+
+  private void becomeFollower(long term) {
+    if (term > term()) {
+      saveTerm(term, Optional.empty());
+      leader = Optional.empty();
+    }
+    if (role == Role.LEADER) {
+      leader = Optional.empty();
+      leading = null;
+      pending.failAll();
+      election.restartTimer(clock.getAsLong());
+    }
+    role = Role.FOLLOWER;
+  }
+
+  private void startPreVote() {
+    long now = clock.getAsLong();
+    election.begin(self, now);
+    if (!members.current().voters().contains(self)) {
+      return;
+    }
+    role = Role.PRE_CANDIDATE;
+    leader = Optional.empty();
+    requestVotes(term() + 1, true);
+    countVotes();
+  }
+
+  private void startElection() {
+    role = Role.CANDIDATE;
+    election.begin(self, clock.getAsLong());
+    saveTerm(term() + 1, Optional.of(self));
+    requestVotes(term(), false);
+    countVotes();
+  }
+
+  private void requestVotes(long term, boolean preVote) {
+    long lastIndex = storage.lastIndex();
+    VoteRequest request = new VoteRequest(term, preVote, lastIndex, storage.termAt(lastIndex));
+    for (ReplicaId voter : members.current().voters()) {
+      if (!voter.equals(self)) {
+        send(voter, request);
+      }
+    }
+  }
+
+  private void countVotes() {
+    if (!election.won(members.current())) {
+      return;
+    }
+    if (role == Role.PRE_CANDIDATE) {
+      startElection();
+    } else if (role == Role.CANDIDATE) {
+      becomeLeader();
+    }
+  }
+
+  private void becomeLeader() {
+    role = Role.LEADER;
+    leader = Optional.of(self);
+    leading = new LeaderState(self, clock.getAsLong());
+    appendOwn(LogEntry.Kind.BARRIER, new byte[0]);
+    broadcastRound();
+  }
+
+  private void stepDownIfRemoved() {
+    boolean committed = members.currentIndex() <= commitIndex;
+    if (committed && !members.current().voters().contains(self)) {
+      becomeFollower(term());
+    }
+  }
+
+  // ---- votes ----
+
+  private void onVoteRequest(ReplicaId from, VoteRequest request) {
+    long now = clock.getAsLong();
+    boolean protectsLeader = role == Role.LEADER || election.leaderMayBeAlive(now);
+    if (request.term() > term() && protectsLeader) {
+      return;
+    }
+    if (request.preVote()) {
+      boolean granted = request.term() > term() && isUpToDate(request);
+      long answerTerm = granted ? request.term() : term();
+      send(from, new VoteResponse(answerTerm, true, granted));
+      return;
+    }
+    if (request.term() > term()) {
+      becomeFollower(request.term());
+    }
+    boolean free = storage.hardState().votedFor().map(from::equals).orElse(true);
+    boolean granted =
+        request.term() == term() && role == Role.FOLLOWER && free && isUpToDate(request);
+    if (granted) {
+      saveTerm(term(), Optional.of(from));
+      election.restartTimer(now);
+    }
+    send(from, new VoteResponse(term(), false, granted));
+  }
+
+  private boolean isUpToDate(VoteRequest request) {
+    long lastIndex = storage.lastIndex();
+    long lastTerm = storage.termAt(lastIndex);
+    if (request.lastTerm() != lastTerm) {
+      return request.lastTerm() > lastTerm;
+    }
+    return request.lastIndex() >= lastIndex;
+  }
+
+  private void onVoteResponse(ReplicaId from, VoteResponse response) {
+    boolean grantedPreVote = response.preVote() && response.granted();
+    if (response.term() > term() && !grantedPreVote) {
+      becomeFollower(response.term());
+      return;
+    }
+    boolean counts =
+        grantedPreVote
+            ? role == Role.PRE_CANDIDATE && response.term() == term() + 1
+            : role == Role.CANDIDATE && response.granted() && response.term() == term();
+    if (counts) {
+      election.vote(from);
+      countVotes();
+    }
+  }
+
+  // ---- replication, follower's side ----
+
+  private boolean acceptLeader(ReplicaId from, long term, long round) {
+    if (term < term()) {
+      send(from, new AppendResponse(term(), false, 0, round));
+      return false;
+    }
+    role = Role.FOLLOWER;
+    leader = Optional.of(from);
+    election.heardLeader(clock.getAsLong());
+    return true;
+  }
+
+  private void onAppendRequest(ReplicaId from, AppendRequest request) {
+    if (!acceptLeader(from, request.term(), request.round())) {
+      return;
+    }
+    long previous = request.previousIndex();
+    if (!followerLog.holds(previous, request.previousTerm())) {
+      long hint = followerLog.conflictHint(previous, commitIndex);
+      send(from, new AppendResponse(term(), false, hint, request.round()));
+      return;
+    }
+    List<LogEntry> missing = followerLog.missing(request.entries());
+    if (!missing.isEmpty()) {
+      append(missing);
+    }
+    long matched = previous + request.entries().size();
+    if (matched >= storage.snapshot().lastIndex()) {
+      commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matched));
+    }
+    send(from, new AppendResponse(term(), true, matched, request.round()));
+  }
+
+  private void onSnapshotRequest(ReplicaId from, SnapshotRequest request) {
+    if (!acceptLeader(from, request.term(), request.round())) {
+      return;
+    }
+    Snapshot snapshot = request.snapshot();
+    if (snapshot.lastIndex() > commitIndex) {
+      storage.saveSnapshot(snapshot);
+      members.restart(snapshot);
+      applier.restore(snapshot);
+      commitIndex = snapshot.lastIndex();
+      dirty = true;
+    }
+    send(from, new AppendResponse(term(), true, snapshot.lastIndex(), request.round()));
+  }
+
+  // ---- replication, leader's side ----
+
+  private void onAppendResponse(ReplicaId from, AppendResponse response) {
+    if (role != Role.LEADER || response.term() != term()) {
+      return;
+    }
+    ReplicaSet set = members.current();
+    if (!set.contains(from)) {
+      return;
+    }
+    PeerProgress progress = leading.progress(from, storage.lastIndex());
+    leading.acknowledged(from, response.round(), set);
+    if (response.success()) {
+      progress.matched(response.matchIndex());
+    } else {
+      progress.rejected(response.matchIndex());
+      sendAppend(from, progress);
+    }
+  }
+
+  private void broadcastRound() {
+    long now = clock.getAsLong();
+    leading.startRound(now);
+    nextHeartbeat = now + settings.heartbeatMillis();
+    ReplicaSet set = members.current();
+    leading.updateQuorumRound(set);
+    forEachPeer(set, peer -> sendAppend(peer, leading.progress(peer, storage.lastIndex())));
+  }
+
+  private void replicateNewEntries() {
+    forEachPeer(
+        members.current(),
+        peer -> {
+          PeerProgress progress = leading.progress(peer, storage.lastIndex());
+          if (progress.nextIndex() <= storage.lastIndex()) {
+            sendAppend(peer, progress);
+          }
+        });
+  }
+
+  private void forEachPeer(ReplicaSet set, Consumer<ReplicaId> action) {
+    set.voters().stream().filter(id -> !id.equals(self)).forEach(action);
+    set.learners().stream().filter(id -> !id.equals(self)).forEach(action);
+  }
+
+  private void sendAppend(ReplicaId peer, PeerProgress progress) {
+    long previous = progress.nextIndex() - 1;
+    if (previous < storage.snapshot().lastIndex()) {
+      send(peer, new SnapshotRequest(term(), storage.snapshot(), leading.round()));
+      progress.sent(storage.snapshot().lastIndex());
+      return;
+    }
+    List<LogEntry> entries = storage.entries(progress.nextIndex(), settings.batchEntries());
+    long previousTerm = storage.termAt(previous);
+    send(
+        peer,
+        new AppendRequest(term(), previous, previousTerm, entries, commitIndex, leading.round()));
+    progress.sent(previous + entries.size());
+  }
+
+  private void advanceCommit() {
+    long index = leading.quorumIndex(members.current(), durableIndex, commitIndex);
+    if (index > commitIndex && storage.termAt(index) == term()) {
+      commitIndex = index;
+      forEachPeer(
+          members.current(), peer -> sendAppend(peer, leading.progress(peer, storage.lastIndex())));
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
@@ -0,0 +1,127 @@
+package org.toucansaddle.coordination.internal.sharing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.toucansaddle.coordination.sharing.AccountDemand;
+import org.toucansaddle.coordination.sharing.Lease;
+import org.toucansaddle.coordination.sharing.RouterDemand;
+import org.toucansaddle.coordination.sharing.SlotUsage;
+
+/**
+ * What a dispatcher knows of one router.
+ *
+ * <p>Invariant: {@link #held} is never less than what the router may use. Not thread-safe.
+ */
+final class RouterState {
+
+  private final String name;
+  private final Map<String, Integer> leased = new HashMap<>();
+  private RouterDemand demand;
+  private long heardAt;
+  private final Deque<Lease> unacknowledged = new ArrayDeque<>();
+  private long sequence;
+  private Lease lastSent;
+  private long lastSentAt;
+
+  RouterState(String name) {
+    this.name = name;
+  }
+
+  String name() {
+    return name;
+  }
+
+  /** Takes a new demand; a lease of another epoch is adopted as this dispatcher's. */
+  void update(RouterDemand next, long epoch, long now) {
+    boolean restarted = demand != null && demand.incarnation() != next.incarnation();
+    if (restarted) {
+      leased.clear();
+      unacknowledged.clear();
+      lastSent = null;
+    }
+    demand = next;
+    heardAt = now;
+    if (lastSent == null) {
+      next.upstreams().forEach((id, usage) -> leased.put(id, usage.total()));
+      return;
+    }
+    if (next.leaseEpoch() == epoch) {
+      unacknowledged.removeIf(lease -> lease.sequence() <= next.leaseSequence());
+    }
+    if (unacknowledged.isEmpty()) {
+      leased.replaceAll((id, slots) -> Math.min(slots, usage(id).total()));
+      leased.values().removeIf(slots -> slots == 0);
+    }
+  }
+
+  RouterDemand demand() {
+    return demand;
+  }
+
+  Map<Integer, AccountDemand> accounts() {
+    return demand.accounts();
+  }
+
+  long heardAt() {
+    return heardAt;
+  }
+
+  SlotUsage usage(String upstream) {
+    return demand.upstreams().getOrDefault(upstream, SlotUsage.NONE);
+  }
+
+  int leased(String upstream) {
+    return leased.getOrDefault(upstream, 0);
+  }
+
+  void setLeased(String upstream, int slots) {
+    if (slots == 0) {
+      leased.remove(upstream);
+    } else {
+      leased.put(upstream, slots);
+    }
+  }
+
+  Map<String, Integer> leasedSlots() {
+    return leased;
+  }
+
+  int leasedTotal() {
+    return leased.values().stream().mapToInt(slots -> slots).sum();
+  }
+
+  /** Returns the slots of an upstream that this router may use now. */
+  int held(String upstream) {
+    int promised = leased(upstream);
+    for (Lease lease : unacknowledged) {
+      promised = Math.max(promised, lease.slots().getOrDefault(upstream, 0));
+    }
+    return Math.max(promised, usage(upstream).total());
+  }
+
+  long nextSequence() {
+    sequence++;
+    return sequence;
+  }
+
+  Lease lastSent() {
+    return lastSent;
+  }
+
+  long lastSentAt() {
+    return lastSentAt;
+  }
+
+  void sent(Lease lease, long now) {
+    lastSent = lease;
+    lastSentAt = now;
+    boolean renewal = !unacknowledged.isEmpty() && unacknowledged.peekLast().equals(lease);
+    boolean applied =
+        demand.leaseEpoch() == lease.epoch() && demand.leaseSequence() >= lease.sequence();
+    if (!renewal && !applied) {
+      unacknowledged.addLast(lease);
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -0,0 +1,321 @@
+package org.toucansaddle.coordination.internal.sharing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.toucansaddle.coordination.sharing.AccountDemand;
+import org.toucansaddle.coordination.sharing.LagWeights;
+import org.toucansaddle.coordination.sharing.Lease;
+import org.toucansaddle.coordination.sharing.PoolDispatcher;
+import org.toucansaddle.coordination.sharing.RouterDemand;
+import org.toucansaddle.coordination.sharing.ServiceBalance;
+import org.toucansaddle.coordination.sharing.SharingMode;
+import org.toucansaddle.coordination.sharing.SharingSettings;
+import org.toucansaddle.coordination.sharing.SlotPlan;
+import org.toucansaddle.coordination.sharing.SlotPlanner;
+import org.toucansaddle.coordination.sharing.UpstreamSlots;
+
+/** Dispatcher that plans by account and moves as few slots as the plan needs. Not thread-safe. */
+public final class SlotDispatcher implements PoolDispatcher {
+
+  private static final long FORGET_UPSTREAM_MILLIS = 60_000;
+
+  private record HeardUpstream(UpstreamSlots slots, long heardAt) {}
+
+  private final SharingSettings settings;
+  private final long epoch;
+  private final long createdAt;
+  private final ServiceBalance balance;
+  private final SlotSpeed speed = new SlotSpeed();
+  private final Map<String, HeardUpstream> upstreams = new TreeMap<>();
+  private final Map<String, RouterState> routers = new TreeMap<>();
+  private Set<String> liveRouters = Set.of();
+  private SlotPlan plan = SlotPlan.empty();
+  private boolean changed;
+  private long plannedAt;
+
+  /** Creates a dispatcher that knows nothing yet. */
+  public SlotDispatcher(SharingSettings settings, long epoch, long now) {
+    this.settings = settings;
+    this.epoch = epoch;
+    this.createdAt = now;
+    this.plannedAt = now - settings.planMillis();
+    this.balance = new ServiceBalance(settings.maxLeadTokens());
+  }
+
+  @Override
+  public void announced(UpstreamSlots upstream, long heardAt) {
+    HeardUpstream known = upstreams.get(upstream.id());
+    if (known != null && known.slots().incarnation() > upstream.incarnation()) {
+      return;
+    }
+    boolean left =
+        known != null
+            && known.slots().incarnation() == upstream.incarnation()
+            && known.slots().leaving();
+    if (left && !upstream.leaving()) {
+      return;
+    }
+    long latest = known == null ? heardAt : Math.max(known.heardAt(), heardAt);
+    changed |= known == null || !known.slots().equals(upstream);
+    upstreams.put(upstream.id(), new HeardUpstream(upstream, latest));
+  }
+
+  @Override
+  public void demanded(RouterDemand demand, long now) {
+    RouterState router = routers.computeIfAbsent(demand.router(), RouterState::new);
+    router.update(demand, epoch, now);
+    balance.report(demand.router(), demand.incarnation(), demand.service());
+    changed = true;
+  }
+
+  @Override
+  public void setLiveRouters(Set<String> live, long now) {
+    changed |= !live.equals(liveRouters);
+    liveRouters = Set.copyOf(live);
+    boolean removed =
+        routers
+            .values()
+            .removeIf(
+                router ->
+                    !live.contains(router.name())
+                        && now - router.heardAt() > settings.leaseMillis());
+    changed |= removed;
+  }
+
+  @Override
+  public List<Lease> poll(long now) {
+    boolean due = changed && now - plannedAt >= settings.replanMillis();
+    if (due || now - plannedAt >= settings.planMillis()) {
+      replan(now);
+    }
+    return leasesToSend(now);
+  }
+
+  @Override
+  public Collection<UpstreamSlots> usableUpstreams(long now) {
+    List<UpstreamSlots> usable = new ArrayList<>();
+    for (HeardUpstream heard : upstreams.values()) {
+      boolean silent = now - heard.heardAt() > settings.silenceMillis();
+      if (!silent && !heard.slots().leaving()) {
+        usable.add(heard.slots());
+      }
+    }
+    return usable;
+  }
+
+  @Override
+  public Collection<UpstreamSlots> knownUpstreams() {
+    return upstreams.values().stream().map(HeardUpstream::slots).toList();
+  }
+
+  @Override
+  public double serviceGap() {
+    return balance.gap();
+  }
+
+  // ---- planning ----
+
+  private void replan(long now) {
+    changed = false;
+    plannedAt = now;
+    upstreams.values().removeIf(heard -> now - heard.heardAt() > FORGET_UPSTREAM_MILLIS);
+    Map<String, UpstreamSlots> usable = new LinkedHashMap<>();
+    usableUpstreams(now).forEach(upstream -> usable.put(upstream.id(), upstream));
+    dropUnusable(usable.keySet());
+    int capacity = usable.values().stream().mapToInt(UpstreamSlots::slots).sum();
+    plan = settings.mode() == SharingMode.FLEET ? planByAccount(capacity, now) : SlotPlan.empty();
+    Map<String, Integer> targets = targets(capacity);
+    shrink(targets);
+    if (mayGrant(now)) {
+      grow(targets, usable);
+    }
+  }
+
+  private void dropUnusable(Set<String> usable) {
+    for (RouterState router : routers.values()) {
+      List.copyOf(router.leasedSlots().keySet()).stream()
+          .filter(id -> !usable.contains(id))
+          .forEach(id -> router.setLeased(id, 0));
+    }
+  }
+
+  private SlotPlan planByAccount(int capacity, long now) {
+    Map<String, Map<Integer, AccountDemand>> demands = new TreeMap<>();
+    routers.values().forEach(router -> demands.put(router.name(), router.accounts()));
+    Set<Integer> backlogged = backloggedAccounts();
+    balance.setBacklogged(backlogged);
+    int inFlight = 0;
+    for (RouterState router : routers.values()) {
+      inFlight += router.accounts().values().stream().mapToInt(AccountDemand::inFlight).sum();
+    }
+    speed.observe(balance.totalTokens(), inFlight, now);
+    LagWeights weights =
+        new LagWeights(
+            capacity, backlogged.size(), speed.tokensPerSlotSecond(), settings.horizonSeconds());
+    return SlotPlanner.plan(capacity, demands, weights.by(balance::lag));
+  }
+
+  private Set<Integer> backloggedAccounts() {
+    Set<Integer> accounts = new HashSet<>();
+    for (RouterState router : routers.values()) {
+      router
+          .accounts()
+          .forEach(
+              (account, demand) -> {
+                if (demand.waiting() > 0) {
+                  accounts.add(account);
+                }
+              });
+    }
+    return accounts;
+  }
+
+  /** Returns how many slots each router should have; what nobody asked for is spread evenly. */
+  private Map<String, Integer> targets(int capacity) {
+    Map<String, Integer> targets = new TreeMap<>();
+    routers.keySet().forEach(name -> targets.put(name, plan.routerTotal(name)));
+    int spare = capacity - targets.values().stream().mapToInt(t -> t).sum();
+    if (spare > 0 && !targets.isEmpty()) {
+      int each = spare / targets.size();
+      targets.replaceAll((name, target) -> target + each);
+    }
+    return targets;
+  }
+
+  private void shrink(Map<String, Integer> targets) {
+    boolean somebodyShort =
+        routers.values().stream().anyMatch(r -> r.leasedTotal() < targets.get(r.name()));
+    if (!somebodyShort) {
+      return;
+    }
+    for (RouterState router : routers.values()) {
+      for (int over = router.leasedTotal() - targets.get(router.name()); over > 0; over--) {
+        takeOne(router);
+      }
+    }
+  }
+
+  private void takeOne(RouterState router) {
+    Comparator<String> byIdle = Comparator.comparingInt(id -> router.usage(id).idle());
+    String chosen =
+        router.leasedSlots().keySet().stream()
+            .max(byIdle.thenComparingInt(router::leased))
+            .orElseThrow();
+    router.setLeased(chosen, router.leased(chosen) - 1);
+  }
+
+  /** A new dispatcher grants nothing until every lease of an earlier one is known or expired. */
+  private boolean mayGrant(long now) {
+    boolean allHeard = routers.keySet().containsAll(liveRouters) && !liveRouters.isEmpty();
+    return allHeard || now - createdAt > settings.leaseMillis();
+  }
+
+  private void grow(Map<String, Integer> targets, Map<String, UpstreamSlots> usable) {
+    Map<String, Integer> free = freeSlots(usable);
+    boolean granted = true;
+    while (granted) {
+      granted = false;
+      for (RouterState router : routers.values()) {
+        if (router.leasedTotal() < targets.get(router.name())) {
+          granted |= grantOne(router, free);
+        }
+      }
+    }
+  }
+
+  private Map<String, Integer> freeSlots(Map<String, UpstreamSlots> usable) {
+    Map<String, Integer> free = new HashMap<>();
+    for (UpstreamSlots upstream : usable.values()) {
+      int held = 0;
+      for (RouterState router : routers.values()) {
+        held += router.held(upstream.id());
+      }
+      free.put(upstream.id(), upstream.slots() - held);
+    }
+    return free;
+  }
+
+  private boolean grantOne(RouterState router, Map<String, Integer> free) {
+    Comparator<String> fewestOwn = Comparator.comparingInt(id -> -router.leased(id));
+    Comparator<String> mostFree = Comparator.comparingInt(free::get);
+    String chosen =
+        free.keySet().stream()
+            .filter(id -> free.get(id) > 0)
+            .max(mostFree.thenComparing(fewestOwn).thenComparing(id -> id))
+            .orElse(null);
+    if (chosen == null) {
+      return false;
+    }
+    int held = router.held(chosen);
+    router.setLeased(chosen, router.leased(chosen) + 1);
+    free.merge(chosen, held - router.held(chosen), Integer::sum);
+    return true;
+  }
+
+  // ---- leases ----
+
+  private List<Lease> leasesToSend(long now) {
+    boolean wanted = settings.mode() == SharingMode.FLEET && isSlotWanted();
+    List<Lease> leases = new ArrayList<>();
+    for (RouterState router : routers.values()) {
+      if (!liveRouters.contains(router.name())) {
+        continue;
+      }
+      Lease next = lease(router, wanted);
+      Lease last = router.lastSent();
+      boolean same = last != null && next.allowsSameAs(last);
+      boolean onlyQuotas =
+          last != null && next.slots().equals(last.slots()) && next.wanted() == last.wanted();
+      long age = now - router.lastSentAt();
+      boolean due = age >= settings.renewMillis();
+      boolean send = last == null || due || (!same && !onlyQuotas);
+      if (send) {
+        long sequence = same ? last.sequence() : router.nextSequence();
+        Lease numbered = withSequence(next, sequence);
+        router.sent(numbered, now);
+        leases.add(numbered);
+      }
+    }
+    return leases;
+  }
+
+  private boolean isSlotWanted() {
+    return routers.values().stream()
+        .anyMatch(r -> r.demand().waiting() > 0 && r.leasedTotal() < plan.routerTotal(r.name()));
+  }
+
+  private Lease lease(RouterState router, boolean wanted) {
+    Map<String, UpstreamSlots> named = new HashMap<>();
+    router.leasedSlots().keySet().forEach(id -> named.put(id, upstreams.get(id).slots()));
+    Map<Integer, Integer> quotas = plan.quotas().getOrDefault(router.name(), Map.of());
+    return new Lease(
+        router.name(),
+        epoch,
+        0,
+        settings.leaseMillis(),
+        wanted,
+        router.leasedSlots(),
+        named,
+        quotas);
+  }
+
+  private static Lease withSequence(Lease lease, long sequence) {
+    return new Lease(
+        lease.router(),
+        lease.epoch(),
+        sequence,
+        lease.validMillis(),
+        lease.wanted(),
+        lease.slots(),
+        lease.upstreams(),
+        lease.quotas());
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
@@ -0,0 +1,271 @@
+package org.toucansaddle.coordination.internal.sharing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.toucansaddle.coordination.sharing.AccountDemand;
+import org.toucansaddle.coordination.sharing.Lease;
+import org.toucansaddle.coordination.sharing.PoolScheduler;
+import org.toucansaddle.coordination.sharing.SharingMode;
+import org.toucansaddle.coordination.sharing.SlotAssignment;
+import org.toucansaddle.coordination.sharing.SlotAssignment.Reason;
+import org.toucansaddle.coordination.sharing.SlotRequest;
+import org.toucansaddle.coordination.sharing.SlotUsage;
+
+/**
+ * Scheduler that starts the account furthest below its quota, earliest deadline first.
+ *
+ * <p>Work conserving: if no waiting account is below its quota, the one with the least service gets
+ * the slot. Not thread-safe.
+ *
+ * @param <R> type of request
+ */
+public final class SlotScheduler<R extends SlotRequest> implements PoolScheduler<R> {
+
+  private static final int QUOTA_WITHOUT_PLAN = 1;
+
+  private final SharingMode mode;
+  private final Map<Integer, AccountQueue<R>> queues = new TreeMap<>();
+  private final Map<Integer, Integer> inFlight = new HashMap<>();
+  private final Map<Integer, Double> virtualService = new HashMap<>();
+  private final Map<String, HeldUpstream> held = new TreeMap<>();
+  private Map<Integer, Integer> quotas = Map.of();
+  private boolean wanted;
+  private long leaseEpoch;
+  private long leaseSequence;
+  private long leaseExpiresAt = Long.MIN_VALUE;
+
+  /** Creates an empty scheduler. */
+  public SlotScheduler(SharingMode mode) {
+    this.mode = mode;
+  }
+
+  @Override
+  public void enqueue(R request) {
+    int account = request.account();
+    AccountQueue<R> queue = queues.computeIfAbsent(account, a -> new AccountQueue<>());
+    if (queue.size() == 0 && inFlight(account) == 0) {
+      startWithoutCredit(account);
+    }
+    queue.add(request);
+  }
+
+  /** An account that was not active starts at the least service of the active ones. */
+  private void startWithoutCredit(int account) {
+    double least =
+        virtualService.entrySet().stream()
+            .filter(e -> waiting(e.getKey()) + inFlight(e.getKey()) > 0)
+            .mapToDouble(Map.Entry::getValue)
+            .min()
+            .orElse(0);
+    virtualService.merge(account, least, Math::max);
+  }
+
+  @Override
+  public boolean remove(R request) {
+    AccountQueue<R> queue = queues.get(request.account());
+    return queue != null && queue.remove(request);
+  }
+
+  @Override
+  public boolean applyLease(Lease lease, long now) {
+    boolean older = lease.epoch() == leaseEpoch && lease.sequence() < leaseSequence;
+    if (older) {
+      return false;
+    }
+    boolean renewal = lease.epoch() == leaseEpoch && lease.sequence() == leaseSequence;
+    leaseExpiresAt = now + lease.validMillis();
+    if (renewal) {
+      return true;
+    }
+    leaseEpoch = lease.epoch();
+    leaseSequence = lease.sequence();
+    wanted = lease.wanted();
+    quotas = lease.quotas();
+    lease.slots().keySet().stream()
+        .filter(id -> !held.containsKey(id))
+        .forEach(id -> held.put(id, new HeldUpstream(lease.upstreams().get(id))));
+    held.forEach(
+        (id, slots) -> slots.lease(lease.upstreams().get(id), lease.slots().getOrDefault(id, 0)));
+    held.values().removeIf(HeldUpstream::isUnused);
+    return true;
+  }
+
+  @Override
+  public void dispatcherChanged() {
+    leaseEpoch = 0;
+    leaseSequence = 0;
+  }
+
+  @Override
+  public void blockUpstream(String upstream) {
+    HeldUpstream slots = held.get(upstream);
+    if (slots != null) {
+      slots.block();
+    }
+  }
+
+  @Override
+  public void finished(String upstream, int account) {
+    inFlight.merge(account, -1, Integer::sum);
+    HeldUpstream slots = held.get(upstream);
+    slots.finished();
+    if (slots.isUnused()) {
+      held.remove(upstream);
+    }
+  }
+
+  @Override
+  public void served(int account, long tokens) {
+    virtualService.merge(account, (double) tokens, Double::sum);
+  }
+
+  @Override
+  public List<SlotAssignment<R>> assign(long now) {
+    List<SlotAssignment<R>> assignments = new ArrayList<>();
+    if (now >= leaseExpiresAt) {
+      return assignments;
+    }
+    List<Integer> accounts = waitingAccounts();
+    while (!accounts.isEmpty() && freeSlots() > 0) {
+      int account = accounts.stream().min(byUrgency()).orElseThrow();
+      SlotAssignment<R> assignment = assignOne(account, accounts.size() - 1);
+      if (assignment == null) {
+        accounts.remove(Integer.valueOf(account));
+        continue;
+      }
+      assignments.add(assignment);
+      if (waiting(account) == 0) {
+        accounts.remove(Integer.valueOf(account));
+      }
+    }
+    return assignments;
+  }
+
+  private List<Integer> waitingAccounts() {
+    List<Integer> accounts = new ArrayList<>();
+    queues.forEach(
+        (account, queue) -> {
+          if (queue.size() > 0) {
+            accounts.add(account);
+          }
+        });
+    return accounts;
+  }
+
+  private Comparator<Integer> byUrgency() {
+    Comparator<Integer> leastService = Comparator.comparingDouble(this::virtualServiceOf);
+    if (mode == SharingMode.LOCAL) {
+      return leastService;
+    }
+    Comparator<Integer> furthestBelowQuota =
+        Comparator.comparingInt(account -> -Math.max(0, shortage(account)));
+    return furthestBelowQuota.thenComparing(leastService);
+  }
+
+  private double virtualServiceOf(int account) {
+    return virtualService.getOrDefault(account, 0.0);
+  }
+
+  private int shortage(int account) {
+    return quotas.getOrDefault(account, QUOTA_WITHOUT_PLAN) - inFlight(account);
+  }
+
+  private int freeSlots() {
+    return held.values().stream().mapToInt(HeldUpstream::free).sum();
+  }
+
+  private SlotAssignment<R> assignOne(int account, int passedOver) {
+    for (R request : queues.get(account).inOrder()) {
+      HeldUpstream slots = leastUsed(request);
+      if (slots != null) {
+        Reason reason = shortage(account) > 0 ? Reason.BELOW_QUOTA : Reason.LEAST_SERVICE;
+        queues.get(account).remove(request);
+        slots.started();
+        inFlight.merge(account, 1, Integer::sum);
+        return new SlotAssignment<>(request, slots.info(), reason, passedOver);
+      }
+    }
+    return null;
+  }
+
+  private HeldUpstream leastUsed(R request) {
+    Comparator<HeldUpstream> mostFree = Comparator.comparingInt(HeldUpstream::free);
+    return held.values().stream()
+        .filter(slots -> slots.free() > 0 && request.mayUse(slots.info()))
+        .max(mostFree)
+        .orElse(null);
+  }
+
+  @Override
+  public boolean releaseWanted() {
+    if (!wanted || hasWaiting()) {
+      return false;
+    }
+    boolean any = false;
+    for (HeldUpstream slots : held.values()) {
+      any |= slots.releaseIdle();
+    }
+    held.values().removeIf(HeldUpstream::isUnused);
+    return any;
+  }
+
+  @Override
+  public boolean hasWaiting() {
+    return queues.values().stream().anyMatch(queue -> queue.size() > 0);
+  }
+
+  @Override
+  public boolean isOverLease() {
+    return held.values().stream().anyMatch(HeldUpstream::isOver);
+  }
+
+  @Override
+  public int waiting(int account) {
+    AccountQueue<R> queue = queues.get(account);
+    return queue == null ? 0 : queue.size();
+  }
+
+  @Override
+  public int inFlight(int account) {
+    return inFlight.getOrDefault(account, 0);
+  }
+
+  @Override
+  public int quota(int account) {
+    return quotas.getOrDefault(account, Math.max(QUOTA_WITHOUT_PLAN, inFlight(account)));
+  }
+
+  @Override
+  public Map<Integer, AccountDemand> accounts() {
+    Map<Integer, AccountDemand> demands = new TreeMap<>();
+    queues.forEach(
+        (account, queue) -> {
+          AccountDemand demand = new AccountDemand(queue.size(), inFlight(account));
+          if (demand.total() > 0) {
+            demands.put(account, demand);
+          }
+        });
+    return demands;
+  }
+
+  @Override
+  public Map<String, SlotUsage> upstreams() {
+    Map<String, SlotUsage> usage = new TreeMap<>();
+    held.forEach((id, slots) -> usage.put(id, slots.usage()));
+    return usage;
+  }
+
+  @Override
+  public long leaseEpoch() {
+    return leaseEpoch;
+  }
+
+  @Override
+  public long leaseSequence() {
+    return leaseSequence;
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/package-info.java
@@ -0,0 +1,2 @@
+/** Implementation of slot sharing. */
+package org.toucansaddle.coordination.internal.sharing;
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/membership/MembershipSettings.java
@@ -0,0 +1,24 @@
+package org.toucansaddle.coordination.membership;
+
+/**
+ * Times of the membership protocol. Immutable.
+ *
+ * @param periodMillis time between two probes of a member, in milliseconds
+ * @param probeTimeoutMillis time after which an unanswered probe is tried through others, in
+ *     milliseconds
+ * @param suspicionMillis time a suspected member has to refute, in milliseconds
+ * @param relays members asked to probe one that did not answer
+ * @param updatesPerMessage most updates carried by a message
+ */
+public record MembershipSettings(
+    int periodMillis,
+    int probeTimeoutMillis,
+    int suspicionMillis,
+    int relays,
+    int updatesPerMessage) {
+
+  /** Returns settings for members a few milliseconds apart. */
+  public static MembershipSettings defaults() {
+    return new MembershipSettings(600, 250, 1_500, 2, 6);
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** Coordination parts for routers: replicated log, membership, slot sharing, retry budgets. */
+package org.toucansaddle.coordination;
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/replication/LogStorage.java
@@ -0,0 +1,43 @@
+package org.toucansaddle.coordination.replication;
+
+import java.util.List;
+
+/**
+ * Durable storage of one replica.
+ *
+ * <p>Writes may stay in memory until {@link #sync}; after {@code sync} returns they survive a
+ * crash. A crash before {@code sync} may lose any suffix of the writes since the last one, never an
+ * earlier write. Not thread-safe: the replica calls it from one thread.
+ */
+public interface LogStorage extends AutoCloseable {
+
+  /** Returns the term and vote last saved. */
+  HardState hardState();
+
+  /** Saves the term and vote; durable after {@link #sync}. */
+  void saveHardState(HardState state);
+
+  /** Returns the newest snapshot, or {@link Snapshot#empty}. */
+  Snapshot snapshot();
+
+  /** Returns the index of the last entry, or of the snapshot if there is no entry after it. */
+  long lastIndex();
+
+  /** Returns the term of the entry at {@code index}, or -1 if the index is not held. */
+  long termAt(long index);
+
+  /** Returns at most {@code max} entries from {@code fromIndex} on, in order. */
+  List<LogEntry> entries(long fromIndex, int max);
+
+  /** Appends entries; the first one replaces any entry at its index and all that follow. */
+  void append(List<LogEntry> entries);
+
+  /** Saves a snapshot and drops the entries it covers; durable when the call returns. */
+  void saveSnapshot(Snapshot snapshot);
+
+  /** Makes all earlier writes durable. */
+  void sync();
+
+  @Override
+  void close();
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
@@ -0,0 +1,83 @@
+package org.toucansaddle.coordination.sharing;
+
+import java.util.List;
+import java.util.Map;
+import org.toucansaddle.coordination.internal.sharing.SlotScheduler;
+
+/**
+ * A router's queue of one pool and the slots it holds there.
+ *
+ * <pre>{@code
+ * scheduler.enqueue(request);
+ * scheduler.assign(now).forEach(assignment -> start(assignment));
+ * ...
+ * scheduler.finished(upstream.id(), request.account());
+ * scheduler.assign(now).forEach(assignment -> start(assignment));
+ * }</pre>
+ *
+ * <p>Invariants: a request is assigned at most once for each time it is enqueued; no assignment is
+ * made on a lease that has expired. Not thread-safe.
+ *
+ * @param <R> type of request
+ */
+public interface PoolScheduler<R extends SlotRequest> {
+
+  /** Creates an empty scheduler. */
+  static <R extends SlotRequest> PoolScheduler<R> create(SharingMode mode) {
+    return new SlotScheduler<>(mode);
+  }
+
+  /** Adds a request to the queue. */
+  void enqueue(R request);
+
+  /** Removes a waiting request; returns whether it was waiting. */
+  boolean remove(R request);
+
+  /** Takes a lease; returns false if an earlier or equal one was applied already. */
+  boolean applyLease(Lease lease, long now);
+
+  /** Forgets the epoch of the last lease, because another dispatcher took over. */
+  void dispatcherChanged();
+
+  /** Blocks new work on an upstream until its next lease, because it cannot be reached. */
+  void blockUpstream(String upstream);
+
+  /** Records that a request of an account ended its use of a slot. */
+  void finished(String upstream, int account);
+
+  /** Adds service to an account that this router gave in any pool, in tokens. */
+  void served(int account, long tokens);
+
+  /** Returns the requests that can start now, each with its slot. */
+  List<SlotAssignment<R>> assign(long now);
+
+  /** Gives up idle slots if another router wants them; returns whether the demand changed. */
+  boolean releaseWanted();
+
+  /** Returns whether a request waits. */
+  boolean hasWaiting();
+
+  /** Returns whether slots above the lease are still in use, so that each end matters. */
+  boolean isOverLease();
+
+  /** Returns the number of waiting requests of an account. */
+  int waiting(int account);
+
+  /** Returns the number of running requests of an account. */
+  int inFlight(int account);
+
+  /** Returns an account's quota at this router, or its running requests if it has none. */
+  int quota(int account);
+
+  /** Returns demand by account number. */
+  Map<Integer, AccountDemand> accounts();
+
+  /** Returns slots used or held by upstream id. */
+  Map<String, SlotUsage> upstreams();
+
+  /** Returns the epoch of the last lease applied. */
+  long leaseEpoch();
+
+  /** Returns the sequence number of the last lease applied. */
+  long leaseSequence();
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/RouterDemand.java
@@ -0,0 +1,36 @@
+package org.toucansaddle.coordination.sharing;
+
+import java.util.Map;
+
+/**
+ * What a router tells a pool's dispatcher. Immutable.
+ *
+ * @param router name of the router
+ * @param incarnation number that rises with each start of the router
+ * @param leaseEpoch epoch of the lease that the router has applied last
+ * @param leaseSequence sequence number of that lease
+ * @param accounts demand by account number
+ * @param upstreams slots used or held by upstream id
+ * @param service running totals of service by account number, in tokens
+ */
+public record RouterDemand(
+    String router,
+    long incarnation,
+    long leaseEpoch,
+    long leaseSequence,
+    Map<Integer, AccountDemand> accounts,
+    Map<String, SlotUsage> upstreams,
+    Map<Integer, Long> service) {
+
+  /** Copies the maps. */
+  public RouterDemand {
+    accounts = Map.copyOf(accounts);
+    upstreams = Map.copyOf(upstreams);
+    service = Map.copyOf(service);
+  }
+
+  /** Returns how many requests wait. */
+  public int waiting() {
+    return accounts.values().stream().mapToInt(AccountDemand::waiting).sum();
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ServiceBalance.java
@@ -0,0 +1,118 @@
+package org.toucansaddle.coordination.sharing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Service received by each account while it was backlogged, as a dispatcher sees it.
+ *
+ * <p>Routers report running totals; only increases count, so a repeated or late report changes
+ * nothing and a router that restarts from zero loses nothing. An account that becomes backlogged
+ * starts at the least service among the backlogged ones, and none starts ahead of the most: no
+ * credit from idling and no debt from having used idle capacity. Not thread-safe.
+ */
+public final class ServiceBalance {
+
+  private record Row(String router, long incarnation, int account) {}
+
+  private record Source(String router, long incarnation) {}
+
+  private final double maxLeadTokens;
+  private final Map<Row, Long> rows = new HashMap<>();
+  private final Set<Source> sources = new HashSet<>();
+  private final Map<Integer, Double> service = new HashMap<>();
+  private Set<Integer> backlogged = new HashSet<>();
+  private double totalTokens;
+
+  /**
+   * Creates an empty balance.
+   *
+   * @param maxLeadTokens largest difference from the mean that is remembered, in tokens; what a
+   *     partition hid beyond it is forgiven
+   */
+  public ServiceBalance(double maxLeadTokens) {
+    this.maxLeadTokens = maxLeadTokens;
+  }
+
+  /**
+   * Takes a router's running totals by account, in tokens.
+   *
+   * <p>The first report of a router's incarnation only says where its totals stand.
+   */
+  public void report(String router, long incarnation, Map<Integer, Long> totals) {
+    boolean known = !sources.add(new Source(router, incarnation));
+    totals.forEach((account, total) -> report(router, incarnation, account, total, known));
+  }
+
+  private void report(String router, long incarnation, int account, long total, boolean counts) {
+    Row row = new Row(router, incarnation, account);
+    long before = rows.getOrDefault(row, 0L);
+    if (total <= before) {
+      return;
+    }
+    rows.put(row, total);
+    if (counts) {
+      double added = total - before;
+      totalTokens += added;
+      service.merge(account, added, Double::sum);
+    }
+  }
+
+  /** Forgets a router's running totals. */
+  public void forget(String router) {
+    rows.keySet().removeIf(row -> row.router().equals(router));
+    sources.removeIf(source -> source.router().equals(router));
+  }
+
+  /** Sets which accounts have requests waiting somewhere. */
+  public void setBacklogged(Set<Integer> accounts) {
+    Set<Integer> staying = new HashSet<>(backlogged);
+    staying.retainAll(accounts);
+    double least = staying.stream().mapToDouble(this::serviceOf).min().orElse(0);
+    double most = staying.stream().mapToDouble(this::serviceOf).max().orElse(0);
+    for (int account : accounts) {
+      if (!staying.contains(account)) {
+        service.put(account, clamp(serviceOf(account), least, most));
+      }
+    }
+    backlogged = new HashSet<>(accounts);
+    service.keySet().removeIf(account -> !accounts.contains(account));
+    limitLead();
+  }
+
+  private static double clamp(double value, double least, double most) {
+    return Math.min(Math.max(value, least), most);
+  }
+
+  private void limitLead() {
+    double mean = mean();
+    service.replaceAll((a, s) -> clamp(s, mean - maxLeadTokens, mean + maxLeadTokens));
+  }
+
+  private double serviceOf(int account) {
+    return service.getOrDefault(account, 0.0);
+  }
+
+  private double mean() {
+    return backlogged.stream().mapToDouble(this::serviceOf).average().orElse(0);
+  }
+
+  /** Returns how far an account is behind the mean of the backlogged ones, in tokens. */
+  public double lag(int account) {
+    return backlogged.contains(account) ? mean() - serviceOf(account) : 0;
+  }
+
+  /** Returns the largest difference between two backlogged accounts, in tokens. */
+  public double gap() {
+    double least = backlogged.stream().mapToDouble(this::serviceOf).min().orElse(0);
+    double most = backlogged.stream().mapToDouble(this::serviceOf).max().orElse(0);
+    return most - least;
+  }
+
+  /** Returns all service reported so far, in tokens. */
+  public double totalTokens() {
+    return totalTokens;
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharingSettings.java
@@ -0,0 +1,43 @@
+package org.toucansaddle.coordination.sharing;
+
+/**
+ * Times of slot sharing; change one with a {@code with} method. Immutable.
+ *
+ * @param mode how slots are shared
+ * @param planMillis longest time between two plans while requests wait, in milliseconds
+ * @param replanMillis least time between two plans, in milliseconds
+ * @param leaseMillis validity of a lease, in milliseconds
+ * @param renewMillis time between renewals of a lease, in milliseconds
+ * @param silenceMillis time without an announcement after which an upstream gets no new work, in
+ *     milliseconds
+ * @param horizonSeconds time in which a plan makes up an account's lag, in seconds
+ * @param maxLeadTokens largest lag or lead that is remembered, in tokens
+ */
+public record SharingSettings(
+    SharingMode mode,
+    int planMillis,
+    int replanMillis,
+    int leaseMillis,
+    int renewMillis,
+    int silenceMillis,
+    double horizonSeconds,
+    double maxLeadTokens) {
+
+  /** Returns settings for requests that take a few seconds. */
+  public static SharingSettings defaults() {
+    return new SharingSettings(SharingMode.FLEET, 500, 50, 2_500, 900, 2_300, 3, 100_000);
+  }
+
+  /** Returns these settings with another mode. */
+  public SharingSettings withMode(SharingMode newMode) {
+    return new SharingSettings(
+        newMode,
+        planMillis,
+        replanMillis,
+        leaseMillis,
+        renewMillis,
+        silenceMillis,
+        horizonSeconds,
+        maxLeadTokens);
+  }
+}
--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SlotPlanner.java
@@ -0,0 +1,217 @@
+package org.toucansaddle.coordination.sharing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.IntToDoubleFunction;
+
+/**
+ * Divides a pool's slots among the accounts that want them, and each account's share among routers.
+ *
+ * <pre>{@code
+ * SlotPlan plan = SlotPlanner.plan(208, demands, account -> weights.get(account));
+ * }</pre>
+ *
+ * <p>Max-min fair by weight: no account gets more than it can use, what one leaves goes to the
+ * others, and every account that wants a slot gets one before any gets a second while slots last.
+ * Stateless and thread-safe.
+ */
+public final class SlotPlanner {
+
+  private SlotPlanner() {}
+
+  /**
+   * Returns a plan.
+   *
+   * @param slots slots of the pool
+   * @param demands demand by router, then by account number
+   * @param weight relative share of an account; positive
+   */
+  public static SlotPlan plan(
+      int slots, Map<String, Map<Integer, AccountDemand>> demands, IntToDoubleFunction weight) {
+    Map<Integer, Integer> wanted = totalByAccount(demands);
+    Map<Integer, Integer> shares = divide(slots, wanted, weight);
+    Map<String, Map<Integer, Integer>> quotas = new TreeMap<>();
+    shares.forEach((account, share) -> placeShare(account, share, demands, quotas));
+    return new SlotPlan(quotas);
+  }
+
+  private static Map<Integer, Integer> totalByAccount(
+      Map<String, Map<Integer, AccountDemand>> demands) {
+    Map<Integer, Integer> totals = new TreeMap<>();
+    for (Map<Integer, AccountDemand> perAccount : demands.values()) {
+      perAccount.forEach((account, demand) -> totals.merge(account, demand.total(), Integer::sum));
+    }
+    totals.values().removeIf(total -> total <= 0);
+    return totals;
+  }
+
+  /** Divides slots by weighted max-min fairness into whole numbers. */
+  static Map<Integer, Integer> divide(
+      int slots, Map<Integer, Integer> wanted, IntToDoubleFunction weight) {
+    Map<Integer, Double> ideal = waterFill(slots, wanted, weight);
+    Map<Integer, Integer> shares = new TreeMap<>();
+    ideal.forEach((account, share) -> shares.put(account, (int) Math.floor(share + 1e-9)));
+    int left = Math.min(slots, sum(wanted)) - sum(shares);
+    left = giveFirstSlots(shares, wanted, weight, left, slots);
+    List<Integer> byRemainder = new ArrayList<>(ideal.keySet());
+    byRemainder.sort(Comparator.comparingDouble(a -> shares.get(a) - ideal.get(a)));
+    while (left > 0) {
+      int before = left;
+      for (int account : byRemainder) {
+        if (left > 0 && shares.get(account) < wanted.get(account)) {
+          shares.merge(account, 1, Integer::sum);
+          left--;
+        }
+      }
+      if (left == before) {
+        break;
+      }
+    }
+    return shares;
+  }
+
+  /** Gives each account without a slot one, taken from the largest share if none is left. */
+  private static int giveFirstSlots(
+      Map<Integer, Integer> shares,
+      Map<Integer, Integer> wanted,
+      IntToDoubleFunction weight,
+      int left,
+      int slots) {
+    List<Integer> without = new ArrayList<>(shares.keySet());
+    without.removeIf(account -> shares.get(account) > 0);
+    without.sort(Comparator.comparingDouble(account -> -weight.applyAsDouble(account)));
+    int spare = left;
+    for (int account : without) {
+      if (spare > 0) {
+        spare--;
+      } else if (!takeFromLargest(shares)) {
+        break;
+      }
+      shares.put(account, 1);
+    }
+    return spare;
+  }
+
+  private static boolean takeFromLargest(Map<Integer, Integer> shares) {
+    int largest = -1;
+    for (Map.Entry<Integer, Integer> entry : shares.entrySet()) {
+      if (largest < 0 || entry.getValue() > shares.get(largest)) {
+        largest = entry.getKey();
+      }
+    }
+    if (largest < 0 || shares.get(largest) < 2) {
+      return false;
+    }
+    shares.merge(largest, -1, Integer::sum);
+    return true;
+  }
+
+  private static Map<Integer, Double> waterFill(
+      int slots, Map<Integer, Integer> wanted, IntToDoubleFunction weight) {
+    Map<Integer, Double> shares = new TreeMap<>();
+    List<Integer> open = new ArrayList<>(wanted.keySet());
+    double left = slots;
+    while (!open.isEmpty()) {
+      double weights = open.stream().mapToDouble(weight::applyAsDouble).sum();
+      double level = left / weights;
+      List<Integer> satisfied = new ArrayList<>();
+      for (int account : open) {
+        if (wanted.get(account) <= level * weight.applyAsDouble(account)) {
+          satisfied.add(account);
+        }
+      }
+      if (satisfied.isEmpty()) {
+        open.forEach(account -> shares.put(account, level * weight.applyAsDouble(account)));
+        break;
+      }
+      for (int account : satisfied) {
+        shares.put(account, (double) wanted.get(account));
+        left -= wanted.get(account);
+      }
+      open.removeAll(satisfied);
+    }
+    return shares;
+  }
+
+  private static int sum(Map<Integer, Integer> counts) {
+    return counts.values().stream().mapToInt(count -> count).sum();
+  }
+
+  /** One router's part of an account's share while it is placed. */
+  private static final class Part {
+    private final String router;
+    private final AccountDemand demand;
+    private final double ideal;
+    private int slots;
+
+    Part(String router, AccountDemand demand, double ideal) {
+      this.router = router;
+      this.demand = demand;
+      this.ideal = ideal;
+      this.slots = demand.inFlight();
+    }
+
+    double excess() {
+      return slots - ideal;
+    }
+  }
+
+  /** Places a share where the account's requests run already, moving as few slots as possible. */
+  private static void placeShare(
+      int account,
+      int share,
+      Map<String, Map<Integer, AccountDemand>> demands,
+      Map<String, Map<Integer, Integer>> quotas) {
+    List<Part> parts = parts(account, share, demands);
+    int placed = parts.stream().mapToInt(part -> part.slots).sum();
+    Comparator<Part> byExcess = Comparator.comparingDouble(Part::excess);
+    for (; placed > share; placed--) {
+      parts.stream().filter(p -> p.slots > 0).max(byExcess).orElseThrow().slots--;
+    }
+    for (; placed < share; placed++) {
+      parts.stream()
+          .filter(part -> part.slots < part.demand.total())
+          .min(byExcess)
+          .orElseThrow()
+          .slots++;
+    }
+    moveOneTowardsIdeal(parts, byExcess);
+    for (Part part : parts) {
+      if (part.slots > 0) {
+        quotas.computeIfAbsent(part.router, r -> new TreeMap<>()).put(account, part.slots);
+      }
+    }
+  }
+
+  private static List<Part> parts(
+      int account, int share, Map<String, Map<Integer, AccountDemand>> demands) {
+    List<Part> parts = new ArrayList<>();
+    double total = 0;
+    for (Map<Integer, AccountDemand> perAccount : demands.values()) {
+      total += perAccount.getOrDefault(account, AccountDemand.NONE).total();
+    }
+    for (Map.Entry<String, Map<Integer, AccountDemand>> entry : demands.entrySet()) {
+      AccountDemand demand = entry.getValue().getOrDefault(account, AccountDemand.NONE);
+      if (demand.total() > 0) {
+        parts.add(new Part(entry.getKey(), demand, share * demand.total() / total));
+      }
+    }
+    return parts;
+  }
+
+  private static void moveOneTowardsIdeal(List<Part> parts, Comparator<Part> byExcess) {
+    if (parts.size() < 2) {
+      return;
+    }
+    Part most = parts.stream().max(byExcess).orElseThrow();
+    Part least = parts.stream().min(byExcess).orElseThrow();
+    boolean useful = most.excess() > 1 && least.excess() < -1 && most.slots > 1;
+    if (useful && least.slots < least.demand.total()) {
+      most.slots--;
+      least.slots++;
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/Addresses.java
@@ -0,0 +1,28 @@
+package org.toucansaddle.daemon.internal;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import org.xnio.Options;
+
+/** Listens on addresses of the settings. Stateless and thread-safe. */
+final class Addresses {
+
+  private static final int NO_REQUEST_TIMEOUT_MILLIS = 60_000;
+  private static final int MAX_HEADER_BYTES = 16 * 1024;
+  private static final int MAX_HEADERS = 100;
+
+  private Addresses() {}
+
+  /** Adds an HTTP listener; connections that bring no request for a minute are closed. */
+  static Undertow.Builder listen(Undertow.Builder builder, String address) {
+    int colon = address.lastIndexOf(':');
+    int port = Integer.parseInt(address.substring(colon + 1));
+    return builder
+        .addHttpListener(port, address.substring(0, colon))
+        .setSocketOption(Options.TCP_NODELAY, true)
+        .setSocketOption(Options.REUSE_ADDRESSES, true)
+        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
+        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+        .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
@@ -0,0 +1,220 @@
+package org.toucansaddle.daemon.internal;
+
+import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup;
+import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.membership.Member;
+import org.toucansaddle.coordination.replication.ReplicationSettings;
+import org.toucansaddle.coordination.retry.StrikeTable;
+import org.toucansaddle.coordination.sharing.SharingSettings;
+import org.toucansaddle.daemon.internal.config.ConfigurationHolder;
+import org.toucansaddle.daemon.internal.control.ConfigurationFollower;
+import org.toucansaddle.daemon.internal.control.ControlClient;
+import org.toucansaddle.daemon.internal.control.ControlReplica;
+import org.toucansaddle.daemon.internal.control.ControlStateMachine;
+import org.toucansaddle.daemon.internal.control.FleetDirectory;
+import org.toucansaddle.daemon.internal.control.LeaderCalls;
+import org.toucansaddle.daemon.internal.control.ReplicaLinks;
+import org.toucansaddle.daemon.internal.control.ReplicaSetController;
+import org.toucansaddle.daemon.internal.membership.MembershipController;
+import org.toucansaddle.daemon.internal.peer.FleetProof;
+import org.toucansaddle.daemon.internal.peer.PeerClients;
+import org.toucansaddle.daemon.internal.peer.PeerIdentity;
+import org.toucansaddle.daemon.internal.peer.PeerServer;
+import org.toucansaddle.daemon.internal.peer.PeerTls;
+import org.toucansaddle.daemon.internal.sharing.ServiceCounters;
+import org.toucansaddle.daemon.internal.sharing.SharingController;
+import org.toucansaddle.daemon.settings.DaemonSettings;
+
+/**
+ * The controllers of one daemon and their links to other daemons.
+ *
+ * <p>Threads: one event loop for other daemons, one control thread for all controllers, and on a
+ * control replica one for its log. Thread-safe.
+ */
+final class ControlPlane implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
+  private static final int TICK_MILLIS = 40;
+  private static final int REPLICA_SET_MILLIS = 300;
+
+  private final ConfigurationHolder holder = new ConfigurationHolder();
+  private final FleetDirectory directory = new FleetDirectory();
+  private final ServiceCounters service = new ServiceCounters();
+  private final EventLoopGroup peerThreads = new NioEventLoopGroup(1);
+  private final ScheduledExecutorService control = newThread("control");
+  private final PeerIdentity self;
+  private final PeerClients clients;
+  private final PeerServer peerServer;
+  private final Optional<ControlReplica> replica;
+  private final ControlClient controlClient;
+  private final ConfigurationFollower follower;
+  private final SharingController sharing;
+  private final MembershipController membership;
+
+  ControlPlane(DaemonSettings settings, StrikeTable strikes, ScheduledExecutorService timers)
+      throws IOException {
+    String name = settings.identity().name();
+    this.self = new PeerIdentity(name, settings.listen().peers(), System.currentTimeMillis());
+    FleetProof proof = new FleetProof(settings.identity().fleet(), settings.peers().secret());
+    PeerTls tls = new PeerTls(settings.peers().tls());
+    this.clients = new PeerClients(self, proof, tls, peerThreads);
+    ReplicaLinks links = new ReplicaLinks(directory, clients);
+    this.replica = startReplica(settings, links);
+    LeaderCalls leaderCalls = new LeaderCalls(replica, holder);
+    this.controlClient = new ControlClient(name, leaderCalls, directory, clients, timers);
+    this.follower = new ConfigurationFollower(name, holder, controlClient, directory, clients);
+    this.sharing = sharing(settings);
+    this.membership = membership(settings, strikes);
+    Optional<ReplicaSetController> replicaSet =
+        replica.map(
+            r -> new ReplicaSetController(r, settings.control().replicas(), directory, clients));
+    InboundPeerService inbound =
+        new InboundPeerService(
+            control,
+            membership,
+            sharing,
+            follower,
+            leaderCalls,
+            replica.map(r -> links),
+            replicaSet);
+    this.peerServer = PeerServer.start(settings.listen().peers(), inbound, proof, tls, peerThreads);
+    schedule(replicaSet);
+    follower
+        .confirmFirst()
+        .thenRun(() -> LOG.info("ready at revision {}", holder.current().revision()));
+  }
+
+  static ScheduledExecutorService newThread(String name) {
+    return Executors.newSingleThreadScheduledExecutor(
+        action -> {
+          Thread thread = new Thread(action, name);
+          thread.setDaemon(true);
+          return thread;
+        });
+  }
+
+  private Optional<ControlReplica> startReplica(DaemonSettings settings, ReplicaLinks links) {
+    if (!settings.control().isReplica()) {
+      return Optional.empty();
+    }
+    ControlReplica started =
+        new ControlReplica(
+            settings.control().dataFolder().orElseThrow().resolve("replica"),
+            self.name(),
+            ReplicationSettings.defaults(),
+            new ControlStateMachine(holder::offer),
+            links);
+    links.setReplica(started);
+    return Optional.of(started);
+  }
+
+  private SharingController sharing(DaemonSettings settings) {
+    SharingSettings sharingSettings = SharingSettings.defaults().withMode(settings.sharingMode());
+    return new SharingController(
+        self, sharingSettings, directory, clients, service, control, MonotonicClock::millis);
+  }
+
+  private MembershipController membership(DaemonSettings settings, StrikeTable strikes) {
+    Member member =
+        new Member(
+            self.name(),
+            self.incarnation(),
+            Member.State.ALIVE,
+            self.address(),
+            settings.identity().zone(),
+            settings.control().isReplica());
+    return new MembershipController(
+        member,
+        settings.peers().seeds(),
+        directory,
+        clients,
+        holder,
+        follower,
+        strikes,
+        MonotonicClock::millis,
+        sharing::membersChanged);
+  }
+
+  private void schedule(Optional<ReplicaSetController> replicaSet) {
+    every(TICK_MILLIS, control, membership::tick);
+    every(TICK_MILLIS, control, sharing::tick);
+    every(TICK_MILLIS, control, this::confirmAsLeader);
+    replicaSet.ifPresent(set -> every(REPLICA_SET_MILLIS, control, set::step));
+  }
+
+  static void every(int millis, ScheduledExecutorService executor, Runnable action) {
+    executor.scheduleWithFixedDelay(
+        () -> {
+          try {
+            action.run();
+          } catch (RuntimeException e) {
+            LOG.error("a periodic task failed", e);
+          }
+        },
+        millis,
+        millis,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** A leader with a valid lease knows that its configuration is the latest. */
+  private void confirmAsLeader() {
+    long now = System.nanoTime();
+    boolean leads = replica.filter(r -> r.status().leaseValid()).isPresent();
+    if (leads && holder.isConfirmed()) {
+      holder.confirm(now);
+    }
+  }
+
+  PeerIdentity self() {
+    return self;
+  }
+
+  ConfigurationHolder holder() {
+    return holder;
+  }
+
+  FleetDirectory directory() {
+    return directory;
+  }
+
+  ServiceCounters service() {
+    return service;
+  }
+
+  PeerClients clients() {
+    return clients;
+  }
+
+  Optional<ControlReplica> replica() {
+    return replica;
+  }
+
+  ControlClient controlClient() {
+    return controlClient;
+  }
+
+  SharingController sharing() {
+    return sharing;
+  }
+
+  /** Tells the other daemons that this one leaves. */
+  void leave() {
+    control.execute(membership::leave);
+  }
+
+  @Override
+  public void close() {
+    control.shutdownNow();
+    replica.ifPresent(ControlReplica::close);
+    clients.close();
+    peerServer.close();
+    peerThreads.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminHandler.java
@@ -0,0 +1,150 @@
+package org.toucansaddle.daemon.internal.admin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.io.IoCallback;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucansaddle.daemon.internal.problem.Problem;
+import org.toucansaddle.daemon.internal.problem.ProblemException;
+import org.toucansaddle.daemon.internal.problem.RunState;
+import org.toucansaddle.daemon.internal.request.Digests;
+import org.toucansaddle.daemon.internal.request.ProblemWriter;
+
+/**
+ * HTTP interface for operators: checks the token, reads JSON, answers JSON.
+ *
+ * <p>Thread-safe.
+ */
+public final class AdminHandler implements HttpHandler {
+
+  private static final Logger LOG = LoggerFactory.getLogger(AdminHandler.class);
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String PREFIX = "/admin/v1/";
+  private static final String SCHEME = "Bearer ";
+  private static final int MAX_BODY_BYTES = 1 << 20;
+
+  private final byte[] tokenDigest;
+  private final AdminOperations operations;
+
+  /** Creates a handler; {@code tokenDigest} is the SHA-256 digest of the token in hexadecimal. */
+  public AdminHandler(String tokenDigest, AdminOperations operations) {
+    this.tokenDigest = HexFormat.of().parseHex(tokenDigest);
+    this.operations = operations;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    if (!isOperator(exchange)) {
+      respond(exchange, AdminProblems.unknownToken());
+      return;
+    }
+    exchange.getRequestReceiver().setMaxBufferSize(MAX_BODY_BYTES);
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (e, bytes) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> perform(e, bytes)),
+            (e, failure) ->
+                e.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () -> respond(e, AdminProblems.badBody("it is too long"))));
+  }
+
+  private boolean isOperator(HttpServerExchange exchange) {
+    String authorization = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+    if (authorization == null || !authorization.startsWith(SCHEME)) {
+      return false;
+    }
+    String token = authorization.substring(SCHEME.length()).trim();
+    byte[] digest = Digests.sha256(token.getBytes(StandardCharsets.UTF_8));
+    return MessageDigest.isEqual(tokenDigest, digest);
+  }
+
+  private void perform(HttpServerExchange exchange, byte[] bytes) {
+    CompletableFuture<ObjectNode> answer;
+    try {
+      answer = operations.perform(call(exchange, bytes));
+    } catch (RuntimeException e) {
+      answer = CompletableFuture.failedFuture(e);
+    }
+    answer.whenComplete(
+        (node, failure) ->
+            exchange
+                .getIoThread()
+                .execute(
+                    () -> {
+                      if (failure == null) {
+                        respond(exchange, 200, "application/json", node.toString());
+                      } else {
+                        respond(exchange, problem(failure));
+                      }
+                    }));
+  }
+
+  private static AdminCall call(HttpServerExchange exchange, byte[] bytes) {
+    String path = exchange.getRequestPath();
+    if (!path.startsWith(PREFIX)) {
+      throw new ProblemException(AdminProblems.unknownPath(path));
+    }
+    String[] parts = path.substring(PREFIX.length()).split("/", 2);
+    String name = parts.length > 1 ? parts[1] : "";
+    String method = exchange.getRequestMethod().toString();
+    return new AdminCall(method, parts[0], name, json(bytes));
+  }
+
+  private static ObjectNode json(byte[] bytes) {
+    if (bytes.length == 0) {
+      return JSON.createObjectNode();
+    }
+    try {
+      JsonNode node = JSON.readTree(bytes);
+      if (node instanceof ObjectNode object) {
+        return object;
+      }
+      throw new ProblemException(AdminProblems.badBody("it is not a JSON object"));
+    } catch (JsonProcessingException e) {
+      throw new ProblemException(AdminProblems.badBody(e.getOriginalMessage()));
+    } catch (IOException e) {
+      throw new ProblemException(AdminProblems.badBody(e.getMessage()));
+    }
+  }
+
+  private static Problem problem(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof ProblemException e) {
+      return e.problem();
+    }
+    LOG.error("an operator's call failed inside the daemon", cause);
+    return Problem.of(
+        500, "internal-error", RunState.UNKNOWN, "The daemon failed; look into its log.");
+  }
+
+  private static void respond(HttpServerExchange exchange, Problem problem) {
+    respond(
+        exchange,
+        problem.status(),
+        "application/problem+json",
+        ProblemWriter.json("admin", problem));
+  }
+
+  private static void respond(
+      HttpServerExchange exchange, int status, String contentType, String body) {
+    exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, contentType);
+    ByteBuffer bytes = ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8));
+    exchange.getResponseSender().send(bytes, IoCallback.END_EXCHANGE);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminProblems.java
@@ -0,0 +1,53 @@
+package org.toucansaddle.daemon.internal.admin;
+
+import org.toucansaddle.daemon.internal.problem.Problem;
+import org.toucansaddle.daemon.internal.problem.RunState;
+import org.toucansaddle.protocol.generated.CommandResult;
+
+/** Builds every error that operators see; each detail names the remedy. Thread-safe. */
+final class AdminProblems {
+
+  private AdminProblems() {}
+
+  private static Problem notRun(int status, String type, String detail) {
+    return Problem.of(status, type, RunState.NOT_RUN, detail);
+  }
+
+  static Problem unknownToken() {
+    return notRun(
+        401,
+        "unknown-token",
+        "The operators' token is missing or wrong. Send it with 'toucansaddle --token-file FILE';"
+            + " its digest is in admin.token_digest of the daemon's settings.");
+  }
+
+  static Problem unknownPath(String path) {
+    return notRun(
+        404, "unknown-path", "Nothing is served at '" + path + "'. See docs/OPERATIONS.md.");
+  }
+
+  static Problem badBody(String why) {
+    return notRun(400, "bad-body", "The body is not valid (" + why + "). Send a JSON object.");
+  }
+
+  static Problem badField(String name, String allowed) {
+    return notRun(
+        400, "bad-field", "The field '" + name + "' is not valid. Allowed: " + allowed + ".");
+  }
+
+  static Problem notFound(String what) {
+    return notRun(404, "not-found", "There is no " + what + ". List what exists and try again.");
+  }
+
+  static Problem conflict(CommandResult result) {
+    return notRun(409, "conflict", result.getMessage());
+  }
+
+  static Problem invalid(CommandResult result) {
+    return notRun(400, "invalid", result.getMessage());
+  }
+
+  static Problem unavailable(String detail) {
+    return Problem.of(503, "control-unavailable", RunState.UNKNOWN, detail).retryAfter(1);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/config/FleetConfiguration.java
@@ -0,0 +1,74 @@
+package org.toucansaddle.daemon.internal.config;
+
+import com.google.protobuf.ByteString;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.toucansaddle.protocol.generated.ClientAccount;
+import org.toucansaddle.protocol.generated.ConfigurationItem;
+import org.toucansaddle.protocol.generated.WorkClass;
+
+/** Classes of work and client accounts at one revision, indexed for requests. Immutable. */
+public final class FleetConfiguration {
+
+  private final ConfigurationItems items;
+  private final Map<String, WorkClass> classes = new TreeMap<>();
+  private final Map<String, ClientAccount> accounts = new TreeMap<>();
+  private final Map<ByteString, ClientAccount> accountsByKey = new HashMap<>();
+  private final Map<Integer, ClientAccount> accountsByNumber = new HashMap<>();
+
+  /** Indexes items. */
+  public FleetConfiguration(ConfigurationItems items) {
+    this.items = items;
+    items.items().values().forEach(this::index);
+  }
+
+  private void index(ConfigurationItem item) {
+    if (item.hasWorkClass()) {
+      classes.put(item.getWorkClass().getName(), item.getWorkClass());
+    } else if (item.hasAccount()) {
+      ClientAccount account = item.getAccount();
+      accounts.put(account.getName(), account);
+      accountsByNumber.put(account.getNumber(), account);
+      account.getKeyDigestsList().forEach(digest -> accountsByKey.put(digest, account));
+    }
+  }
+
+  /** Returns the items. */
+  public ConfigurationItems items() {
+    return items;
+  }
+
+  /** Returns the revision. */
+  public long revision() {
+    return items.revision();
+  }
+
+  /** Returns a class by name. */
+  public Optional<WorkClass> workClass(String name) {
+    return Optional.ofNullable(classes.get(name));
+  }
+
+  /** Returns all classes by name. */
+  public Collection<WorkClass> classes() {
+    return classes.values();
+  }
+
+  /** Returns the account with a key of this SHA-256 digest. */
+  public Optional<ClientAccount> accountByKeyDigest(ByteString digest) {
+    return Optional.ofNullable(accountsByKey.get(digest));
+  }
+
+  /** Returns the name of an account by its number, or the number as text. */
+  public String accountName(int number) {
+    ClientAccount account = accountsByNumber.get(number);
+    return account == null ? "account-" + number : account.getName();
+  }
+
+  /** Returns all accounts by name. */
+  public Collection<ClientAccount> accounts() {
+    return accounts.values();
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ConfigurationFollower.java
@@ -0,0 +1,116 @@
+package org.toucansaddle.daemon.internal.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.toucansaddle.coordination.membership.Member;
+import org.toucansaddle.daemon.internal.config.ConfigurationHolder;
+import org.toucansaddle.daemon.internal.config.FleetConfiguration;
+import org.toucansaddle.daemon.internal.peer.PeerClients;
+import org.toucansaddle.protocol.PeerMethods;
+import org.toucansaddle.protocol.generated.ConfigurationDelta;
+import org.toucansaddle.protocol.generated.FetchConfigurationReply;
+import org.toucansaddle.protocol.generated.FetchConfigurationRequest;
+import org.toucansaddle.protocol.generated.PeerMessage;
+
+/**
+ * Keeps this daemon's configuration up to date.
+ *
+ * <p>At the start it waits for a read confirmed by a quorum. Afterwards each daemon that learns a
+ * new revision passes it on to a few others, and probes name the sender's revision, so that who is
+ * behind fetches what it lacks from any other daemon. Thread-safe.
+ */
+public final class ConfigurationFollower {
+
+  private static final int FAN_OUT = 2;
+  private static final Duration FIRST_READ_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(1);
+
+  private final String selfName;
+  private final ConfigurationHolder holder;
+  private final ControlClient control;
+  private final FleetDirectory directory;
+  private final PeerClients clients;
+  private final AtomicBoolean fetching = new AtomicBoolean();
+
+  /** Creates a follower and begins to pass on what the holder learns. */
+  public ConfigurationFollower(
+      String selfName,
+      ConfigurationHolder holder,
+      ControlClient control,
+      FleetDirectory directory,
+      PeerClients clients) {
+    this.selfName = selfName;
+    this.holder = holder;
+    this.control = control;
+    this.directory = directory;
+    this.clients = clients;
+    holder.onChange(this::passOn);
+  }
+
+  /** Reads the configuration as a quorum confirms it; tries until it succeeds. */
+  public CompletableFuture<Void> confirmFirst() {
+    long asked = System.nanoTime();
+    return control
+        .fetchConfirmed(holder.current().revision(), FIRST_READ_TIMEOUT)
+        .handle((reply, failure) -> failure == null && applyConfirmed(reply, asked))
+        .thenCompose(done -> done ? CompletableFuture.completedFuture(null) : this.confirmFirst());
+  }
+
+  private boolean applyConfirmed(FetchConfigurationReply reply, long asked) {
+    if (!holder.offer(reply.getDelta())) {
+      return false;
+    }
+    holder.confirm(asked);
+    return true;
+  }
+
+  /** Takes a delta that another daemon passed on. */
+  public void onDelta(String fromAddress, ConfigurationDelta delta) {
+    if (!holder.offer(delta)) {
+      fetch(fromAddress);
+    }
+  }
+
+  /** Takes the revisions that a probe named. */
+  public void onRevision(
+      String fromAddress, long revision, long confirmedRevision, long confirmedAgeMillis) {
+    long mine = holder.current().revision();
+    if (revision > mine) {
+      fetch(fromAddress);
+    }
+    boolean confirmsMine = confirmedRevision <= mine && confirmedAgeMillis < Integer.MAX_VALUE;
+    if (confirmsMine) {
+      holder.confirm(System.nanoTime() - confirmedAgeMillis * 1_000_000);
+    }
+  }
+
+  private void fetch(String address) {
+    if (!fetching.compareAndSet(false, true)) {
+      return;
+    }
+    FetchConfigurationRequest request =
+        FetchConfigurationRequest.newBuilder().setFromRevision(holder.current().revision()).build();
+    clients
+        .call(address, PeerMethods.FETCH_CONFIGURATION, request, FETCH_TIMEOUT)
+        .whenComplete(
+            (reply, failure) -> {
+              fetching.set(false);
+              if (failure == null) {
+                holder.offer(reply.getDelta());
+              }
+            });
+  }
+
+  private void passOn(FleetConfiguration configuration) {
+    ConfigurationDelta delta = configuration.items().since(configuration.revision() - 1);
+    PeerMessage message = PeerMessage.newBuilder().setConfiguration(delta).build();
+    List<Member> others = new ArrayList<>(directory.live());
+    others.removeIf(member -> member.name().equals(selfName));
+    Collections.shuffle(others);
+    others.stream().limit(FAN_OUT).forEach(member -> clients.send(member.address(), message));
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ControlStateMachine.java
@@ -0,0 +1,194 @@
+package org.toucansaddle.daemon.internal.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.toucansaddle.coordination.replication.StateMachine;
+import org.toucansaddle.daemon.internal.config.ConfigurationItems;
+import org.toucansaddle.protocol.generated.ClaimResult;
+import org.toucansaddle.protocol.generated.ClientAccount;
+import org.toucansaddle.protocol.generated.Command;
+import org.toucansaddle.protocol.generated.CommandResult;
+import org.toucansaddle.protocol.generated.CommandStatus;
+import org.toucansaddle.protocol.generated.ConfigurationItem;
+import org.toucansaddle.protocol.generated.ControlSnapshot;
+import org.toucansaddle.protocol.generated.WorkClass;
+
+/**
+ * State of the control replicas: configuration, results of commands, claims.
+ *
+ * <p>Deterministic: depends on the commands alone; time comes with the commands and never runs
+ * back. Not thread-safe.
+ */
+public final class ControlStateMachine implements StateMachine {
+
+  private final Consumer<ConfigurationItems> onConfiguration;
+  private final CommandResults results = new CommandResults();
+  private final ClaimTable claims = new ClaimTable();
+  private ConfigurationItems configuration = ConfigurationItems.empty();
+  private int nextAccountNumber = 1;
+  private long clockMillis;
+
+  /** Creates the initial state; each new configuration is given to the consumer. */
+  public ControlStateMachine(Consumer<ConfigurationItems> onConfiguration) {
+    this.onConfiguration = onConfiguration;
+  }
+
+  /** Returns the configuration. */
+  public ConfigurationItems configuration() {
+    return configuration;
+  }
+
+  @Override
+  public byte[] apply(long index, byte[] bytes) {
+    Command command;
+    try {
+      command = Command.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException e) {
+      return result(CommandStatus.INVALID, "The command cannot be read; send it again.")
+          .toByteArray();
+    }
+    clockMillis = Math.max(clockMillis, command.getProposedAtMillis());
+    return apply(command).toByteArray();
+  }
+
+  private CommandResult apply(Command command) {
+    if (command.hasClaim()) {
+      return claimResult(claims.claim(command, clockMillis));
+    }
+    if (command.hasClaimOutcome()) {
+      return claimResult(claims.complete(command.getClaimOutcome()));
+    }
+    Optional<CommandResult> first = results.find(command.getCommandId());
+    if (first.isPresent()) {
+      return first.get();
+    }
+    CommandResult result = change(command);
+    results.put(command.getCommandId(), result);
+    return result;
+  }
+
+  private CommandResult claimResult(ClaimResult claim) {
+    return CommandResult.newBuilder()
+        .setStatus(CommandStatus.ACCEPTED)
+        .setRevision(configuration.revision())
+        .setClaim(claim)
+        .build();
+  }
+
+  private CommandResult change(Command command) {
+    return switch (command.getKindCase()) {
+      case PUT_CLASS -> putClass(command, command.getPutClass());
+      case PUT_ACCOUNT -> putAccount(command, command.getPutAccount());
+      case DELETE_CLASS -> delete(command, ConfigurationItems.classKey(command.getDeleteClass()));
+      case DELETE_ACCOUNT ->
+          delete(command, ConfigurationItems.accountKey(command.getDeleteAccount()));
+      default -> result(CommandStatus.INVALID, "The command is of an unknown kind.");
+    };
+  }
+
+  private CommandResult putClass(Command command, WorkClass workClass) {
+    ConfigurationItem.Builder item = ConfigurationItem.newBuilder().setWorkClass(workClass);
+    return put(command, ConfigurationItems.classKey(workClass.getName()), item);
+  }
+
+  private CommandResult putAccount(Command command, ClientAccount account) {
+    String key = ConfigurationItems.accountKey(account.getName());
+    ConfigurationItem known = configuration.items().get(key);
+    boolean exists = known != null && !known.getDeleted();
+    int number = exists ? known.getAccount().getNumber() : nextAccountNumber;
+    ClientAccount numbered = account.toBuilder().setNumber(number).build();
+    CommandResult result = put(command, key, ConfigurationItem.newBuilder().setAccount(numbered));
+    if (result.getStatus() == CommandStatus.ACCEPTED && !exists) {
+      nextAccountNumber++;
+    }
+    return result;
+  }
+
+  private CommandResult put(Command command, String key, ConfigurationItem.Builder item) {
+    long current = configuration.revisionOf(key);
+    if (command.getDecidedOnRevision() != current) {
+      return conflict(key, command.getDecidedOnRevision(), current);
+    }
+    return accept(item);
+  }
+
+  private CommandResult delete(Command command, String key) {
+    long current = configuration.revisionOf(key);
+    if (current == 0) {
+      return result(
+          CommandStatus.NOT_FOUND, "There is no '" + key + "'. List what exists and try again.");
+    }
+    if (command.getDecidedOnRevision() != current) {
+      return conflict(key, command.getDecidedOnRevision(), current);
+    }
+    return accept(ConfigurationItem.newBuilder().setDeleted(true).setDeletedKey(key));
+  }
+
+  private CommandResult accept(ConfigurationItem.Builder item) {
+    long revision = configuration.revision() + 1;
+    configuration = configuration.with(item.setRevision(revision).build());
+    onConfiguration.accept(configuration);
+    return result(CommandStatus.ACCEPTED, "");
+  }
+
+  private CommandResult conflict(String key, long decidedOn, long current) {
+    return CommandResult.newBuilder()
+        .setStatus(CommandStatus.CONFLICT)
+        .setRevision(current)
+        .setMessage(
+            "'"
+                + key
+                + "' is at revision "
+                + current
+                + ", but the change was decided on revision "
+                + decidedOn
+                + ". Look at the current targets and send the change again with --revision "
+                + current
+                + ".")
+        .build();
+  }
+
+  private CommandResult result(CommandStatus status, String message) {
+    return CommandResult.newBuilder()
+        .setStatus(status)
+        .setRevision(configuration.revision())
+        .setMessage(message)
+        .build();
+  }
+
+  @Override
+  public byte[] snapshot() {
+    return ControlSnapshot.newBuilder()
+        .setRevision(configuration.revision())
+        .setOldestDeltaRevision(configuration.oldestDeltaRevision())
+        .addAllItems(configuration.items().values())
+        .setNextAccountNumber(nextAccountNumber)
+        .addAllResults(results.stored())
+        .addAllClaims(claims.stored())
+        .setClockMillis(clockMillis)
+        .build()
+        .toByteArray();
+  }
+
+  @Override
+  public void restore(byte[] state) {
+    ControlSnapshot snapshot;
+    try {
+      snapshot = ControlSnapshot.parseFrom(state);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("The control snapshot cannot be read.", e);
+    }
+    SortedMap<String, ConfigurationItem> items = new TreeMap<>();
+    snapshot.getItemsList().forEach(item -> items.put(ConfigurationItems.key(item), item));
+    configuration =
+        new ConfigurationItems(snapshot.getRevision(), snapshot.getOldestDeltaRevision(), items);
+    nextAccountNumber = Math.max(1, snapshot.getNextAccountNumber());
+    results.restore(snapshot.getResultsList());
+    claims.restore(snapshot.getClaimsList());
+    clockMillis = snapshot.getClockMillis();
+    onConfiguration.accept(configuration);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/FleetDirectory.java
@@ -0,0 +1,42 @@
+package org.toucansaddle.daemon.internal.control;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.toucansaddle.coordination.membership.Member;
+
+/**
+ * The members of the fleet as last seen, for readers on any thread.
+ *
+ * <p>Readers get an immutable snapshot. Thread-safe.
+ */
+public final class FleetDirectory {
+
+  private final AtomicReference<List<Member>> members = new AtomicReference<>(List.of());
+
+  /** Replaces the members. */
+  public void set(Collection<Member> all) {
+    members.set(List.copyOf(all));
+  }
+
+  /** Returns all members, also dead ones and this one. */
+  public List<Member> members() {
+    return members.get();
+  }
+
+  /** Returns the members believed to be alive. */
+  public List<Member> live() {
+    return members.get().stream().filter(Member::isLive).toList();
+  }
+
+  /** Returns a member by name. */
+  public Optional<Member> find(String name) {
+    return members.get().stream().filter(member -> member.name().equals(name)).findFirst();
+  }
+
+  /** Returns the address of a member by name. */
+  public Optional<String> address(String name) {
+    return find(name).map(Member::address);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/FolderIdentity.java
@@ -0,0 +1,60 @@
+package org.toucansaddle.daemon.internal.control;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import org.toucansaddle.coordination.replication.ReplicaId;
+import org.toucansaddle.coordination.replication.StorageException;
+
+/**
+ * Identity of a replica, made once for its data folder and synced before it is used.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class FolderIdentity {
+
+  private FolderIdentity() {}
+
+  /** Returns the identity in a folder, making it if the folder has none. */
+  static ReplicaId load(Path folder, String name) {
+    Path file = folder.resolve("identity");
+    try {
+      Files.createDirectories(folder);
+      if (!Files.exists(file)) {
+        write(folder, file, new SecureRandom().nextLong());
+      }
+      String text = Files.readString(file).trim();
+      return new ReplicaId(name, Long.parseUnsignedLong(text, 16));
+    } catch (IOException | NumberFormatException e) {
+      throw new StorageException(
+          StorageException.Kind.FAILED,
+          "The identity of the control replica cannot be read from or written to "
+              + file
+              + " ("
+              + e.getMessage()
+              + "). Check the disk; if the file is damaged, remove the whole folder, and the"
+              + " daemon joins as a new replica.",
+          e);
+    }
+  }
+
+  private static void write(Path folder, Path file, long folderId) throws IOException {
+    Path temporary = folder.resolve("identity.new");
+    byte[] text = Long.toHexString(folderId).getBytes(StandardCharsets.US_ASCII);
+    Files.write(temporary, text);
+    sync(temporary, StandardOpenOption.WRITE);
+    Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
+    sync(folder, StandardOpenOption.READ);
+  }
+
+  private static void sync(Path path, StandardOpenOption option) throws IOException {
+    try (FileChannel channel = FileChannel.open(path, option)) {
+      channel.force(true);
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ReplicaLinks.java
@@ -0,0 +1,57 @@
+package org.toucansaddle.daemon.internal.control;
+
+import org.toucansaddle.coordination.replication.RaftMessage;
+import org.toucansaddle.coordination.replication.ReplicaId;
+import org.toucansaddle.coordination.replication.ReplicaTransport;
+import org.toucansaddle.daemon.internal.peer.PeerClients;
+import org.toucansaddle.daemon.internal.peer.PeerIdentity;
+import org.toucansaddle.protocol.generated.PeerMessage;
+import org.toucansaddle.protocol.generated.ReplicationMessage;
+
+/**
+ * Carries messages of the replicated log between daemons.
+ *
+ * <p>A message for another data folder than this replica's is dropped: the folder it was meant for
+ * is gone. Thread-safe once the replica was set.
+ */
+public final class ReplicaLinks implements ReplicaTransport {
+
+  private final FleetDirectory directory;
+  private final PeerClients clients;
+  private volatile ControlReplica replica;
+
+  /** Creates links without a replica. */
+  public ReplicaLinks(FleetDirectory directory, PeerClients clients) {
+    this.directory = directory;
+    this.clients = clients;
+  }
+
+  /** Sets the replica that gets the messages. */
+  public void setReplica(ControlReplica newReplica) {
+    replica = newReplica;
+  }
+
+  @Override
+  public void send(ReplicaId to, RaftMessage message) {
+    ControlReplica from = replica;
+    if (from == null) {
+      return;
+    }
+    ReplicationMessage encoded = ReplicaMessages.encode(from.self(), to, message);
+    directory
+        .address(to.name())
+        .ifPresent(
+            address ->
+                clients.send(address, PeerMessage.newBuilder().setReplication(encoded).build()));
+  }
+
+  /** Takes a message of another daemon's replica. */
+  public void receive(PeerIdentity from, ReplicationMessage message) {
+    ControlReplica to = replica;
+    if (to == null || message.getToFolder() != to.self().folderId()) {
+      return;
+    }
+    ReplicaId sender = new ReplicaId(from.name(), message.getFromFolder());
+    ReplicaMessages.decode(message).ifPresent(decoded -> to.receive(sender, decoded));
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
@@ -0,0 +1,87 @@
+package org.toucansaddle.daemon.internal.logging;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.sharing.Lease;
+import org.toucansaddle.coordination.sharing.SlotAssignment.Reason;
+import org.toucansaddle.daemon.internal.problem.Problem;
+import org.toucansaddle.daemon.internal.request.CallerRequest;
+
+/**
+ * Logs one line for each routing or placement decision.
+ *
+ * <p>As text a line is a verb and {@code key=value} pairs; as JSON each pair is a field. Stateless
+ * and thread-safe.
+ */
+public final class DecisionLog {
+
+  private static final Logger ROUTING = LoggerFactory.getLogger("decision.routing");
+  private static final Logger PLACEMENT = LoggerFactory.getLogger("decision.placement");
+
+  private DecisionLog() {}
+
+  /** A request was given a slot of an upstream. */
+  public static void routed(
+      CallerRequest request, String upstream, String attempt, Reason reason, int passedOver) {
+    ROUTING.info(
+        "routed {} {} {} {} {} {} {}",
+        kv("request", request.id()),
+        kv("account", request.account().getName()),
+        kv("class", request.workClass().getName()),
+        kv("upstream", upstream),
+        kv("attempt", attempt),
+        kv("reason", reason),
+        kv("accounts_passed_over", passedOver));
+  }
+
+  /** An attempt ended without a whole answer. */
+  public static void attemptFailed(
+      CallerRequest request, String upstream, String attempt, String outcome) {
+    ROUTING.info(
+        "attempt failed {} {} {} {}",
+        kv("request", request.id()),
+        kv("upstream", upstream),
+        kv("attempt", attempt),
+        kv("outcome", outcome));
+  }
+
+  /** A request got its whole answer. */
+  public static void answered(CallerRequest request, String attempt, int tokens, long millis) {
+    ROUTING.info(
+        "answered {} {} {} {}",
+        kv("request", request.id()),
+        kv("attempt", attempt),
+        kv("tokens", tokens),
+        kv("millis", millis));
+  }
+
+  /** A request ended with a problem. */
+  public static void refused(CallerRequest request, Problem problem) {
+    String account = request.account() == null ? "" : request.account().getName();
+    String workClass = request.workClass() == null ? "" : request.workClass().getName();
+    ROUTING.info(
+        "refused {} {} {} {} {} {} {}",
+        kv("request", request.id()),
+        kv("account", account),
+        kv("class", workClass),
+        kv("status", problem.status()),
+        kv("type", problem.type()),
+        kv("run", problem.run().text()),
+        kv("retry_after", problem.retryAfterSeconds().orElse(0)));
+  }
+
+  /** A dispatcher changed what a router may use. */
+  public static void leased(String pool, Lease lease, double gapTokens) {
+    PLACEMENT.info(
+        "leased {} {} {} {} {} {} {}",
+        kv("pool", pool),
+        kv("router", lease.router()),
+        kv("sequence", lease.sequence()),
+        kv("slots", lease.slots()),
+        kv("quotas", lease.quotas()),
+        kv("wanted", lease.wanted()),
+        kv("service_gap", Math.round(gapTokens)));
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/metrics/RouterMetrics.java
@@ -0,0 +1,83 @@
+package org.toucansaddle.daemon.internal.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.DoubleSupplier;
+
+/** Counters, gauges and histograms of one daemon. Thread-safe. */
+public final class RouterMetrics {
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.builder().build();
+  private final Counter answers =
+      Counter.builder()
+          .name("toucansaddle_answers_total")
+          .help("Requests answered, by class of work and outcome.")
+          .labelNames("class", "outcome")
+          .register(registry);
+  private final Counter attempts =
+      Counter.builder()
+          .name("toucansaddle_attempts_total")
+          .help("Attempts at upstreams, by outcome.")
+          .labelNames("outcome")
+          .register(registry);
+  private final Counter tokens =
+      Counter.builder()
+          .name("toucansaddle_tokens_total")
+          .help("Service given to client accounts, in tokens.")
+          .labelNames("account")
+          .register(registry);
+  private final Histogram firstToken =
+      Histogram.builder()
+          .name("toucansaddle_first_token_seconds")
+          .help("Time from a request's arrival to its first token, in seconds.")
+          .labelNames("class")
+          .classicUpperBounds(0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+          .register(registry);
+
+  /** Counts an answer. */
+  public void answered(String workClass, String outcome) {
+    answers.labelValues(workClass, outcome).inc();
+  }
+
+  /** Counts an attempt that ended. */
+  public void attempted(String outcome) {
+    attempts.labelValues(outcome).inc();
+  }
+
+  /** Counts service given to an account. */
+  public void served(String account, long count) {
+    tokens.labelValues(account).inc(count);
+  }
+
+  /** Records the time to a first token. */
+  public void firstToken(String workClass, double seconds) {
+    firstToken.labelValues(workClass).observe(seconds);
+  }
+
+  /** Adds a gauge that is read when metrics are collected. */
+  public void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  public String text() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      writer.write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException("The metrics could not be written.", e);
+    }
+    return out.toString(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and gauges for Prometheus. */
+package org.toucansaddle.daemon.internal.metrics;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles a daemon from its parts. */
+package org.toucansaddle.daemon.internal;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/FleetProof.java
@@ -0,0 +1,50 @@
+package org.toucansaddle.daemon.internal.peer;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Proves that a daemon belongs to the fleet, by a keyed hash of who calls whom.
+ *
+ * <p>The secret itself never travels. Immutable and thread-safe.
+ */
+public final class FleetProof {
+
+  private static final String ALGORITHM = "HmacSHA256";
+
+  private final byte[] secret;
+  private final String fleet;
+
+  /** Creates a prover and verifier for one fleet. */
+  public FleetProof(String fleet, String secret) {
+    this.fleet = fleet;
+    this.secret = secret.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Returns the proof that a caller sends. */
+  public String prove(PeerIdentity caller) {
+    return HexFormat.of().formatHex(hash(caller));
+  }
+
+  /** Returns whether a proof was made with the fleet's secret for this caller. */
+  public boolean verify(PeerIdentity caller, String proof) {
+    byte[] expected = prove(caller).getBytes(StandardCharsets.US_ASCII);
+    return MessageDigest.isEqual(expected, proof.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private byte[] hash(PeerIdentity caller) {
+    String text =
+        String.join("|", fleet, caller.name(), caller.address(), "" + caller.incarnation());
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(new SecretKeySpec(secret, ALGORITHM));
+      return mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("This Java runtime lacks " + ALGORITHM + ".", e);
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerClients.java
@@ -0,0 +1,122 @@
+package org.toucansaddle.daemon.internal.peer;
+
+import io.grpc.CallOptions;
+import io.grpc.ManagedChannel;
+import io.grpc.MethodDescriptor;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup;
+import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioSocketChannel;
+import io.grpc.stub.ClientCalls;
+import io.grpc.stub.MetadataUtils;
+import io.grpc.stub.StreamObserver;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.toucansaddle.protocol.generated.PeerMessage;
+
+/**
+ * Connections to other daemons by address.
+ *
+ * <p>Messages to one address are sent in order while its stream lasts and are dropped while it is
+ * broken. Thread-safe.
+ */
+public final class PeerClients implements AutoCloseable {
+
+  private static final int FLOW_CONTROL_BYTES = 1 << 20;
+  private static final int MAX_MESSAGE_BYTES = 64 << 20;
+  private static final int KEEP_ALIVE_SECONDS = 20;
+  private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 3;
+
+  private final PeerIdentity self;
+  private final FleetProof proof;
+  private final PeerTls tls;
+  private final EventLoopGroup threads;
+  private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+
+  /** Creates a set of connections without any. */
+  public PeerClients(PeerIdentity self, FleetProof proof, PeerTls tls, EventLoopGroup threads) {
+    this.self = self;
+    this.proof = proof;
+    this.tls = tls;
+    this.threads = threads;
+  }
+
+  /** Sends a message to an address, or drops it if the connection is broken or backed up. */
+  public void send(String address, PeerMessage message) {
+    link(address).send(message);
+  }
+
+  /** Makes a call; the future fails if no answer arrives within the timeout. */
+  public <I, O> CompletableFuture<O> call(
+      String address, MethodDescriptor<I, O> method, I request, Duration timeout) {
+    CompletableFuture<O> future = new CompletableFuture<>();
+    CallOptions options =
+        CallOptions.DEFAULT.withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    ClientCalls.asyncUnaryCall(
+        link(address).channel().newCall(method, options), request, new SingleReply<>(future));
+    return future;
+  }
+
+  /** Closes the connection to an address; the next message opens a new one. */
+  public void reconnect(String address) {
+    PeerLink link = links.remove(address);
+    if (link != null) {
+      link.close();
+    }
+  }
+
+  private PeerLink link(String address) {
+    return links.computeIfAbsent(address, a -> new PeerLink(open(a)));
+  }
+
+  private ManagedChannel open(String address) {
+    int colon = address.lastIndexOf(':');
+    String host = address.substring(0, colon);
+    int port = Integer.parseInt(address.substring(colon + 1));
+    NettyChannelBuilder builder =
+        NettyChannelBuilder.forAddress(host, port)
+            .eventLoopGroup(threads)
+            .channelType(NioSocketChannel.class)
+            .directExecutor()
+            .flowControlWindow(FLOW_CONTROL_BYTES)
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+            .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+            .disableServiceConfigLookUp()
+            .disableRetry()
+            .intercept(MetadataUtils.newAttachHeadersInterceptor(PeerHeaders.of(self, proof)));
+    tls.configure(builder);
+    return builder.build();
+  }
+
+  @Override
+  public void close() {
+    links.keySet().forEach(this::reconnect);
+  }
+
+  /** Completes a future with the one reply of a call. */
+  private static final class SingleReply<O> implements StreamObserver<O> {
+    private final CompletableFuture<O> future;
+
+    SingleReply(CompletableFuture<O> future) {
+      this.future = future;
+    }
+
+    @Override
+    public void onNext(O reply) {
+      future.complete(reply);
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+      future.completeExceptionally(failure);
+    }
+
+    @Override
+    public void onCompleted() {
+      future.completeExceptionally(new IllegalStateException("the call ended without a reply"));
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerLink.java
@@ -0,0 +1,91 @@
+package org.toucansaddle.daemon.internal.peer;
+
+import io.grpc.CallOptions;
+import io.grpc.ManagedChannel;
+import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientCalls;
+import io.grpc.stub.ClientResponseObserver;
+import java.util.concurrent.TimeUnit;
+import org.toucansaddle.protocol.PeerMethods;
+import org.toucansaddle.protocol.generated.PeerMessage;
+
+/** Stream of messages to one daemon, opened again after it broke. Thread-safe. */
+final class PeerLink {
+
+  private static final long REOPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final int MAX_UNREADY = 512;
+
+  private final ManagedChannel channel;
+  private ClientCallStreamObserver<PeerMessage> stream;
+  private long openedAt;
+  private int unready;
+
+  PeerLink(ManagedChannel channel) {
+    this.channel = channel;
+  }
+
+  ManagedChannel channel() {
+    return channel;
+  }
+
+  /** Sends a message; drops it if the stream broke a moment ago or is backed up. */
+  synchronized void send(PeerMessage message) {
+    if (stream == null && !open()) {
+      return;
+    }
+    unready = stream.isReady() ? 0 : unready + 1;
+    if (unready > MAX_UNREADY) {
+      return;
+    }
+    stream.onNext(message);
+  }
+
+  private boolean open() {
+    long now = System.nanoTime();
+    if (openedAt != 0 && now - openedAt < REOPEN_NANOS) {
+      return false;
+    }
+    openedAt = now;
+    unready = 0;
+    stream =
+        (ClientCallStreamObserver<PeerMessage>)
+            ClientCalls.asyncClientStreamingCall(
+                channel.newCall(PeerMethods.LINK, CallOptions.DEFAULT), new Watcher());
+    return true;
+  }
+
+  private synchronized void broken(ClientCallStreamObserver<PeerMessage> ended) {
+    if (stream == ended) {
+      stream = null;
+    }
+  }
+
+  void close() {
+    channel.shutdownNow();
+  }
+
+  /** Learns when a stream ends. */
+  private final class Watcher implements ClientResponseObserver<PeerMessage, PeerMessage> {
+    private ClientCallStreamObserver<PeerMessage> watched;
+
+    @Override
+    public void beforeStart(ClientCallStreamObserver<PeerMessage> requests) {
+      watched = requests;
+    }
+
+    @Override
+    public void onNext(PeerMessage message) {
+      // The receiver never answers on the stream.
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+      broken(watched);
+    }
+
+    @Override
+    public void onCompleted() {
+      broken(watched);
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerServer.java
@@ -0,0 +1,120 @@
+package org.toucansaddle.daemon.internal.peer;
+
+import io.grpc.Server;
+import io.grpc.ServerCallHandler;
+import io.grpc.ServerInterceptors;
+import io.grpc.ServerServiceDefinition;
+import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup;
+import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.grpc.stub.ServerCalls;
+import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.toucansaddle.protocol.PeerMethods;
+import org.toucansaddle.protocol.generated.PeerMessage;
+
+/** gRPC server for other daemons. Thread-safe. */
+public final class PeerServer implements AutoCloseable {
+
+  private static final int FLOW_CONTROL_BYTES = 1 << 20;
+  private static final int MAX_MESSAGE_BYTES = 64 << 20;
+  private static final int KEEP_ALIVE_SECONDS = 10;
+  private static final int CLOSE_SECONDS = 2;
+
+  private final Server server;
+
+  private PeerServer(Server server) {
+    this.server = server;
+  }
+
+  /** Starts a server at an address. */
+  public static PeerServer start(
+      String address, PeerService service, FleetProof proof, PeerTls tls, EventLoopGroup threads)
+      throws IOException {
+    NettyServerBuilder builder =
+        NettyServerBuilder.forAddress(socketAddress(address))
+            .bossEventLoopGroup(threads)
+            .workerEventLoopGroup(threads)
+            .channelType(NioServerSocketChannel.class)
+            .directExecutor()
+            .flowControlWindow(FLOW_CONTROL_BYTES)
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+            .permitKeepAliveTime(KEEP_ALIVE_SECONDS / 2, TimeUnit.SECONDS)
+            .addService(
+                ServerInterceptors.intercept(definition(service), PeerHeaders.verifier(proof)));
+    tls.configure(builder);
+    return new PeerServer(builder.build().start());
+  }
+
+  private static InetSocketAddress socketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    String host = address.substring(0, colon);
+    return new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  private static ServerServiceDefinition definition(PeerService service) {
+    return ServerServiceDefinition.builder(PeerMethods.SERVICE)
+        .addMethod(
+            PeerMethods.LINK,
+            ServerCalls.asyncClientStreamingCall(replies -> receiver(service, replies)))
+        .addMethod(PeerMethods.PROPOSE, unary(service::propose))
+        .addMethod(PeerMethods.FETCH_CONFIGURATION, unary(service::fetchConfiguration))
+        .addMethod(PeerMethods.PROBE_REPLICA, unary(service::probeReplica))
+        .build();
+  }
+
+  private static <I, O> ServerCallHandler<I, O> unary(Function<I, CompletableFuture<O>> call) {
+    return ServerCalls.asyncUnaryCall(
+        (request, replies) ->
+            call.apply(request)
+                .whenComplete(
+                    (reply, failure) -> {
+                      if (failure == null) {
+                        replies.onNext(reply);
+                        replies.onCompleted();
+                      } else {
+                        replies.onError(
+                            Status.UNAVAILABLE
+                                .withDescription(String.valueOf(failure.getMessage()))
+                                .asRuntimeException());
+                      }
+                    }));
+  }
+
+  private static StreamObserver<PeerMessage> receiver(
+      PeerService service, StreamObserver<PeerMessage> replies) {
+    PeerIdentity caller = PeerHeaders.CALLER.get();
+    return new StreamObserver<>() {
+      @Override
+      public void onNext(PeerMessage message) {
+        service.onMessage(caller, message);
+      }
+
+      @Override
+      public void onError(Throwable failure) {
+        // The sender opens a new stream when it has something to send.
+      }
+
+      @Override
+      public void onCompleted() {
+        replies.onCompleted();
+      }
+    };
+  }
+
+  @Override
+  public void close() {
+    server.shutdownNow();
+    try {
+      server.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerTls.java
@@ -0,0 +1,89 @@
+package org.toucansaddle.daemon.internal.peer;
+
+import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.shaded.io.netty.handler.ssl.ClientAuth;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContextBuilder;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
+import java.util.Optional;
+import javax.net.ssl.KeyManagerFactory;
+import javax.net.ssl.TrustManagerFactory;
+import org.toucansaddle.daemon.settings.DaemonSettings.Tls;
+
+/** Sets up mutual TLS between daemons, or plain TCP. Immutable and thread-safe. */
+public final class PeerTls {
+
+  private final Optional<Tls> settings;
+
+  /** Creates a set-up from the settings. */
+  public PeerTls(Optional<Tls> settings) {
+    this.settings = settings;
+  }
+
+  void configure(NettyServerBuilder builder) {
+    if (settings.isEmpty()) {
+      return;
+    }
+    try {
+      SslContextBuilder context =
+          SslContextBuilder.forServer(keys(settings.get()))
+              .trustManager(trust(settings.get()))
+              .clientAuth(ClientAuth.REQUIRE);
+      builder.sslContext(GrpcSslContexts.configure(context).build());
+    } catch (IOException | GeneralSecurityException e) {
+      throw unusable(e);
+    }
+  }
+
+  void configure(NettyChannelBuilder builder) {
+    if (settings.isEmpty()) {
+      builder.usePlaintext();
+      return;
+    }
+    try {
+      SslContextBuilder context =
+          SslContextBuilder.forClient()
+              .keyManager(keys(settings.get()))
+              .trustManager(trust(settings.get()));
+      builder.sslContext(GrpcSslContexts.configure(context).build());
+    } catch (IOException | GeneralSecurityException e) {
+      throw unusable(e);
+    }
+  }
+
+  private static IllegalStateException unusable(Exception cause) {
+    return new IllegalStateException(
+        "The key or trust store under [peers.tls] cannot be used ("
+            + cause.getMessage()
+            + "). Check both paths and the password with 'keytool -list'.",
+        cause);
+  }
+
+  private static KeyManagerFactory keys(Tls tls) throws IOException, GeneralSecurityException {
+    KeyManagerFactory keys = KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm());
+    keys.init(load(tls.keyStore(), tls.password()), tls.password().toCharArray());
+    return keys;
+  }
+
+  private static TrustManagerFactory trust(Tls tls) throws IOException, GeneralSecurityException {
+    TrustManagerFactory trust =
+        TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+    trust.init(load(tls.trustStore(), tls.password()));
+    return trust;
+  }
+
+  private static KeyStore load(Path path, String password)
+      throws IOException, GeneralSecurityException {
+    KeyStore store = KeyStore.getInstance("PKCS12");
+    try (InputStream in = Files.newInputStream(path)) {
+      store.load(in, password.toCharArray());
+    }
+    return store;
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/package-info.java
@@ -0,0 +1,2 @@
+/** gRPC server and links to other daemons. */
+package org.toucansaddle.daemon.internal.peer;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/problem/package-info.java
@@ -0,0 +1,2 @@
+/** Typed errors that callers and operators see. */
+package org.toucansaddle.daemon.internal.problem;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/EventStreamWriter.java
@@ -0,0 +1,142 @@
+package org.toucansaddle.daemon.internal.relay;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.toucansaddle.daemon.internal.problem.Problem;
+import org.toucansaddle.daemon.internal.request.CallerRequest;
+import org.toucansaddle.daemon.internal.request.ProblemWriter;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Writes an answer as server-sent events while it arrives.
+ *
+ * <p>Parts are queued by the upstream's thread and written by the caller's I/O thread. A failure
+ * before the first part is an ordinary problem answer; after it, an {@code error} event without the
+ * closing {@code [DONE]}. Thread-safe.
+ */
+final class EventStreamWriter implements AnswerWriter {
+
+  private static final int MAX_QUEUED_BYTES = 8 << 20;
+
+  private final CallerRequest request;
+  private final ProblemWriter problems;
+  private final Runnable onCallerGone;
+  private final HttpServerExchange exchange;
+  private final Queue<ByteBuffer> queue = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger queuedBytes = new AtomicInteger();
+  private final AtomicBoolean drainScheduled = new AtomicBoolean();
+  private volatile boolean ended;
+  private boolean started;
+  private StreamSinkChannel channel;
+
+  EventStreamWriter(CallerRequest request, ProblemWriter problems, Runnable onCallerGone) {
+    this.request = request;
+    this.problems = problems;
+    this.onCallerGone = onCallerGone;
+    this.exchange = request.exchange();
+  }
+
+  @Override
+  public void part(String json, String text) {
+    started = true;
+    write("data: " + json + "\n\n");
+  }
+
+  @Override
+  public void end(AnswerUsage usage) {
+    ended = true;
+    write("data: [DONE]\n\n");
+  }
+
+  @Override
+  public void fail(Problem problem) {
+    if (!started) {
+      problems.write(request, problem);
+      return;
+    }
+    ended = true;
+    write("event: error\ndata: " + ProblemWriter.json(request.id(), problem) + "\n\n");
+  }
+
+  private void write(String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    queue.add(ByteBuffer.wrap(bytes));
+    if (queuedBytes.addAndGet(bytes.length) > MAX_QUEUED_BYTES) {
+      onCallerGone.run();
+    }
+    if (drainScheduled.compareAndSet(false, true)) {
+      exchange.getIoThread().execute(this::drain);
+    }
+  }
+
+  private void drain() {
+    drainScheduled.set(false);
+    try {
+      if (channel == null) {
+        open();
+      }
+      writeQueued();
+    } catch (IOException e) {
+      callerGone();
+    }
+  }
+
+  private void open() {
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+    exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
+    channel = exchange.getResponseChannel();
+    channel.getWriteSetter().set(sink -> drain());
+  }
+
+  private void writeQueued() throws IOException {
+    ByteBuffer next = queue.peek();
+    while (next != null) {
+      int count = channel.write(next);
+      queuedBytes.addAndGet(-count);
+      if (next.hasRemaining()) {
+        if (count == 0) {
+          channel.resumeWrites();
+          return;
+        }
+        continue;
+      }
+      queue.poll();
+      next = queue.peek();
+    }
+    channel.suspendWrites();
+    if (ended && queue.isEmpty()) {
+      finish();
+    } else {
+      channel.flush();
+    }
+  }
+
+  private void finish() throws IOException {
+    channel.shutdownWrites();
+    if (channel.flush()) {
+      exchange.endExchange();
+      return;
+    }
+    channel
+        .getWriteSetter()
+        .set(
+            ChannelListeners.flushingChannelListener(
+                sink -> exchange.endExchange(), (sink, failure) -> callerGone()));
+    channel.resumeWrites();
+  }
+
+  private void callerGone() {
+    queue.clear();
+    IoUtils.safeClose(exchange.getConnection());
+    onCallerGone.run();
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -0,0 +1,317 @@
+package org.toucansaddle.daemon.internal.relay;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.sharing.SlotAssignment;
+import org.toucansaddle.coordination.sharing.UpstreamSlots;
+import org.toucansaddle.daemon.internal.logging.DecisionLog;
+import org.toucansaddle.daemon.internal.problem.Problem;
+import org.toucansaddle.daemon.internal.problem.Problems;
+import org.toucansaddle.daemon.internal.problem.RunState;
+import org.toucansaddle.daemon.internal.request.CallerRequest;
+import org.toucansaddle.daemon.internal.sharing.PooledRequest;
+import org.toucansaddle.daemon.internal.sharing.RouterPool;
+
+/**
+ * A model request from its queue to its final answer, over one or more attempts.
+ *
+ * <p>Invariants: at most one attempt runs at a time; the caller gets exactly one whole answer or
+ * one problem; each slot taken is given back once. Thread-safe: state changes under the object's
+ * lock, and calls to other objects are made after it was released.
+ */
+final class ModelRequest implements RelayedRequest, ModelAttempt.Listener {
+
+  private static final int MAX_ATTEMPTS = 5;
+  private static final int BACKOFF_MILLIS = 40;
+  private static final int CHARACTERS_PER_TOKEN = 4;
+
+  private final CallerRequest request;
+  private final RouterPool pool;
+  private final RelayContext context;
+  private final RequestWatch watch;
+  private final AnswerWriter answer;
+  private final UpstreamExclusions exclusions = new UpstreamExclusions();
+  private Optional<ModelAttempt> running = Optional.empty();
+  private boolean ended;
+  private boolean everWritten;
+  private int attempts;
+  private int parts;
+
+  ModelRequest(CallerRequest request, RouterPool pool, RelayContext context, RequestWatch watch) {
+    this.request = request;
+    this.pool = pool;
+    this.context = context;
+    this.watch = watch;
+    this.answer =
+        request.isStreamed()
+            ? new EventStreamWriter(request, context.problems(), this::callerGone)
+            : new WholeAnswerWriter(request, context.problems());
+  }
+
+  @Override
+  public int account() {
+    return request.account().getNumber();
+  }
+
+  @Override
+  public long deadlineMillis() {
+    return request.deadlineMillis();
+  }
+
+  @Override
+  public boolean mayUse(UpstreamSlots upstream) {
+    if (exclusions.excludes(upstream.id(), context.clock().getAsLong())) {
+      return false;
+    }
+    return !isStruck() || context.struckUpstreams().isFree(upstream.id());
+  }
+
+  private boolean isStruck() {
+    return context.strikes().count(request.digest()) > 0;
+  }
+
+  // ---- attempts ----
+
+  @Override
+  public void start(SlotAssignment<PooledRequest> assignment) {
+    UpstreamSlots upstream = assignment.upstream();
+    boolean exclusive = !isStruck() || markStruck(upstream);
+    Optional<ModelAttempt> attempt = exclusive ? begin(upstream) : Optional.empty();
+    if (attempt.isEmpty()) {
+      pool.finished(upstream.id(), account());
+      if (!exclusive) {
+        pool.submit(this);
+      }
+      return;
+    }
+    DecisionLog.routed(
+        request, upstream.id(), attempt.get().id(), assignment.reason(), assignment.passedOver());
+    if (attempt.get().id().endsWith(".1")) {
+      charge(promptEstimate());
+    }
+    attempt.get().send(context.client(), request.exchange().getRequestPath(), upstreamBody());
+  }
+
+  private boolean markStruck(UpstreamSlots upstream) {
+    return context.struckUpstreams().take(upstream.id(), request.digest());
+  }
+
+  private synchronized Optional<ModelAttempt> begin(UpstreamSlots upstream) {
+    if (ended) {
+      return Optional.empty();
+    }
+    attempts++;
+    String id = request.id() + "." + attempts;
+    long now = context.clock().getAsLong();
+    running = Optional.of(new ModelAttempt(id, upstream, parts, now, this));
+    return running;
+  }
+
+  private String upstreamBody() {
+    ObjectNode body = request.json().deepCopy();
+    body.put("stream", true);
+    body.put("model", request.pool().name());
+    body.put("user", request.account().getName());
+    return body.toString();
+  }
+
+  private int promptEstimate() {
+    return Math.max(1, request.body().length / CHARACTERS_PER_TOKEN);
+  }
+
+  private void charge(long tokens) {
+    context.service().add(account(), tokens);
+    context.metrics().served(request.account().getName(), tokens);
+    pool.served(account(), tokens);
+  }
+
+  @Override
+  public void onPart(ModelAttempt attempt, String json, String text) {
+    boolean first;
+    synchronized (this) {
+      if (ended || !isRunning(attempt)) {
+        return;
+      }
+      first = parts == 0;
+      if (!text.isEmpty()) {
+        parts++;
+      }
+      answer.part(json, text);
+    }
+    if (first) {
+      long millis = context.clock().getAsLong() - request.receivedAtMillis();
+      context.metrics().firstToken(request.workClass().getName(), millis / 1e3);
+    }
+    if (!text.isEmpty()) {
+      charge(1);
+    }
+  }
+
+  private boolean isRunning(ModelAttempt attempt) {
+    return running.filter(current -> current == attempt).isPresent();
+  }
+
+  @Override
+  public void onEnded(
+      ModelAttempt attempt, AttemptOutcome outcome, boolean written, AnswerUsage usage) {
+    synchronized (this) {
+      if (!isRunning(attempt)) {
+        return;
+      }
+      running = Optional.empty();
+      everWritten |= written;
+    }
+    long now = context.clock().getAsLong();
+    String upstream = attempt.upstream().id();
+    context.metrics().attempted(outcome.name());
+    context.struckUpstreams().free(upstream, request.digest());
+    if (outcome == AttemptOutcome.WHOLE) {
+      whole(attempt, usage, now);
+    } else {
+      failed(attempt, outcome, now);
+    }
+    pool.finished(upstream, account());
+  }
+
+  private void whole(ModelAttempt attempt, AnswerUsage usage, long now) {
+    context.strikes().clear(request.digest());
+    context
+        .holdingTimes()
+        .observe(request.pool(), request.workClass().getName(), now - attempt.startedAtMillis());
+    if (end()) {
+      charge(Math.max(0, usage.promptTokens() - promptEstimate()));
+      answer.end(usage);
+      context.metrics().answered(request.workClass().getName(), "whole");
+      long millis = now - request.receivedAtMillis();
+      DecisionLog.answered(request, attempt.id(), usage.total(), millis);
+    }
+  }
+
+  private void failed(ModelAttempt attempt, AttemptOutcome outcome, long now) {
+    UpstreamSlots upstream = attempt.upstream();
+    exclusions.add(upstream.id(), now);
+    if (outcome == AttemptOutcome.NOT_CONNECTED) {
+      pool.block(upstream.id());
+    }
+    if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.STALLED) {
+      context.client().dropIdle(upstream.address());
+    }
+    if (outcome == AttemptOutcome.BROKEN) {
+      context.strikes().strike(request.digest(), now);
+    }
+    DecisionLog.attemptFailed(request, upstream.id(), attempt.id(), outcome.name());
+    if (outcome != AttemptOutcome.CANCELLED) {
+      retryOrFail(outcome, now);
+    }
+  }
+
+  private synchronized int parts() {
+    return parts;
+  }
+
+  private void retryOrFail(AttemptOutcome outcome, long now) {
+    long refusedFor = context.strikes().refusedForMillis(request.digest(), now);
+    if (refusedFor > 0) {
+      int seconds = (int) (refusedFor / 1_000) + 1;
+      fail(Problems.quarantined(runState(), seconds).problem());
+      return;
+    }
+    if (now >= request.deadlineMillis()) {
+      fail(Problems.timedOut(runState()).problem());
+      return;
+    }
+    if (attemptsSoFar() >= MAX_ATTEMPTS || !context.budgets().tryRetry(account())) {
+      fail(Problems.upstreamFailed(runState(), outcome.name()).problem());
+      return;
+    }
+    int bound = BACKOFF_MILLIS << attemptsSoFar();
+    int pause = ThreadLocalRandom.current().nextInt(bound);
+    context.timers().schedule(() -> pool.submit(this), pause, TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized int attemptsSoFar() {
+    return attempts;
+  }
+
+  private synchronized RunState runState() {
+    if (parts > 0) {
+      return RunState.RUN;
+    }
+    return everWritten ? RunState.UNKNOWN : RunState.NOT_RUN;
+  }
+
+  // ---- end ----
+
+  private boolean end() {
+    synchronized (this) {
+      if (ended) {
+        return false;
+      }
+      ended = true;
+    }
+    watch.remove(this);
+    return true;
+  }
+
+  private void fail(Problem problem) {
+    if (end()) {
+      answer.fail(problem);
+    }
+  }
+
+  private void callerGone() {
+    if (end()) {
+      context.metrics().answered(request.workClass().getName(), "caller-gone");
+      pool.cancel(this);
+      cancelAttempt(AttemptOutcome.CANCELLED);
+    }
+  }
+
+  private void cancelAttempt(AttemptOutcome outcome) {
+    Optional<ModelAttempt> current;
+    synchronized (this) {
+      current = running;
+    }
+    current.ifPresent(attempt -> attempt.cancel(outcome));
+  }
+
+  @Override
+  public void checkTimeouts(long now) {
+    Optional<ModelAttempt> current;
+    synchronized (this) {
+      current = running;
+    }
+    if (current.isEmpty()) {
+      checkWaiting(now);
+    } else if (now >= request.deadlineMillis()) {
+      fail(Problems.timedOut(written(true)).problem());
+      cancelAttempt(AttemptOutcome.CANCELLED);
+    } else if (now - current.get().lastEventAtMillis() > allowedSilence(current.get())) {
+      cancelAttempt(AttemptOutcome.STALLED);
+    }
+  }
+
+  private long allowedSilence(ModelAttempt attempt) {
+    return attempt.isAnswering()
+        ? context.stallMillis()
+        : Math.max(context.stallMillis(), request.workClass().getFirstTokenMillis());
+  }
+
+  private synchronized RunState written(boolean running) {
+    everWritten |= running;
+    return runState();
+  }
+
+  private void checkWaiting(long now) {
+    boolean late = now >= request.deadlineMillis();
+    boolean noFirstToken = parts() == 0 && now >= request.firstTokenDeadlineMillis();
+    if ((late || noFirstToken) && pool.cancel(this)) {
+      fail(
+          runState() == RunState.NOT_RUN
+              ? Problems.tooLate(late ? "the whole answer" : "the first token", 1).problem()
+              : Problems.timedOut(runState()).problem());
+    }
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Attempts at upstreams and answers to callers. */
+package org.toucansaddle.daemon.internal.relay;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/IdentifyFilter.java
@@ -0,0 +1,37 @@
+package org.toucansaddle.daemon.internal.request;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import org.toucansaddle.daemon.internal.config.ConfigurationHolder;
+import org.toucansaddle.daemon.internal.problem.Problems;
+import org.toucansaddle.protocol.generated.ClientAccount;
+
+/** Finds the client account by the bearer key's digest. Thread-safe. */
+public final class IdentifyFilter implements RequestFilter {
+
+  private static final String SCHEME = "Bearer ";
+
+  private final ConfigurationHolder holder;
+
+  /** Creates a filter that reads the configuration in force. */
+  public IdentifyFilter(ConfigurationHolder holder) {
+    this.holder = holder;
+  }
+
+  @Override
+  public void filter(CallerRequest request, FilterChain chain) {
+    if (!holder.isConfirmed()) {
+      throw Problems.notReady();
+    }
+    String authorization = request.header("Authorization");
+    if (!authorization.startsWith(SCHEME)) {
+      throw Problems.unknownKey();
+    }
+    byte[] key = authorization.substring(SCHEME.length()).trim().getBytes(StandardCharsets.UTF_8);
+    ByteString digest = ByteString.copyFrom(Digests.sha256(key));
+    ClientAccount account =
+        holder.current().accountByKeyDigest(digest).orElseThrow(Problems::unknownKey);
+    request.setAccount(account);
+    chain.next(request);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/ReadBodyFilter.java
@@ -0,0 +1,36 @@
+package org.toucansaddle.daemon.internal.request;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import org.toucansaddle.daemon.internal.problem.Problems;
+
+/** Reads the body, up to a limit. Thread-safe. */
+public final class ReadBodyFilter implements RequestFilter {
+
+  private final int maxBytes;
+
+  /** Creates a filter with the longest body it accepts, in bytes. */
+  public ReadBodyFilter(int maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  @Override
+  public void filter(CallerRequest request, FilterChain chain) {
+    HttpServerExchange exchange = request.exchange();
+    if (exchange.getRequestContentLength() > maxBytes) {
+      throw Problems.bodyTooLong(maxBytes);
+    }
+    exchange.getRequestReceiver().setMaxBufferSize(maxBytes);
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (e, bytes) -> {
+              request.setBody(bytes);
+              e.dispatch(SameThreadExecutor.INSTANCE, () -> chain.next(request));
+            },
+            (e, failure) ->
+                e.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () -> chain.fail(request, Problems.bodyTooLong(maxBytes).problem())));
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/package-info.java
@@ -0,0 +1,2 @@
+/** Filter chain that a caller's request passes. */
+package org.toucansaddle.daemon.internal.request;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/settings/SettingsReader.java
@@ -0,0 +1,266 @@
+package org.toucansaddle.daemon.internal.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import org.toucansaddle.coordination.sharing.SharingMode;
+import org.toucansaddle.daemon.settings.DaemonSettings;
+import org.toucansaddle.daemon.settings.SettingsException;
+import org.toucansaddle.daemon.settings.SettingsFault;
+
+/**
+ * Reads the keys of one settings file and collects every fault.
+ *
+ * <p>Used once, by one thread.
+ */
+public final class SettingsReader {
+
+  private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+  private static final Pattern ADDRESS = Pattern.compile("[0-9A-Za-z.\\-\\[\\]:]+:[0-9]{1,5}");
+  private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+  private static final int MIN_SECRET_LENGTH = 16;
+  private static final int MAX_PORT = 65_535;
+  private static final int DEFAULT_MAX_BODY_BYTES = 1 << 20;
+  private static final int DEFAULT_MAX_QUEUED = 256;
+  private static final int DEFAULT_STALL_MILLIS = 2_000;
+  private static final int DEFAULT_IO_THREADS = 2;
+
+  private final JsonNode root;
+  private final List<SettingsFault> faults = new ArrayList<>();
+  private final Set<String> known = new HashSet<>();
+
+  /** Creates a reader of a parsed file. */
+  public SettingsReader(JsonNode root) {
+    this.root = root;
+  }
+
+  /** Returns the settings, or throws with every fault. */
+  public DaemonSettings read(String fileName) {
+    DaemonSettings settings =
+        new DaemonSettings(
+            identity(), listen(), peers(), control(), admin(), log(), limits(), sharingMode());
+    checkReplica(settings);
+    refuseUnknown("", root);
+    if (!faults.isEmpty()) {
+      throw new SettingsException(fileName, faults);
+    }
+    return settings;
+  }
+
+  private DaemonSettings.Identity identity() {
+    String allowed = "1 to 63 lower-case letters, digits and hyphens";
+    return new DaemonSettings.Identity(
+        text("daemon.name", matches(NAME), allowed, "write name = \"router-1\""),
+        text("daemon.zone", matches(NAME), allowed, "write zone = \"zone-a\""),
+        text("daemon.fleet", matches(NAME), allowed, "write fleet = \"adriavion\""));
+  }
+
+  private DaemonSettings.Listen listen() {
+    return new DaemonSettings.Listen(
+        address("listen.callers"), address("listen.admin"), address("listen.peers"));
+  }
+
+  private String address(String key) {
+    String remedy = "write \"10.0.0.4:8080\"";
+    return text(key, SettingsReader::isAddress, "IP number and port", remedy);
+  }
+
+  private static boolean isAddress(String value) {
+    if (!ADDRESS.matcher(value).matches()) {
+      return false;
+    }
+    int port = Integer.parseInt(value.substring(value.lastIndexOf(':') + 1));
+    return port <= MAX_PORT;
+  }
+
+  private DaemonSettings.Peers peers() {
+    List<String> seeds =
+        texts(
+            "peers.seeds",
+            SettingsReader::isAddress,
+            "list of peer addresses",
+            "write seeds = [\"10.0.0.4:7000\"]");
+    String secret =
+        text(
+            "peers.secret",
+            value -> value.length() >= MIN_SECRET_LENGTH,
+            "at least " + MIN_SECRET_LENGTH + " characters, the same at all daemons",
+            "make one with 'openssl rand -hex 32'");
+    return new DaemonSettings.Peers(seeds, secret, tls());
+  }
+
+  private Optional<DaemonSettings.Tls> tls() {
+    boolean present = !root.at("/peers/tls").isMissingNode();
+    if (!present) {
+      return Optional.empty();
+    }
+    String allowed = "path of a PKCS #12 file";
+    Predicate<String> nonEmpty = value -> !value.isEmpty();
+    String keyStore = text("peers.tls.key_store", nonEmpty, allowed, "make one with 'keytool'");
+    String trustStore = text("peers.tls.trust_store", nonEmpty, allowed, "make one with 'keytool'");
+    String password =
+        text("peers.tls.password", nonEmpty, "password of both files", "write password = \"...\"");
+    return Optional.of(new DaemonSettings.Tls(Path.of(keyStore), Path.of(trustStore), password));
+  }
+
+  private DaemonSettings.Control control() {
+    List<String> replicas =
+        texts(
+            "control.replicas",
+            matches(NAME),
+            "names of 1, 3 or 5 daemons",
+            "write replicas = [\"router-1\", \"router-2\", \"router-3\"]");
+    String key = "control.data_folder";
+    known.add(key);
+    JsonNode folder = node(key);
+    if (folder.isMissingNode()) {
+      return new DaemonSettings.Control(replicas, Optional.empty());
+    }
+    String path =
+        text(key, v -> !v.isEmpty(), "path of a folder", "write data_folder = \"/var/lib/x\"");
+    return new DaemonSettings.Control(replicas, Optional.of(Path.of(path)));
+  }
+
+  private void checkReplica(DaemonSettings settings) {
+    int count = settings.control().replicas().size();
+    if (count % 2 == 0) {
+      fault(
+          "control.replicas",
+          String.valueOf(settings.control().replicas()),
+          "an odd number of names",
+          "name 1, 3 or 5 daemons whose VMs have a disk");
+    }
+    boolean named = settings.control().replicas().contains(settings.identity().name());
+    if (named && !settings.control().isReplica()) {
+      fault(
+          "control.data_folder",
+          "",
+          "required, because control.replicas names this daemon",
+          "write data_folder = \"/var/lib/toucansaddle\"");
+    }
+  }
+
+  private DaemonSettings.Admin admin() {
+    return new DaemonSettings.Admin(
+        text(
+            "admin.token_digest",
+            matches(DIGEST),
+            "SHA-256 digest in 64 hexadecimal digits",
+            "make it with 'printf %s TOKEN | sha256sum'"));
+  }
+
+  private DaemonSettings.Log log() {
+    String format = choice("log.format", "text", List.of("text", "json"));
+    String level = choice("log.level", "info", List.of("error", "warn", "info", "debug"));
+    return new DaemonSettings.Log(format.equals("json"), level);
+  }
+
+  private DaemonSettings.Limits limits() {
+    return new DaemonSettings.Limits(
+        number("limits.max_body_bytes", DEFAULT_MAX_BODY_BYTES, 1_024, 64 << 20),
+        number("limits.max_queued_per_account", DEFAULT_MAX_QUEUED, 1, 100_000),
+        number("limits.stall_millis", DEFAULT_STALL_MILLIS, 100, 60_000),
+        number("limits.io_threads", DEFAULT_IO_THREADS, 1, 64));
+  }
+
+  private SharingMode sharingMode() {
+    String mode = choice("sharing.mode", "fleet", List.of("fleet", "local"));
+    return SharingMode.valueOf(mode.toUpperCase(Locale.ROOT));
+  }
+
+  // ---- typed keys ----
+
+  private static Predicate<String> matches(Pattern pattern) {
+    return value -> pattern.matcher(value).matches();
+  }
+
+  private JsonNode node(String key) {
+    return root.at("/" + key.replace('.', '/'));
+  }
+
+  private void fault(String key, String value, String allowed, String remedy) {
+    faults.add(new SettingsFault(key, value, allowed, remedy));
+  }
+
+  private String text(String key, Predicate<String> test, String allowed, String remedy) {
+    known.add(key);
+    JsonNode node = node(key);
+    if (node.isTextual() && test.test(node.asText())) {
+      return node.asText();
+    }
+    fault(key, node.isMissingNode() ? "" : node.asText(node.toString()), allowed, remedy);
+    return "";
+  }
+
+  private List<String> texts(String key, Predicate<String> test, String allowed, String remedy) {
+    known.add(key);
+    JsonNode node = node(key);
+    List<String> values = new ArrayList<>();
+    if (!node.isArray() || node.isEmpty()) {
+      fault(key, node.isMissingNode() ? "" : node.toString(), allowed, remedy);
+      return values;
+    }
+    for (int i = 0; i < node.size(); i++) {
+      JsonNode item = node.get(i);
+      if (item.isTextual() && test.test(item.asText())) {
+        values.add(item.asText());
+      } else {
+        fault(key + "[" + i + "]", item.toString(), allowed, remedy);
+      }
+    }
+    return values;
+  }
+
+  private String choice(String key, String usual, List<String> allowed) {
+    known.add(key);
+    JsonNode node = node(key);
+    if (node.isMissingNode()) {
+      return usual;
+    }
+    if (node.isTextual() && allowed.contains(node.asText())) {
+      return node.asText();
+    }
+    fault(key, node.toString(), "one of " + allowed, "write \"" + usual + "\"");
+    return usual;
+  }
+
+  private int number(String key, int usual, int least, int most) {
+    known.add(key);
+    JsonNode node = node(key);
+    if (node.isMissingNode()) {
+      return usual;
+    }
+    if (node.canConvertToInt() && node.isIntegralNumber()) {
+      int value = node.asInt();
+      if (value >= least && value <= most) {
+        return value;
+      }
+    }
+    String allowed = "whole number from " + least + " to " + most;
+    fault(key, node.toString(), allowed, "write " + usual + ", the default");
+    return usual;
+  }
+
+  private void refuseUnknown(String prefix, JsonNode table) {
+    table
+        .fields()
+        .forEachRemaining(
+            field -> {
+              String key = prefix + field.getKey();
+              boolean isTable = known.stream().anyMatch(k -> k.startsWith(key + "."));
+              if (isTable && field.getValue().isObject()) {
+                refuseUnknown(key + ".", field.getValue());
+              } else if (!known.contains(key)) {
+                fault(
+                    key, field.getValue().toString(), "a known key", "remove it or mend its name");
+              }
+            });
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reads and checks the settings file. */
+package org.toucansaddle.daemon.internal.settings;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
@@ -0,0 +1,205 @@
+package org.toucansaddle.daemon.internal.sharing;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.toucansaddle.coordination.sharing.AccountDemand;
+import org.toucansaddle.coordination.sharing.Lease;
+import org.toucansaddle.coordination.sharing.PoolScheduler;
+import org.toucansaddle.coordination.sharing.SharingMode;
+import org.toucansaddle.coordination.sharing.SlotAssignment;
+import org.toucansaddle.coordination.sharing.SlotUsage;
+
+/**
+ * This router's queue and slots of one pool.
+ *
+ * <p>Thread-safe: a lock guards the scheduler; requests are started after it was released.
+ */
+public final class RouterPool {
+
+  /** What the dispatcher is told of this pool. */
+  record DemandView(
+      long leaseEpoch,
+      long leaseSequence,
+      Map<Integer, AccountDemand> accounts,
+      Map<String, SlotUsage> upstreams) {}
+
+  private final PoolKey key;
+  private final PoolScheduler<PooledRequest> scheduler;
+  private final LongSupplier clock;
+  private final Consumer<PoolKey> onUrgentDemand;
+  private final ReentrantLock lock = new ReentrantLock();
+
+  /**
+   * Creates an empty pool.
+   *
+   * @param clock monotonic milliseconds
+   * @param onUrgentDemand called when the dispatcher should hear at once
+   */
+  RouterPool(PoolKey key, SharingMode mode, LongSupplier clock, Consumer<PoolKey> onUrgentDemand) {
+    this.key = key;
+    this.scheduler = PoolScheduler.create(mode);
+    this.clock = clock;
+    this.onUrgentDemand = onUrgentDemand;
+  }
+
+  /** Returns the pool's key. */
+  public PoolKey key() {
+    return key;
+  }
+
+  /** Queues a request; it is started as soon as a slot is free. */
+  public void submit(PooledRequest request) {
+    List<SlotAssignment<PooledRequest>> assignments;
+    boolean urgent;
+    lock.lock();
+    try {
+      scheduler.enqueue(request);
+      assignments = scheduler.assign(clock.getAsLong());
+      urgent = scheduler.waiting(request.account()) == 1;
+    } finally {
+      lock.unlock();
+    }
+    start(assignments);
+    if (urgent) {
+      onUrgentDemand.accept(key);
+    }
+  }
+
+  /** Removes a request from the queue; returns whether it was still waiting. */
+  public boolean cancel(PooledRequest request) {
+    lock.lock();
+    try {
+      return scheduler.remove(request);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Records that a request's use of an upstream ended, and starts the next one there. */
+  public void finished(String upstream, int account) {
+    List<SlotAssignment<PooledRequest>> assignments;
+    boolean urgent;
+    lock.lock();
+    try {
+      boolean wasOver = scheduler.isOverLease();
+      scheduler.finished(upstream, account);
+      assignments = scheduler.assign(clock.getAsLong());
+      urgent = scheduler.releaseWanted() || wasOver;
+    } finally {
+      lock.unlock();
+    }
+    start(assignments);
+    if (urgent) {
+      onUrgentDemand.accept(key);
+    }
+  }
+
+  /** Adds service to an account. */
+  public void served(int account, long tokens) {
+    lock.lock();
+    try {
+      scheduler.served(account, tokens);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Stops new work on an upstream until its next lease. */
+  public void block(String upstream) {
+    lock.lock();
+    try {
+      scheduler.blockUpstream(upstream);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Starts waiting requests that may have become startable. */
+  public void retryAssign() {
+    List<SlotAssignment<PooledRequest>> assignments;
+    lock.lock();
+    try {
+      assignments = scheduler.assign(clock.getAsLong());
+    } finally {
+      lock.unlock();
+    }
+    start(assignments);
+  }
+
+  void applyLease(Lease lease) {
+    List<SlotAssignment<PooledRequest>> assignments;
+    boolean released;
+    lock.lock();
+    try {
+      long now = clock.getAsLong();
+      scheduler.applyLease(lease, now);
+      assignments = scheduler.assign(now);
+      released = scheduler.releaseWanted();
+    } finally {
+      lock.unlock();
+    }
+    start(assignments);
+    if (released) {
+      onUrgentDemand.accept(key);
+    }
+  }
+
+  void dispatcherChanged() {
+    lock.lock();
+    try {
+      scheduler.dispatcherChanged();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns how many requests of an account wait. */
+  public int waiting(int account) {
+    lock.lock();
+    try {
+      return scheduler.waiting(account);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns whether a request waits. */
+  boolean isWaiting() {
+    lock.lock();
+    try {
+      return scheduler.hasWaiting();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns how many requests of an account may run here at a time, at least 1. */
+  public int concurrency(int account) {
+    lock.lock();
+    try {
+      return Math.max(1, Math.max(scheduler.quota(account), scheduler.inFlight(account)));
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  DemandView view() {
+    lock.lock();
+    try {
+      return new DemandView(
+          scheduler.leaseEpoch(),
+          scheduler.leaseSequence(),
+          scheduler.accounts(),
+          scheduler.upstreams());
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private static void start(List<SlotAssignment<PooledRequest>> assignments) {
+    assignments.forEach(assignment -> assignment.request().start(assignment));
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one daemon. */
+package org.toucansaddle.daemon.settings;
--- /dev/null
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpClient.java
@@ -0,0 +1,38 @@
+package org.toucansaddle.http;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.toucansaddle.http.internal.UndertowHttpClient;
+
+/**
+ * Sends HTTP requests and streams the answers.
+ *
+ * <pre>{@code
+ * try (HttpClient client = HttpClient.create(HttpClientSettings.defaults())) {
+ *   client.send(HttpCall.get("127.0.0.1:8080", "/healthz"), Duration.ofSeconds(2))
+ *       .thenAccept(reply -> System.out.println(reply.status()));
+ * }
+ * }</pre>
+ *
+ * <p>Thread-safe. Connections are reused; one that has been idle or open for too long is closed
+ * instead, because something between the two ends may have lost track of it.
+ */
+public interface HttpClient extends AutoCloseable {
+
+  /** Creates a client with its own I/O threads. */
+  static HttpClient create(HttpClientSettings settings) {
+    return new UndertowHttpClient(settings);
+  }
+
+  /** Sends a request and returns its whole answer, or an {@link HttpFailure}. */
+  CompletableFuture<HttpReply> send(HttpCall call, Duration timeout);
+
+  /** Sends a request and gives its answer to the handler as it arrives. */
+  HttpExchange stream(HttpCall call, HttpStreamHandler handler);
+
+  /** Closes idle connections to a target. */
+  void dropIdle(String target);
+
+  @Override
+  void close();
+}
--- /dev/null
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
@@ -0,0 +1,184 @@
+package org.toucansaddle.http.internal;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.toucansaddle.http.HttpCall;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.http.HttpExchange;
+import org.toucansaddle.http.HttpFailure;
+import org.toucansaddle.http.HttpReply;
+import org.toucansaddle.http.HttpStreamHandler;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * HTTP client over Undertow's client.
+ *
+ * <p>Each connection carries one exchange at a time and belongs to one I/O thread. Thread-safe.
+ */
+public final class UndertowHttpClient implements HttpClient {
+
+  private static final int BUFFER_BYTES = 16 * 1024;
+
+  private final HttpClientSettings settings;
+  private final XnioWorker worker;
+  private final ByteBufferPool buffers;
+  private final Map<String, Deque<PooledConnection>> idle = new ConcurrentHashMap<>();
+
+  /** Starts the I/O threads. */
+  public UndertowHttpClient(HttpClientSettings settings) {
+    this.settings = settings;
+    this.buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
+    try {
+      this.worker =
+          Xnio.getInstance(UndertowHttpClient.class.getClassLoader())
+              .createWorker(
+                  OptionMap.builder()
+                      .set(Options.WORKER_IO_THREADS, settings.ioThreads())
+                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                      .set(Options.THREAD_DAEMON, true)
+                      .set(Options.WORKER_NAME, "http-client")
+                      .getMap());
+    } catch (IOException e) {
+      throw new IllegalStateException(
+          "The HTTP client could not start its I/O threads (" + e.getMessage() + ").", e);
+    }
+  }
+
+  @Override
+  public CompletableFuture<HttpReply> send(HttpCall call, Duration timeout) {
+    WholeReplyHandler handler = new WholeReplyHandler(settings.maxReplyBytes());
+    HttpExchange exchange = stream(call, handler);
+    XnioExecutor.Key timer =
+        worker
+            .getIoThread()
+            .executeAfter(
+                () -> handler.timedOut(exchange), timeout.toMillis(), TimeUnit.MILLISECONDS);
+    handler.future().whenComplete((reply, failure) -> timer.remove());
+    return handler.future();
+  }
+
+  @Override
+  public HttpExchange stream(HttpCall call, HttpStreamHandler handler) {
+    ClientExchangeDriver driver = new ClientExchangeDriver(call, handler, this::release);
+    PooledConnection reused = takeIdle(call.target());
+    if (reused != null) {
+      reused.ioThread().execute(() -> driver.start(reused));
+    } else {
+      connect(call, driver);
+    }
+    return driver;
+  }
+
+  private void connect(HttpCall call, ClientExchangeDriver driver) {
+    XnioIoThread ioThread = worker.getIoThread();
+    AtomicBoolean settled = new AtomicBoolean();
+    long timeoutMillis = settings.connectTimeout().toMillis();
+    ioThread.executeAfter(
+        () -> {
+          if (settled.compareAndSet(false, true)) {
+            driver.connectFailed(connectFailure(call, "timed out", null));
+          }
+        },
+        timeoutMillis,
+        TimeUnit.MILLISECONDS);
+    ClientCallback<ClientConnection> callback =
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientConnection connection) {
+            if (settled.compareAndSet(false, true)) {
+              driver.start(new PooledConnection(call.target(), connection, ioThread));
+            } else {
+              IoUtils.safeClose(connection);
+            }
+          }
+
+          @Override
+          public void failed(IOException e) {
+            if (settled.compareAndSet(false, true)) {
+              driver.connectFailed(connectFailure(call, e.getMessage(), e));
+            }
+          }
+        };
+    OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
+    try {
+      URI uri = URI.create("http://" + call.target() + "/");
+      UndertowClient.getInstance().connect(callback, uri, ioThread, buffers, options);
+    } catch (IllegalArgumentException e) {
+      callback.failed(new IOException("not a host and port: " + call.target(), e));
+    }
+  }
+
+  private static HttpFailure connectFailure(HttpCall call, String why, Throwable cause) {
+    return new HttpFailure(
+        HttpFailure.Kind.CONNECT,
+        false,
+        "No connection to "
+            + call.target()
+            + " ("
+            + why
+            + "). Check that a server listens there, for example with a GET of /healthz.",
+        cause);
+  }
+
+  private PooledConnection takeIdle(String target) {
+    Deque<PooledConnection> queue = idle.get(target);
+    if (queue == null) {
+      return null;
+    }
+    PooledConnection connection = queue.pollFirst();
+    while (connection != null) {
+      if (connection.isReusable(settings.maxIdle(), settings.maxAge())) {
+        return connection;
+      }
+      connection.close();
+      connection = queue.pollFirst();
+    }
+    return null;
+  }
+
+  private void release(PooledConnection connection) {
+    if (!connection.isReusable(settings.maxIdle(), settings.maxAge())) {
+      connection.close();
+      return;
+    }
+    connection.markIdle();
+    idle.computeIfAbsent(connection.target(), target -> new ConcurrentLinkedDeque<>())
+        .addFirst(connection);
+  }
+
+  @Override
+  public void dropIdle(String target) {
+    Deque<PooledConnection> queue = idle.remove(target);
+    if (queue != null) {
+      queue.forEach(PooledConnection::close);
+    }
+  }
+
+  @Override
+  public void close() {
+    idle.keySet().forEach(this::dropIdle);
+    worker.shutdownNow();
+    buffers.close();
+  }
+}
--- /dev/null
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Implementation of the HTTP client. */
+package org.toucansaddle.http.internal;
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/QuickstartMain.java
@@ -0,0 +1,164 @@
+package org.toucansaddle.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.standins.fleet.Fleet;
+import org.toucansaddle.standins.fleet.FleetSpec;
+import org.toucansaddle.standins.fleet.FleetSpec.UpstreamGroup;
+import org.toucansaddle.standins.load.Caller;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Starts a small fleet, sends one request of each class, and stops it. Used by one thread. */
+@Command(
+    name = "quickstart",
+    mixinStandardHelpOptions = true,
+    description = "Runs a small fleet on loopback and sends it one request of each class.")
+public final class QuickstartMain implements Callable<Integer> {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final Path FOLDER = Path.of("target", "quickstart");
+  private static final Path DESCRIPTION = FOLDER.resolve("fleet.json");
+  private static final List<String> ACCOUNTS =
+      List.of("lessor-north", "lessor-south", "fleet-office", "captain");
+
+  /** A class of the brief's two deployments. */
+  private record DemoClass(String name, String pool, String firstToken, String whole) {}
+
+  private static final List<DemoClass> CLASSES =
+      List.of(
+          new DemoClass("records-reconciliation", "inspection-model", "2s", "60s"),
+          new DemoClass("defect-write-up", "inspection-model", "1s", "30s"),
+          new DemoClass("finding-summary", "inspection-model", "1s", "20s"),
+          new DemoClass("long-briefing", "chart-model", "2s", "60s"),
+          new DemoClass("short-answer", "chart-model", "500ms", "8s"),
+          new DemoClass("chart-tile-tag", "chart-model", "500ms", "4s"));
+
+  @Option(names = "--keep", description = "Leave the fleet running and describe it in a file.")
+  private boolean keep;
+
+  @Option(names = "--stop", description = "End a fleet that --keep left running.")
+  private boolean stop;
+
+  @Option(names = "--routers", defaultValue = "3", description = "Daemons. Default: 3")
+  private int routers;
+
+  @Option(names = "--engines", defaultValue = "2", description = "Model engines. Default: 2")
+  private int engines;
+
+  @Option(names = "--slots", defaultValue = "8", description = "Slots an engine. Default: 8")
+  private int slots;
+
+  /** Runs the command. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new QuickstartMain()).execute(args));
+  }
+
+  @Override
+  public Integer call() throws IOException {
+    if (stop) {
+      return stopKept();
+    }
+    clear(FOLDER);
+    Fleet fleet = Fleet.start(FOLDER, FleetSpec.of(routers).withUpstreams(groups()));
+    boolean whole = false;
+    try {
+      fleet.awaitReady();
+      configure(fleet);
+      whole = sendOneOfEach(fleet);
+      fleet.describe(DESCRIPTION);
+    } finally {
+      if (!keep) {
+        fleet.close();
+      }
+    }
+    System.out.println(whole ? "All answers are whole." : "An answer is not whole.");
+    if (keep) {
+      System.out.println("The fleet keeps running; see " + DESCRIPTION);
+    }
+    return whole ? 0 : 1;
+  }
+
+  private static void clear(Path folder) throws IOException {
+    if (!Files.exists(folder)) {
+      return;
+    }
+    try (Stream<Path> files = Files.walk(folder)) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+
+  private List<UpstreamGroup> groups() {
+    List<UpstreamGroup> groups = new ArrayList<>();
+    for (int i = 1; i <= engines; i++) {
+      String pool = i % 2 == 1 ? "inspection-model" : "chart-model";
+      groups.add(new UpstreamGroup("engine", "engine-" + i, pool, 1, slots, 10));
+    }
+    groups.add(new UpstreamGroup("service", "defects-1", "defects", 1, slots, 20));
+    return groups;
+  }
+
+  private static void configure(Fleet fleet) {
+    for (DemoClass demo : CLASSES) {
+      fleet.createModelClass(demo.name(), demo.pool(), demo.firstToken(), demo.whole());
+    }
+    fleet.createServiceClass("defect-record", "defects", "5s");
+    ACCOUNTS.forEach(fleet::createAccount);
+    fleet.operator("class", "list");
+  }
+
+  private boolean sendOneOfEach(Fleet fleet) {
+    try (HttpClient client = HttpClient.create(HttpClientSettings.defaults())) {
+      Caller caller = new Caller(client);
+      boolean allWhole = true;
+      int turn = 0;
+      for (DemoClass demo : CLASSES) {
+        String router = fleet.routers().get(turn % routers).callers();
+        String key = fleet.keys().get(ACCOUNTS.get(turn % ACCOUNTS.size()));
+        String prompt = "Please answer for class " + demo.name();
+        Caller.Result result = caller.ask(router, key, demo.name(), prompt, "").join();
+        allWhole &= report(demo.name(), router, result);
+        turn++;
+      }
+      String router = fleet.routers().get(turn % routers).callers();
+      String key = fleet.keys().get(ACCOUNTS.get(0));
+      Caller.Result result =
+          caller.record(router, key, "defect-record", "/services/defects/record", "demo-1").join();
+      return allWhole & report("defect-record", router, result);
+    }
+  }
+
+  private static boolean report(String name, String router, Caller.Result result) {
+    String text = result.text();
+    String shown = text.length() > 60 ? text.substring(0, 60) + "..." : text;
+    System.out.printf("%-24s via %s: %s %s%n", name, router, result.outcome(), shown);
+    return result.outcome() == Caller.Outcome.WHOLE;
+  }
+
+  private static int stopKept() throws IOException {
+    if (!Files.exists(DESCRIPTION)) {
+      System.err.println("No fleet is described in " + DESCRIPTION + "; nothing to stop.");
+      return 1;
+    }
+    JsonNode description = JSON.readTree(DESCRIPTION.toFile());
+    for (JsonNode process : description.path("processes")) {
+      ProcessHandle.of(process.path("pid").asLong()).ifPresent(ProcessHandle::destroy);
+    }
+    Files.delete(DESCRIPTION);
+    System.out.println("Stopped.");
+    return 0;
+  }
+}
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/UpstreamMain.java
@@ -0,0 +1,98 @@
+package org.toucansaddle.standins;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.toucansaddle.standins.announce.Announcer;
+import org.toucansaddle.standins.engine.EngineSettings;
+import org.toucansaddle.standins.engine.StandinEngine;
+import org.toucansaddle.standins.journal.Journal;
+import org.toucansaddle.standins.service.ServiceSettings;
+import org.toucansaddle.standins.service.StandinService;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs stand-in upstreams as a process. Used by one thread. */
+@Command(
+    name = "standin",
+    mixinStandardHelpOptions = true,
+    description = "Runs stand-in model engines or plain services that announce themselves.")
+public final class UpstreamMain {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  @Option(names = "--routers", split = ",", required = true, description = "Caller addresses.")
+  private List<String> routers;
+
+  @Option(names = "--id", required = true, description = "Name; numbered if there are several.")
+  private String id;
+
+  @Option(names = "--port", required = true, description = "Port of the first.")
+  private int port;
+
+  @Option(names = "--pool", required = true, description = "Name of the model or service.")
+  private String pool;
+
+  @Option(names = "--slots", defaultValue = "8", description = "Requests at a time.")
+  private int slots;
+
+  @Option(names = "--zone", defaultValue = "zone-a", description = "Availability zone.")
+  private String zone;
+
+  @Option(names = "--journal", required = true, description = "Folder of the journals.")
+  private Path journalFolder;
+
+  /** Runs the command. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new UpstreamMain()).execute(args));
+  }
+
+  @Command(name = "engine", description = "Runs model engines.")
+  void engine(
+      @Option(names = "--count", defaultValue = "1", description = "Number of engines.") int count,
+      @Option(names = "--step-millis", defaultValue = "10", description = "Time of a step.")
+          int stepMillis)
+      throws InterruptedException {
+    for (int i = 0; i < count; i++) {
+      String name = count == 1 ? id : id + "-" + (i + 1);
+      EngineSettings settings = new EngineSettings(name, port + i, pool, slots, stepMillis, zone);
+      Journal journal = new Journal(journalFolder.resolve(name + ".jsonl"));
+      StandinEngine engine = new StandinEngine(settings, journal);
+      ObjectNode fixed = announcement("model", name, port + i);
+      new Announcer(
+          routers,
+          () -> fixed.deepCopy().put("running", engine.load()).put("leaving", engine.isLeaving()));
+    }
+    new CountDownLatch(1).await();
+  }
+
+  @Command(name = "service", description = "Runs a plain service.")
+  void service(
+      @Option(names = "--delay-millis", defaultValue = "20", description = "Time of a call.")
+          int delayMillis)
+      throws InterruptedException {
+    ServiceSettings settings = new ServiceSettings(id, port, pool, slots, delayMillis, zone);
+    Journal journal = new Journal(journalFolder.resolve(id + ".jsonl"));
+    StandinService service = new StandinService(settings, journal);
+    ObjectNode fixed = announcement("service", id, port);
+    new Announcer(
+        routers,
+        () -> fixed.deepCopy().put("running", service.load()).put("leaving", service.isLeaving()));
+    new CountDownLatch(1).await();
+  }
+
+  private ObjectNode announcement(String kind, String name, int listenPort) {
+    return JSON.createObjectNode()
+        .put("id", name)
+        .put("incarnation", System.currentTimeMillis())
+        .put("address", "127.0.0.1:" + listenPort)
+        .put("zone", zone)
+        .put("kind", kind)
+        .put("pool", pool)
+        .put("slots", slots)
+        .put("checks_fencing", false);
+  }
+}
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/announce/package-info.java
@@ -0,0 +1,2 @@
+/** Announces a stand-in to the routers. */
+package org.toucansaddle.standins.announce;
