--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/engine/StandinEngine.java
@@ -0,0 +1,222 @@
+package org.toucansaddle.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import org.toucansaddle.standins.engine.EngineFaults.Fault;
+import org.toucansaddle.standins.journal.Journal;
+import org.xnio.Options;
+
+/**
+ * A model engine with continuous batching: each step yields one token for every running request.
+ *
+ * <p>It knows no priorities and admits requests as they arrive; those above its slots wait inside.
+ * Thread-safe.
+ */
+public final class StandinEngine implements AutoCloseable {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int SAMPLE_MILLIS = 100;
+  private static final int CRASH_EXIT_CODE = 70;
+  private static final String CRASH_MARK = "[crash]";
+
+  private final EngineSettings settings;
+  private final Journal journal;
+  private final EngineFaults faults = new EngineFaults();
+  private final Undertow server;
+  private final Thread thread;
+  private final Deque<EngineRequest> arrived = new ArrayDeque<>();
+  private final List<EngineRequest> running = new ArrayList<>();
+  private final Map<String, Long> tokensByUser = new HashMap<>();
+  private final AtomicBoolean leaving = new AtomicBoolean();
+  private volatile boolean closed;
+  private volatile int load;
+
+  /** Starts an engine. */
+  public StandinEngine(EngineSettings settings, Journal journal) {
+    this.settings = settings;
+    this.journal = journal;
+    this.server =
+        Undertow.builder()
+            .addHttpListener(settings.port(), "127.0.0.1")
+            .setIoThreads(1)
+            .setWorkerThreads(1)
+            .setSocketOption(Options.TCP_NODELAY, true)
+            .setHandler(this::handle)
+            .build();
+    server.start();
+    thread = new Thread(this::run, "engine-" + settings.id());
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Returns how many requests run or wait inside. */
+  public int load() {
+    return load;
+  }
+
+  /** Returns whether the engine asked for no new work. */
+  public boolean isLeaving() {
+    return leaving.get();
+  }
+
+  private void handle(HttpServerExchange exchange) {
+    exchange.getRequestReceiver().receiveFullBytes(this::route);
+  }
+
+  private void route(HttpServerExchange exchange, byte[] body) {
+    JsonNode json;
+    try {
+      json = JSON.readTree(body);
+    } catch (IOException e) {
+      exchange.setStatusCode(400).endExchange();
+      return;
+    }
+    switch (exchange.getRequestPath()) {
+      case "/v1/completions" -> admit(exchange, json, false);
+      case "/v1/chat/completions" -> admit(exchange, json, true);
+      case "/standin/fault" -> switchFault(exchange, json);
+      case "/standin/leave" -> {
+        leaving.set(true);
+        exchange.endExchange();
+      }
+      default -> exchange.setStatusCode(404).endExchange();
+    }
+  }
+
+  private void switchFault(HttpServerExchange exchange, JsonNode json) {
+    Fault fault = Fault.valueOf(json.path("fault").asText().toUpperCase(Locale.ROOT));
+    boolean on = json.path("on").asBoolean(true);
+    faults.set(fault, on);
+    if (fault == Fault.SILENT && on) {
+      synchronized (this) {
+        running.forEach(EngineRequest::fallSilent);
+      }
+      faults.set(Fault.SILENT, false);
+    }
+    exchange.endExchange();
+  }
+
+  private void admit(HttpServerExchange exchange, JsonNode json, boolean chat) {
+    String prompt =
+        chat
+            ? json.path("messages").path(json.path("messages").size() - 1).path("content").asText()
+            : json.path("prompt").asText();
+    String attempt = header(exchange, "X-Attempt-Id", "none");
+    int offset = Integer.parseInt(header(exchange, "X-Resume-Offset", "0"));
+    EngineRequest request =
+        new EngineRequest(
+            exchange, attempt, json.path("user").asText("unknown"), prompt, offset, chat);
+    journal.write(
+        Journal.entry("start")
+            .put("engine", settings.id())
+            .put("attempt", attempt)
+            .put("user", request.user())
+            .put("offset", offset)
+            .put("prompt", Long.toHexString(ExpectedAnswer.hash(prompt))));
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () -> {
+          synchronized (this) {
+            arrived.add(request);
+          }
+          request.open();
+        });
+  }
+
+  private static String header(HttpServerExchange exchange, String name, String usual) {
+    String value = exchange.getRequestHeaders().getFirst(name);
+    return value == null ? usual : value;
+  }
+
+  // ---- steps ----
+
+  private void run() {
+    long next = System.nanoTime();
+    long nextSample = next;
+    while (!closed) {
+      next += settings.stepMillis() * 1_000_000L;
+      if (!faults.is(Fault.FREEZE)) {
+        step();
+      }
+      long now = System.nanoTime();
+      if (now >= nextSample) {
+        nextSample = now + SAMPLE_MILLIS * 1_000_000L;
+        sample();
+      }
+      if (next > now) {
+        LockSupport.parkNanos(next - now);
+      } else {
+        next = now;
+      }
+    }
+  }
+
+  private synchronized void step() {
+    while (running.size() < settings.slots() && !arrived.isEmpty()) {
+      running.add(arrived.poll());
+    }
+    for (int i = 0; i < running.size(); i++) {
+      stepOne(running.get(i), running.get((i + 1) % running.size()));
+    }
+    running.stream().filter(r -> r.isDone() || r.isGone()).forEach(this::journalEnd);
+    running.removeIf(request -> request.isDone() || request.isGone());
+    arrived.removeIf(EngineRequest::isGone);
+    load = running.size() + arrived.size();
+  }
+
+  private void stepOne(EngineRequest request, EngineRequest other) {
+    if (request.prompt().contains(CRASH_MARK)) {
+      Runtime.getRuntime().halt(CRASH_EXIT_CODE);
+    }
+    if (faults.is(Fault.CLOSE) && request.next() > 2) {
+      request.abort();
+      return;
+    }
+    request.step(faults.is(Fault.CROSS) ? other.attempt() : request.attempt());
+    tokensByUser.merge(request.user(), 1L, Long::sum);
+  }
+
+  private void journalEnd(EngineRequest request) {
+    journal.write(
+        Journal.entry(request.isDone() ? "end" : "cancel")
+            .put("engine", settings.id())
+            .put("attempt", request.attempt())
+            .put("user", request.user())
+            .put("tokens", request.next()));
+    if (request.isDone()) {
+      tokensByUser.merge(request.user(), (long) request.promptTokens(), Long::sum);
+    }
+  }
+
+  private synchronized void sample() {
+    ObjectNode entry = Journal.entry("sample").put("engine", settings.id());
+    entry.put("slots", settings.slots()).put("running", running.size());
+    ObjectNode service = entry.putObject("service");
+    tokensByUser.forEach(service::put);
+    Map<String, Integer> users = new HashMap<>();
+    running.forEach(request -> users.merge(request.user(), 1, Integer::sum));
+    ObjectNode byUser = entry.putObject("running_by_user");
+    users.forEach(byUser::put);
+    journal.write(entry);
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    server.stop();
+  }
+}
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in model engine with continuous batching. */
+package org.toucansaddle.standins.engine;
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for upstreams, and the load and experiment tool. */
+package org.toucansaddle.standins;
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/service/StandinService.java
@@ -0,0 +1,117 @@
+package org.toucansaddle.standins.service;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.io.IoCallback;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.toucansaddle.standins.journal.Journal;
+
+/**
+ * A plain service that records defects: each call that reaches it takes effect once more.
+ *
+ * <p>Thread-safe.
+ */
+public final class StandinService implements AutoCloseable {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final HttpString ATTEMPT = new HttpString("X-Attempt-Id");
+
+  private final ServiceSettings settings;
+  private final Journal journal;
+  private final Undertow server;
+  private final AtomicLong nextNumber = new AtomicLong(1);
+  private final AtomicInteger running = new AtomicInteger();
+  private final AtomicBoolean leaving = new AtomicBoolean();
+
+  /** Starts a service. */
+  public StandinService(ServiceSettings settings, Journal journal) {
+    this.settings = settings;
+    this.journal = journal;
+    this.server =
+        Undertow.builder()
+            .addHttpListener(settings.port(), "127.0.0.1")
+            .setIoThreads(1)
+            .setWorkerThreads(1)
+            .setHandler(e -> e.getRequestReceiver().receiveFullBytes(this::handle))
+            .build();
+    server.start();
+  }
+
+  /** Returns how many calls run. */
+  public int load() {
+    return running.get();
+  }
+
+  /** Returns whether the service asked for no new work. */
+  public boolean isLeaving() {
+    return leaving.get();
+  }
+
+  private void handle(HttpServerExchange exchange, byte[] body) {
+    if (exchange.getRequestPath().equals("/standin/leave")) {
+      leaving.set(true);
+      exchange.endExchange();
+      return;
+    }
+    JsonNode json;
+    try {
+      json = JSON.readTree(body);
+    } catch (IOException e) {
+      exchange.setStatusCode(400).endExchange();
+      return;
+    }
+    record(exchange, json);
+  }
+
+  private void record(HttpServerExchange exchange, JsonNode json) {
+    running.incrementAndGet();
+    long number = nextNumber.getAndIncrement();
+    String attempt = header(exchange, "X-Attempt-Id");
+    journal.write(
+        Journal.entry("recorded")
+            .put("service", settings.id())
+            .put("attempt", attempt)
+            .put("key", header(exchange, "Idempotency-Key"))
+            .put("number", number));
+    ObjectNode answer = JSON.createObjectNode();
+    answer.put("recorded", number).put("by", settings.id());
+    answer.set("defect", json);
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () ->
+            exchange
+                .getIoThread()
+                .executeAfter(
+                    () -> answer(exchange, attempt, answer),
+                    settings.delayMillis(),
+                    TimeUnit.MILLISECONDS));
+  }
+
+  private void answer(HttpServerExchange exchange, String attempt, ObjectNode answer) {
+    running.decrementAndGet();
+    exchange.setStatusCode(201);
+    exchange.getResponseHeaders().put(ATTEMPT, attempt);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    exchange.getResponseSender().send(answer.toString(), IoCallback.END_EXCHANGE);
+  }
+
+  private static String header(HttpServerExchange exchange, String name) {
+    String value = exchange.getRequestHeaders().getFirst(name);
+    return value == null ? "" : value;
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+}
