Measure the service gap; preempt requests of accounts above their quota

Change: a router stops requests of accounts well above their quota when other accounts need the slots, and continues them at their offset later; streams that a caller already reads are never stopped.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
@@ -1,11 +1,16 @@
 package org.toucansaddle.coordination.internal.sharing;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.toucansaddle.coordination.sharing.AccountDemand;
 import org.toucansaddle.coordination.sharing.Lease;
 import org.toucansaddle.coordination.sharing.PoolScheduler;
@@ -26,12 +31,16 @@
 public final class SlotScheduler<R extends SlotRequest> implements PoolScheduler<R> {
 
   private static final int QUOTA_WITHOUT_PLAN = 1;
+  private static final int MIN_PREEMPTION_SLACK = 2;
+  private static final int PREEMPTION_SLACK_DIVISOR = 4;
 
   private final SharingMode mode;
   private final Map<Integer, AccountQueue<R>> queues = new TreeMap<>();
   private final Map<Integer, Integer> inFlight = new HashMap<>();
   private final Map<Integer, Double> virtualService = new HashMap<>();
   private final Map<String, HeldUpstream> held = new TreeMap<>();
+  private final Map<R, HeldUpstream> running = new IdentityHashMap<>();
+  private final Set<R> preempted = Collections.newSetFromMap(new IdentityHashMap<>());
   private Map<Integer, Integer> quotas = Map.of();
   private boolean wanted;
   private long leaseEpoch;
@@ -109,13 +118,69 @@
   }
 
   @Override
-  public void finished(String upstream, int account) {
-    inFlight.merge(account, -1, Integer::sum);
-    HeldUpstream slots = held.get(upstream);
+  public void finished(R request) {
+    HeldUpstream slots = running.remove(request);
+    preempted.remove(request);
+    inFlight.merge(request.account(), -1, Integer::sum);
     slots.finished();
     if (slots.isUnused()) {
-      held.remove(upstream);
+      held.remove(slots.info().id());
+    }
+  }
+
+  @Override
+  public List<R> preempt() {
+    if (mode == SharingMode.LOCAL || quotas.isEmpty()) {
+      return List.of();
+    }
+    List<R> chosen = new ArrayList<>();
+    for (HeldUpstream slots : held.values()) {
+      int over = slots.inFlight() - slots.slots() - preemptedAt(slots);
+      choose(over, request -> running.get(request) == slots, chosen);
+    }
+    choose(neededHere() - freeSlots() - preempted.size(), request -> true, chosen);
+    return chosen;
+  }
+
+  private int preemptedAt(HeldUpstream slots) {
+    return (int) preempted.stream().filter(request -> running.get(request) == slots).count();
+  }
+
+  /** Returns how many waiting requests belong to accounts below their quota. */
+  private int neededHere() {
+    int needed = 0;
+    for (int account : waitingAccounts()) {
+      needed += Math.max(0, Math.min(waiting(account), shortage(account)));
+    }
+    return needed;
+  }
+
+  private void choose(int count, Predicate<R> test, List<R> chosen) {
+    for (int left = count; left > 0; left--) {
+      Optional<R> victim =
+          running.keySet().stream()
+              .filter(request -> !preempted.contains(request))
+              .filter(request -> excess(request.account()) > 0)
+              .filter(SlotRequest::isPreemptible)
+              .filter(test)
+              .max(Comparator.comparingInt(request -> excess(request.account())));
+      if (victim.isEmpty()) {
+        return;
+      }
+      preempted.add(victim.get());
+      chosen.add(victim.get());
+    }
+  }
+
+  /** Returns how many requests of an account run above its quota and the slack. */
+  private int excess(int account) {
+    Integer quota = quotas.get(account);
+    if (quota == null) {
+      return 0;
     }
+    long stopping = preempted.stream().filter(r -> r.account() == account).count();
+    int slack = Math.max(MIN_PREEMPTION_SLACK, quota / PREEMPTION_SLACK_DIVISOR);
+    return inFlight(account) - (int) stopping - quota - slack;
   }
 
   @Override
@@ -185,6 +250,7 @@
         Reason reason = shortage(account) > 0 ? Reason.BELOW_QUOTA : Reason.LEAST_SERVICE;
         queues.get(account).remove(request);
         slots.started();
+        running.put(request, slots);
         inFlight.merge(account, 1, Integer::sum);
         return new SlotAssignment<>(request, slots.info(), reason, passedOver);
       }
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
@@ -11,7 +11,7 @@
  * scheduler.enqueue(request);
  * scheduler.assign(now).forEach(assignment -> start(assignment));
  * ...
- * scheduler.finished(upstream.id(), request.account());
+ * scheduler.finished(request);
  * scheduler.assign(now).forEach(assignment -> start(assignment));
  * }</pre>
  *
@@ -42,8 +42,16 @@
   /** Blocks new work on an upstream until its next lease, because it cannot be reached. */
   void blockUpstream(String upstream);
 
-  /** Records that a request of an account ended its use of a slot. */
-  void finished(String upstream, int account);
+  /** Records that a request ended its use of the slot it was assigned. */
+  void finished(R request);
+
+  /**
+   * Returns running requests to stop, so that their slots go to accounts further behind.
+   *
+   * <p>Only requests of accounts well above their quota are named, each once, and no more than the
+   * slots that are needed here or are to be given back.
+   */
+  List<R> preempt();
 
   /** Adds service to an account that this router gave in any pool, in tokens. */
   void served(int account, long tokens);
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SlotRequest.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SlotRequest.java
@@ -1,6 +1,6 @@
 package org.toucansaddle.coordination.sharing;
 
-/** A request that waits for a slot. Its answers must not change while it waits, but mayUse. */
+/** A request that waits for a slot. Account and deadline never change. */
 public interface SlotRequest {
 
   /** Returns the number of the account that pays. */
@@ -9,6 +9,9 @@
   /** Returns when the answer is due, in milliseconds of the scheduler's clock. */
   long deadlineMillis();
 
+  /** Returns whether the request could be stopped now and continued later at its offset. */
+  boolean isPreemptible();
+
   /** Returns whether the request may run on an upstream now. */
   boolean mayUse(UpstreamSlots upstream);
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
@@ -47,6 +47,16 @@
         kv("outcome", outcome));
   }
 
+  /** A request of an account above its quota gave up its slot for another account. */
+  public static void preempted(CallerRequest request, String upstream, String attempt) {
+    ROUTING.info(
+        "preempted {} {} {} {}",
+        kv("request", request.id()),
+        kv("account", request.account().getName()),
+        kv("upstream", upstream),
+        kv("attempt", attempt));
+  }
+
   /** A request got its whole answer. */
   public static void answered(CallerRequest request, String attempt, int tokens, long millis) {
     ROUTING.info(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/AttemptOutcome.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/AttemptOutcome.java
@@ -14,6 +14,8 @@
   STALLED,
   /** The answer is another request's, or not what was asked for. */
   WRONG_ANSWER,
+  /** The router stopped it for an account further behind; it continues later. */
+  PREEMPTED,
   /** The router gave the attempt up. */
   CANCELLED
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -36,7 +36,8 @@
   private Optional<ModelAttempt> running = Optional.empty();
   private boolean ended;
   private boolean everWritten;
-  private int attempts;
+  private int startedAttempts;
+  private int failedAttempts;
   private int parts;
 
   ModelRequest(CallerRequest request, RouterPool pool, RelayContext context, RequestWatch watch) {
@@ -72,6 +73,17 @@
     return context.strikes().count(request.digest()) > 0;
   }
 
+  /** A stream that a caller already reads is not stopped in the middle. */
+  @Override
+  public synchronized boolean isPreemptible() {
+    return running.isPresent() && !request.isStreamed() && !ended;
+  }
+
+  @Override
+  public void preempt() {
+    cancelAttempt(AttemptOutcome.PREEMPTED);
+  }
+
   // ---- attempts ----
 
   @Override
@@ -80,7 +92,7 @@
     boolean exclusive = !isStruck() || markStruck(upstream);
     Optional<ModelAttempt> attempt = exclusive ? begin(upstream) : Optional.empty();
     if (attempt.isEmpty()) {
-      pool.finished(upstream.id(), account());
+      pool.finished(this);
       if (!exclusive) {
         pool.submit(this);
       }
@@ -88,7 +100,7 @@
     }
     DecisionLog.routed(
         request, upstream.id(), attempt.get().id(), assignment.reason(), assignment.passedOver());
-    if (attempt.get().id().endsWith(".1")) {
+    if (isFirst(attempt.get())) {
       charge(promptEstimate());
     }
     attempt.get().send(context.client(), request.exchange().getRequestPath(), upstreamBody());
@@ -102,13 +114,17 @@
     if (ended) {
       return Optional.empty();
     }
-    attempts++;
-    String id = request.id() + "." + attempts;
+    startedAttempts++;
+    String id = request.id() + "." + startedAttempts;
     long now = context.clock().getAsLong();
     running = Optional.of(new ModelAttempt(id, upstream, parts, now, this));
     return running;
   }
 
+  private boolean isFirst(ModelAttempt attempt) {
+    return attempt.id().endsWith(".1");
+  }
+
   private String upstreamBody() {
     ObjectNode body = request.json().deepCopy();
     body.put("stream", true);
@@ -162,6 +178,7 @@
       }
       running = Optional.empty();
       everWritten |= written;
+      failedAttempts += outcome == AttemptOutcome.PREEMPTED ? 0 : 1;
     }
     long now = context.clock().getAsLong();
     String upstream = attempt.upstream().id();
@@ -169,10 +186,14 @@
     context.struckUpstreams().free(upstream, request.digest());
     if (outcome == AttemptOutcome.WHOLE) {
       whole(attempt, usage, now);
-    } else {
+    } else if (outcome != AttemptOutcome.PREEMPTED) {
       failed(attempt, outcome, now);
     }
-    pool.finished(upstream, account());
+    pool.finished(this);
+    if (outcome == AttemptOutcome.PREEMPTED) {
+      DecisionLog.preempted(request, upstream, attempt.id());
+      pool.submit(this);
+    }
   }
 
   private void whole(ModelAttempt attempt, AnswerUsage usage, long now) {
@@ -222,17 +243,17 @@
       fail(Problems.timedOut(runState()).problem());
       return;
     }
-    if (attemptsSoFar() >= MAX_ATTEMPTS || !context.budgets().tryRetry(account())) {
+    if (failures() >= MAX_ATTEMPTS || !context.budgets().tryRetry(account())) {
       fail(Problems.upstreamFailed(runState(), outcome.name()).problem());
       return;
     }
-    int bound = BACKOFF_MILLIS << attemptsSoFar();
+    int bound = BACKOFF_MILLIS << failures();
     int pause = ThreadLocalRandom.current().nextInt(bound);
     context.timers().schedule(() -> pool.submit(this), pause, TimeUnit.MILLISECONDS);
   }
 
-  private synchronized int attemptsSoFar() {
-    return attempts;
+  private synchronized int failures() {
+    return failedAttempts;
   }
 
   private synchronized RunState runState() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
@@ -66,11 +66,21 @@
     return !exclusions.excludes(upstream.id(), context.clock().getAsLong());
   }
 
+  @Override
+  public boolean isPreemptible() {
+    return false;
+  }
+
+  @Override
+  public void preempt() {
+    // A service call cannot be continued, so it is never stopped.
+  }
+
   @Override
   public void start(SlotAssignment<PooledRequest> assignment) {
     UpstreamSlots upstream = assignment.upstream();
     if (!begin()) {
-      pool.finished(upstream.id(), account());
+      pool.finished(this);
       return;
     }
     DecisionLog.routed(
@@ -126,7 +136,7 @@
       Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
       failed(upstream, cause, now);
     }
-    pool.finished(upstream.id(), account());
+    pool.finished(this);
   }
 
   private void answered(UpstreamSlots upstream, long startedAt, HttpReply reply, long now) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
@@ -78,14 +78,14 @@
     }
   }
 
-  /** Records that a request's use of an upstream ended, and starts the next one there. */
-  public void finished(String upstream, int account) {
+  /** Records that a request's use of its slot ended, and starts the next one there. */
+  public void finished(PooledRequest request) {
     List<SlotAssignment<PooledRequest>> assignments;
     boolean urgent;
     lock.lock();
     try {
       boolean wasOver = scheduler.isOverLease();
-      scheduler.finished(upstream, account);
+      scheduler.finished(request);
       assignments = scheduler.assign(clock.getAsLong());
       urgent = scheduler.releaseWanted() || wasOver;
     } finally {
@@ -131,17 +131,20 @@
 
   void applyLease(Lease lease) {
     List<SlotAssignment<PooledRequest>> assignments;
+    List<PooledRequest> preempted;
     boolean released;
     lock.lock();
     try {
       long now = clock.getAsLong();
       scheduler.applyLease(lease, now);
       assignments = scheduler.assign(now);
+      preempted = scheduler.preempt();
       released = scheduler.releaseWanted();
     } finally {
       lock.unlock();
     }
     start(assignments);
+    preempted.forEach(PooledRequest::preempt);
     if (released) {
       onUrgentDemand.accept(key);
     }
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiment.java
@@ -0,0 +1,9 @@
+package org.toucansaddle.standins.experiment;
+
+/** An experiment on real processes. */
+@FunctionalInterface
+public interface Experiment {
+
+  /** Runs the experiment and returns its figures. */
+  Figures run(ExperimentRun run);
+}
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
@@ -0,0 +1,37 @@
+package org.toucansaddle.standins.experiment;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The experiments by name. Stateless and thread-safe. */
+public final class Experiments {
+
+  private record Entry(Experiment experiment, int seconds) {}
+
+  private static final Map<String, Entry> ALL =
+      new TreeMap<>(
+          Map.of(
+              "fairness", new Entry(new FairnessExperiment(), 16),
+              "utilisation", new Entry(new UtilisationExperiment(), 14)));
+
+  private Experiments() {}
+
+  /** Returns an experiment. */
+  public static Experiment byName(String name) {
+    return entry(name).experiment();
+  }
+
+  /** Returns the time that an experiment measures by default, in seconds. */
+  public static int defaultSeconds(String name) {
+    return entry(name).seconds();
+  }
+
+  private static Entry entry(String name) {
+    Entry entry = ALL.get(name);
+    if (entry == null) {
+      throw new IllegalArgumentException(
+          "There is no experiment '" + name + "'. Name one of " + ALL.keySet() + ".");
+    }
+    return entry;
+  }
+}
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Figures.java
@@ -0,0 +1,46 @@
+package org.toucansaddle.standins.experiment;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Named numbers of an experiment, in the order they were added. Not thread-safe. */
+public final class Figures {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final double ROUNDING = 10_000;
+
+  private final Map<String, Double> values = new LinkedHashMap<>();
+
+  /** Adds a figure. */
+  public Figures put(String name, double value) {
+    values.put(name, value);
+    return this;
+  }
+
+  /** Adds all figures of a baseline with a prefix. */
+  public Figures putBaseline(Figures baseline) {
+    baseline.values.forEach((name, value) -> values.put("baseline_" + name, value));
+    return this;
+  }
+
+  /** Returns a figure. */
+  public double get(String name) {
+    return values.get(name);
+  }
+
+  /** Returns the figures as one flat JSON object. */
+  public String json() {
+    ObjectNode node = JSON.createObjectNode();
+    values.forEach(
+        (name, value) -> {
+          if (value == Math.rint(value) && Math.abs(value) < 1e15) {
+            node.put(name, value.longValue());
+          } else {
+            node.put(name, Math.round(value * ROUNDING) / ROUNDING);
+          }
+        });
+    return node.toString();
+  }
+}
