Estimate service given since the last reports when planning quotas

Cause: routers report their totals about once a second, at different times, so the dispatcher compared accounts at different ages; at 1,300 tokens/s an account that reports through one router looked up to 1,300 tokens behind or ahead, and its quota swung between 11 and 16 of 13. Ruled out: lost totals (they are running totals), a horizon that is too long (quotas answered at once, to the noise).

Change: the plan adds what an account's running requests must have yielded since the report. The experiment warms the fleet up first and sends the accounts' requests in a mixed order.

Conclusion: after the first second lines stay flat; what is left is the start.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -26,6 +26,7 @@
 public final class SlotDispatcher implements PoolDispatcher {
 
   private static final long FORGET_UPSTREAM_MILLIS = 60_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   private record HeardUpstream(UpstreamSlots slots, long heardAt) {}
 
@@ -160,7 +161,26 @@
     LagWeights weights =
         new LagWeights(
             capacity, backlogged.size(), speed.tokensPerSlotSecond(), settings.horizonSeconds());
-    return SlotPlanner.plan(capacity, demands, weights.by(balance::lag));
+    Map<Integer, Double> unreported = unreportedService(now);
+    return SlotPlanner.plan(
+        capacity,
+        demands,
+        weights.by(account -> balance.lag(account, a -> unreported.getOrDefault(a, 0.0))));
+  }
+
+  /** Estimates the service given since each router's last demand, from what it runs. */
+  private Map<Integer, Double> unreportedService(long now) {
+    Map<Integer, Double> tokens = new HashMap<>();
+    for (RouterState router : routers.values()) {
+      double seconds = (now - router.heardAt()) / MILLIS_PER_SECOND;
+      double tokensPerSlot = seconds * speed.tokensPerSlotSecond();
+      router
+          .accounts()
+          .forEach(
+              (account, demand) ->
+                  tokens.merge(account, demand.inFlight() * tokensPerSlot, Double::sum));
+    }
+    return tokens;
   }
 
   private Set<Integer> backloggedAccounts() {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ServiceBalance.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ServiceBalance.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntToDoubleFunction;
 
 /**
  * Service received by each account while it was backlogged, as a dispatcher sees it.
@@ -99,9 +100,21 @@
     return backlogged.stream().mapToDouble(this::serviceOf).average().orElse(0);
   }
 
-  /** Returns how far an account is behind the mean of the backlogged ones, in tokens. */
-  public double lag(int account) {
-    return backlogged.contains(account) ? mean() - serviceOf(account) : 0;
+  /**
+   * Returns how far an account is behind the mean of the backlogged ones, in tokens.
+   *
+   * @param unreported service given since the last reports, as an estimate by account
+   */
+  public double lag(int account, IntToDoubleFunction unreported) {
+    if (!backlogged.contains(account)) {
+      return 0;
+    }
+    double mean =
+        backlogged.stream()
+            .mapToDouble(a -> serviceOf(a) + unreported.applyAsDouble(a))
+            .average()
+            .orElse(0);
+    return mean - serviceOf(account) - unreported.applyAsDouble(account);
   }
 
   /** Returns the largest difference between two backlogged accounts, in tokens. */
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ServiceGap.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ServiceGap.java
@@ -69,7 +69,7 @@
       int account = accounts.indexOf(request.account());
       long start = startedAt.getOrDefault(request.promptHash(), request.endedAt());
       int first = point(request.sentAt(), from, points);
-      int last = point(start, from, points);
+      int last = Math.max(first, point(start, from, points));
       waiting[account][first]++;
       waiting[account][last]--;
     }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SharingScenario.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SharingScenario.java
@@ -30,6 +30,7 @@
   static final int MAX_TOKENS = 800;
   static final int ACCOUNTS = 16;
 
+  private static final long WARM_UP_MILLIS = 3_000;
   private static final String POOL = "inspection-model";
   private static final String WORK_CLASS = "finding-summary";
 
@@ -117,6 +118,7 @@
       List<String> callers = fleet.routers().stream().map(RouterAddresses::callers).toList();
       try (ClosedLoopLoad load =
           new ClosedLoopLoad(callers, fleet.keys(), WORK_CLASS, MEAN_TOKENS, run.seed())) {
+        warmUp(load);
         long from = System.currentTimeMillis();
         load.begin(loads);
         sleep(run.seconds() * 1_000L);
@@ -131,6 +133,19 @@
     }
   }
 
+  /** Sends a little through every router first, since a fleet in use is not cold. */
+  private static void warmUp(ClosedLoopLoad load) {
+    List<AccountLoad> light = new ArrayList<>();
+    for (int i = 0; i < ACCOUNTS; i++) {
+      light.add(new AccountLoad(accounts().get(i), List.of(i % ROUTERS), 3));
+    }
+    load.begin(light);
+    sleep(WARM_UP_MILLIS);
+    load.pause();
+    sleep(WARM_UP_MILLIS / 2);
+    load.resume();
+  }
+
   static void sleep(long millis) {
     try {
       Thread.sleep(millis);
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/load/ClosedLoopLoad.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/load/ClosedLoopLoad.java
@@ -1,9 +1,11 @@
 package org.toucansaddle.standins.load;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -29,6 +31,7 @@
   private final Map<String, String> keys;
   private final String workClass;
   private final int meanTokens;
+  private final long seed;
   private final SplittableRandom random;
   private final HttpClient client =
       HttpClient.create(HttpClientSettings.defaults().withIoThreads(4));
@@ -52,17 +55,21 @@
     this.keys = Map.copyOf(keys);
     this.workClass = workClass;
     this.meanTokens = meanTokens;
+    this.seed = seed;
     this.random = new SplittableRandom(seed);
   }
 
-  /** Begins sending. */
+  /** Begins sending, the accounts' requests in a mixed order. */
   public void begin(List<AccountLoad> loads) {
+    List<Runnable> first = new ArrayList<>();
     for (AccountLoad load : loads) {
       for (int i = 0; i < load.outstanding(); i++) {
         int router = load.routers().get(i % load.routers().size());
-        sendNext(load.account(), router);
+        first.add(() -> sendNext(load.account(), router));
       }
     }
+    Collections.shuffle(first, new Random(seed));
+    first.forEach(Runnable::run);
   }
 
   private void sendNext(String account, int router) {
@@ -112,6 +119,16 @@
     }
   }
 
+  /** Sends no more requests until {@link #resume}; those under way go on. */
+  public void pause() {
+    stopped = true;
+  }
+
+  /** Allows requests again. */
+  public void resume() {
+    stopped = false;
+  }
+
   /** Sends no more requests. */
   public void stop() {
     stopped = true;
