--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
@@ -50,7 +50,11 @@
     return key;
   }
 
-  /** Queues a request; it is started as soon as a slot is free. */
+  /**
+   * Queues a request; it is started as soon as a slot is free.
+   *
+   * <p>The dispatcher hears at once each time an account's waiting requests have doubled.
+   */
   public void submit(PooledRequest request) {
     List<SlotAssignment<PooledRequest>> assignments;
     boolean urgent;
@@ -58,7 +62,7 @@
     try {
       scheduler.enqueue(request);
       assignments = scheduler.assign(clock.getAsLong());
-      urgent = scheduler.waiting(request.account()) == 1;
+      urgent = Integer.bitCount(scheduler.waiting(request.account())) == 1;
     } finally {
       lock.unlock();
     }
