Return idle slots while anything waits anywhere, after a moment's grace

Ruled out: leaked slots (routed and answered requests match), stalled upstreams.

Change: shrinking leases are acknowledged at once, slots are wanted whenever requests wait and no slot is spare, and an idle slot is kept 10 ms before it goes back.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -40,6 +40,7 @@
   private Set<String> liveRouters = Set.of();
   private SlotPlan plan = SlotPlan.empty();
   private boolean changed;
+  private boolean spareSlots = true;
   private long plannedAt;
 
   /** Creates a dispatcher that knows nothing yet. */
@@ -203,6 +204,7 @@
     Map<String, Integer> targets = new TreeMap<>();
     routers.keySet().forEach(name -> targets.put(name, plan.routerTotal(name)));
     int spare = capacity - targets.values().stream().mapToInt(t -> t).sum();
+    spareSlots = spare > 0;
     if (spare > 0 && !targets.isEmpty()) {
       int each = spare / targets.size();
       targets.replaceAll((name, target) -> target + each);
@@ -307,9 +309,9 @@
     return leases;
   }
 
+  /** Slots are wanted while requests wait and no slot is left to grant. */
   private boolean isSlotWanted() {
-    return routers.values().stream()
-        .anyMatch(r -> r.demand().waiting() > 0 && r.leasedTotal() < plan.routerTotal(r.name()));
+    return !spareSlots && routers.values().stream().anyMatch(r -> r.demand().waiting() > 0);
   }
 
   private Lease lease(RouterState router, boolean wanted) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
@@ -88,19 +88,27 @@
     boolean renewal = lease.epoch() == leaseEpoch && lease.sequence() == leaseSequence;
     leaseExpiresAt = now + lease.validMillis();
     if (renewal) {
-      return true;
+      return false;
     }
     leaseEpoch = lease.epoch();
     leaseSequence = lease.sequence();
     wanted = lease.wanted();
     quotas = lease.quotas();
+    return applySlots(lease);
+  }
+
+  private boolean applySlots(Lease lease) {
     lease.slots().keySet().stream()
         .filter(id -> !held.containsKey(id))
         .forEach(id -> held.put(id, new HeldUpstream(lease.upstreams().get(id))));
-    held.forEach(
-        (id, slots) -> slots.lease(lease.upstreams().get(id), lease.slots().getOrDefault(id, 0)));
+    boolean shrank = false;
+    for (Map.Entry<String, HeldUpstream> entry : held.entrySet()) {
+      int slots = lease.slots().getOrDefault(entry.getKey(), 0);
+      shrank |= slots < entry.getValue().slots();
+      entry.getValue().lease(lease.upstreams().get(entry.getKey()), slots);
+    }
     held.values().removeIf(HeldUpstream::isUnused);
-    return true;
+    return shrank;
   }
 
   @Override
@@ -266,9 +274,14 @@
         .orElse(null);
   }
 
+  @Override
+  public boolean holdsWanted() {
+    return wanted && !hasWaiting() && freeSlots() > 0;
+  }
+
   @Override
   public boolean releaseWanted() {
-    if (!wanted || hasWaiting()) {
+    if (!holdsWanted()) {
       return false;
     }
     boolean any = false;
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
@@ -33,7 +33,12 @@
   /** Removes a waiting request; returns whether it was waiting. */
   boolean remove(R request);
 
-  /** Takes a lease; returns false if an earlier or equal one was applied already. */
+  /**
+   * Takes a lease; one older than the last is ignored.
+   *
+   * @return whether it took slots away, so that the dispatcher should hear at once that others may
+   *     have them
+   */
   boolean applyLease(Lease lease, long now);
 
   /** Forgets the epoch of the last lease, because another dispatcher took over. */
@@ -59,7 +64,10 @@
   /** Returns the requests that can start now, each with its slot. */
   List<SlotAssignment<R>> assign(long now);
 
-  /** Gives up idle slots if another router wants them; returns whether the demand changed. */
+  /** Returns whether idle slots are held that another router wants. */
+  boolean holdsWanted();
+
+  /** Gives up idle slots if another router wants them; returns whether there were any. */
   boolean releaseWanted();
 
   /** Returns whether a request waits. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
@@ -5,6 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.sharing.Lease;
+import org.toucansaddle.coordination.sharing.RouterDemand;
 import org.toucansaddle.coordination.sharing.SlotAssignment.Reason;
 import org.toucansaddle.daemon.internal.problem.Problem;
 import org.toucansaddle.daemon.internal.request.CallerRequest;
@@ -82,6 +83,17 @@
         kv("retry_after", problem.retryAfterSeconds().orElse(0)));
   }
 
+  /** A router told a dispatcher what it needs; logged for debugging only. */
+  public static void demanded(String pool, RouterDemand demand) {
+    PLACEMENT.debug(
+        "demanded {} {} {} {} {}",
+        kv("pool", pool),
+        kv("router", demand.router()),
+        kv("lease_sequence", demand.leaseSequence()),
+        kv("accounts", demand.accounts()),
+        kv("upstreams", demand.upstreams()));
+  }
+
   /** A dispatcher changed what a router may use. */
   public static void leased(String pool, Lease lease, double gapTokens) {
     PLACEMENT.info(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.toucansaddle.coordination.sharing.Lease;
 import org.toucansaddle.coordination.sharing.PoolDispatcher;
+import org.toucansaddle.coordination.sharing.RouterDemand;
 import org.toucansaddle.coordination.sharing.SharingSettings;
 import org.toucansaddle.coordination.sharing.UpstreamSlots;
 import org.toucansaddle.daemon.internal.logging.DecisionLog;
@@ -45,7 +46,9 @@
   }
 
   void demanded(PeerIdentity from, Demand demand, long now) {
-    dispatcher.demanded(wire.decode(from, demand, epoch), now);
+    RouterDemand decoded = wire.decode(from, demand, epoch);
+    DecisionLog.demanded(pool, decoded);
+    dispatcher.demanded(decoded, now);
   }
 
   void setLive(Set<String> routers, long now) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.locks.ReentrantLock;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.toucansaddle.coordination.sharing.AccountDemand;
 import org.toucansaddle.coordination.sharing.Lease;
@@ -26,23 +25,32 @@
       Map<Integer, AccountDemand> accounts,
       Map<String, SlotUsage> upstreams) {}
 
+  /** Learns when the dispatcher should hear of a pool. Called from any thread. */
+  interface Listener {
+    /** The demand changed in a way that matters at once. */
+    void onUrgentDemand(PoolKey key);
+
+    /** Idle slots are held that another router wants. */
+    void onIdleWanted(PoolKey key);
+  }
+
   private final PoolKey key;
   private final PoolScheduler<PooledRequest> scheduler;
   private final LongSupplier clock;
-  private final Consumer<PoolKey> onUrgentDemand;
+  private final Listener listener;
   private final ReentrantLock lock = new ReentrantLock();
 
   /**
    * Creates an empty pool.
    *
    * @param clock monotonic milliseconds
-   * @param onUrgentDemand called when the dispatcher should hear at once
+   * @param listener told when the dispatcher should hear of the pool
    */
-  RouterPool(PoolKey key, SharingMode mode, LongSupplier clock, Consumer<PoolKey> onUrgentDemand) {
+  RouterPool(PoolKey key, SharingMode mode, LongSupplier clock, Listener listener) {
     this.key = key;
     this.scheduler = PoolScheduler.create(mode);
     this.clock = clock;
-    this.onUrgentDemand = onUrgentDemand;
+    this.listener = listener;
   }
 
   /** Returns the pool's key. */
@@ -68,7 +76,7 @@
     }
     start(assignments);
     if (urgent) {
-      onUrgentDemand.accept(key);
+      listener.onUrgentDemand(key);
     }
   }
 
@@ -85,19 +93,22 @@
   /** Records that a request's use of its slot ended, and starts the next one there. */
   public void finished(PooledRequest request) {
     List<SlotAssignment<PooledRequest>> assignments;
-    boolean urgent;
+    boolean wasOver;
+    boolean idleWanted;
     lock.lock();
     try {
-      boolean wasOver = scheduler.isOverLease();
+      wasOver = scheduler.isOverLease();
       scheduler.finished(request);
       assignments = scheduler.assign(clock.getAsLong());
-      urgent = scheduler.releaseWanted() || wasOver;
+      idleWanted = scheduler.holdsWanted();
     } finally {
       lock.unlock();
     }
     start(assignments);
-    if (urgent) {
-      onUrgentDemand.accept(key);
+    if (wasOver) {
+      listener.onUrgentDemand(key);
+    } else if (idleWanted) {
+      listener.onIdleWanted(key);
     }
   }
 
@@ -136,21 +147,31 @@
   void applyLease(Lease lease) {
     List<SlotAssignment<PooledRequest>> assignments;
     List<PooledRequest> preempted;
-    boolean released;
+    boolean urgent;
     lock.lock();
     try {
       long now = clock.getAsLong();
-      scheduler.applyLease(lease, now);
+      boolean shrank = scheduler.applyLease(lease, now);
       assignments = scheduler.assign(now);
       preempted = scheduler.preempt();
-      released = scheduler.releaseWanted();
+      urgent = scheduler.releaseWanted() || shrank;
     } finally {
       lock.unlock();
     }
     start(assignments);
     preempted.forEach(PooledRequest::preempt);
-    if (released) {
-      onUrgentDemand.accept(key);
+    if (urgent) {
+      listener.onUrgentDemand(key);
+    }
+  }
+
+  /** Gives up idle slots that another router wants; returns whether there were any. */
+  boolean releaseWanted() {
+    lock.lock();
+    try {
+      return scheduler.releaseWanted();
+    } finally {
+      lock.unlock();
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
@@ -35,6 +35,7 @@
   private static final int WAITING_DEMAND_MILLIS = 1_000;
   private static final int IDLE_DEMAND_MILLIS = 2_500;
   private static final int URGENT_GAP_MILLIS = 20;
+  private static final int IDLE_GRACE_MILLIS = 10;
   private static final int ANNOUNCEMENT_BATCH_MILLIS = 400;
 
   private final PeerIdentity self;
@@ -73,8 +74,7 @@
   /** Returns this router's pool of a key, creating it if needed. Any thread. */
   public RouterPool pool(PoolKey key) {
     return pools.computeIfAbsent(
-        key,
-        k -> new RouterPool(k, settings.mode(), clock, changed -> urgentDemand(changed.text())));
+        key, k -> new RouterPool(k, settings.mode(), clock, new PoolListener()));
   }
 
   /** Returns this router's pools. Any thread. */
@@ -87,8 +87,24 @@
     return announced.values();
   }
 
-  private void urgentDemand(String pool) {
-    control.execute(() -> sender(pool).ifPresent(this::sendSoon));
+  /** Passes what a pool tells on to the control thread. */
+  private final class PoolListener implements RouterPool.Listener {
+    @Override
+    public void onUrgentDemand(PoolKey key) {
+      control.execute(() -> sender(key.text()).ifPresent(SharingController.this::sendSoon));
+    }
+
+    /** A slot that became idle is often used again at once, so it is kept for a moment. */
+    @Override
+    public void onIdleWanted(PoolKey key) {
+      control.schedule(
+          () ->
+              sender(key.text())
+                  .filter(sender -> sender.pool().releaseWanted())
+                  .ifPresent(SharingController.this::sendSoon),
+          IDLE_GRACE_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
   }
 
   private Optional<DemandSender> sender(String pool) {
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SharingScenario.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SharingScenario.java
@@ -63,6 +63,7 @@
 
   static FleetSpec spec(String mode) {
     return FleetSpec.of(ROUTERS)
+        .withLogLevel("debug")
         .withSharingMode(mode)
         .withUpstreams(
             List.of(
