--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/membership/SwimMembership.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/membership/SwimMembership.java
@@ -117,12 +117,17 @@
     return member != null && member.isLive() && !member.name().equals(self.name());
   }
 
+  /** Probes a member; one that is not believed alive is told so, that it can refute. */
   private void ping(Member target, String onBehalfOf, long now, boolean relayed) {
     long sequence = nextSequence++;
     if (onBehalfOf.isEmpty()) {
       probes.put(sequence, new Probe(target.name(), now, relayed));
     }
-    transport.send(target.address(), message(Kind.PING, sequence, onBehalfOf, updates()));
+    List<Member> updates = new ArrayList<>(updates());
+    if (target.state() != State.ALIVE) {
+      updates.add(target);
+    }
+    transport.send(target.address(), message(Kind.PING, sequence, onBehalfOf, updates));
   }
 
   private void judgeProbes(long now) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
@@ -33,8 +33,15 @@
     return name;
   }
 
-  /** Takes a new demand; a lease of another epoch is adopted as this dispatcher's. */
+  /**
+   * Takes a demand, unless a later one came before it.
+   *
+   * <p>Slots held under another dispatcher's lease are adopted.
+   */
   void update(RouterDemand next, long epoch, long now) {
+    if (demand != null && isOlder(next)) {
+      return;
+    }
     boolean restarted = demand != null && demand.incarnation() != next.incarnation();
     if (restarted) {
       leased.clear();
@@ -56,6 +63,13 @@
     }
   }
 
+  private boolean isOlder(RouterDemand next) {
+    if (next.incarnation() != demand.incarnation()) {
+      return next.incarnation() < demand.incarnation();
+    }
+    return next.sequence() <= demand.sequence();
+  }
+
   RouterDemand demand() {
     return demand;
   }
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
@@ -21,7 +21,8 @@
 import org.toucansaddle.coordination.sharing.SlotUsage;
 
 /**
- * Scheduler that starts the account furthest below its quota, earliest deadline first.
+ * Scheduler that starts the account that lacks the largest part of its quota, earliest deadline
+ * first.
  *
  * <p>Work conserving: if no waiting account is below its quota, the one with the least service gets
  * the slot. Not thread-safe.
@@ -235,7 +236,7 @@
       return leastService;
     }
     Comparator<Integer> furthestBelowQuota =
-        Comparator.comparingInt(account -> -Math.max(0, shortage(account)));
+        Comparator.comparingDouble(account -> -Math.max(0, relativeShortage(account)));
     return furthestBelowQuota.thenComparing(leastService);
   }
 
@@ -247,6 +248,12 @@
     return quotas.getOrDefault(account, QUOTA_WITHOUT_PLAN) - inFlight(account);
   }
 
+  /** Returns the part of its quota that an account lacks; 1 if nothing of it runs. */
+  private double relativeShortage(int account) {
+    int quota = quotas.getOrDefault(account, QUOTA_WITHOUT_PLAN);
+    return (double) shortage(account) / Math.max(1, quota);
+  }
+
   private int freeSlots() {
     return held.values().stream().mapToInt(HeldUpstream::free).sum();
   }
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/RouterDemand.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/RouterDemand.java
@@ -7,6 +7,7 @@
  *
  * @param router name of the router
  * @param incarnation number that rises with each start of the router
+ * @param sequence number that rises with each demand of the incarnation
  * @param leaseEpoch epoch of the lease that the router has applied last
  * @param leaseSequence sequence number of that lease
  * @param accounts demand by account number
@@ -16,6 +17,7 @@
 public record RouterDemand(
     String router,
     long incarnation,
+    long sequence,
     long leaseEpoch,
     long leaseSequence,
     Map<Integer, AccountDemand> accounts,
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/LeaseWire.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/LeaseWire.java
@@ -94,6 +94,7 @@
     return new RouterDemand(
         from.name(),
         from.incarnation(),
+        in.getSequence(),
         in.getLeaseEpoch(),
         in.getLeaseSequence(),
         accounts(in),
