--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/config/ConfigurationHolderTest.java
@@ -0,0 +1,107 @@
+package org.toucansaddle.daemon.internal.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+import org.toucansaddle.protocol.generated.ConfigurationDelta;
+import org.toucansaddle.protocol.generated.ConfigurationItem;
+import org.toucansaddle.protocol.generated.WorkClass;
+
+/** Puts configurations in force. */
+public class ConfigurationHolderTest {
+
+  private static ConfigurationItem put(long revision, String name) {
+    return ConfigurationItem.newBuilder()
+        .setRevision(revision)
+        .setWorkClass(WorkClass.newBuilder().setName(name))
+        .build();
+  }
+
+  private static ConfigurationItems history(int revisions) {
+    ConfigurationItems items = ConfigurationItems.empty();
+    for (int revision = 1; revision <= revisions; revision++) {
+      items = items.with(put(revision, "class-" + revision % 5));
+    }
+    return items;
+  }
+
+  @Test
+  public void shouldNeverFallToALowerRevision() {
+    ConfigurationHolder holder = new ConfigurationHolder();
+    List<Integer> revisions = new ArrayList<>();
+    for (int i = 1; i <= 30; i++) {
+      revisions.add(i);
+    }
+    Collections.shuffle(revisions, new Random(4));
+    long highest = 0;
+    for (int revision : revisions) {
+      holder.offer(history(revision));
+      assertThat(holder.current().revision()).isGreaterThanOrEqualTo(highest);
+      highest = holder.current().revision();
+    }
+    assertThat(highest).isEqualTo(30);
+  }
+
+  @Test
+  public void shouldRefuseDeltaWithAGap() {
+    ConfigurationHolder holder = new ConfigurationHolder();
+    ConfigurationDelta delta = history(10).since(8);
+    assertThat(holder.offer(delta)).isFalse();
+    assertThat(holder.current().revision()).isZero();
+  }
+
+  @Test
+  public void shouldReachTheSameItemsByDeltas() {
+    ConfigurationItems all = history(40);
+    ConfigurationItems following = history(7);
+    following = following.with(history(23).since(7));
+    following = following.with(all.since(15));
+    assertThat(following).isEqualTo(all);
+  }
+
+  @Test
+  public void shouldTellDeletionsInDeltas() {
+    ConfigurationItems before = history(3);
+    ConfigurationItem deletion =
+        ConfigurationItem.newBuilder()
+            .setRevision(4)
+            .setDeleted(true)
+            .setDeletedKey("class/class-1")
+            .build();
+    ConfigurationItems after = before.with(deletion);
+    ConfigurationItems following = before.with(after.since(3));
+    assertThat(new FleetConfiguration(following).workClass("class-1")).isEmpty();
+  }
+
+  @Test
+  public void shouldSendEverythingToWhoIsTooFarBehind() {
+    ConfigurationItems items = ConfigurationItems.empty();
+    long revision = 0;
+    for (int i = 0; i < 600; i++) {
+      items = items.with(put(++revision, "class-" + i));
+      items =
+          items.with(
+              ConfigurationItem.newBuilder()
+                  .setRevision(++revision)
+                  .setDeleted(true)
+                  .setDeletedKey("class/class-" + i)
+                  .build());
+    }
+    assertThat(items.items().size()).isLessThanOrEqualTo(500);
+    assertThat(items.since(3).getComplete()).isTrue();
+    assertThat(items.since(revision - 10).getComplete()).isFalse();
+  }
+
+  @Test
+  public void shouldKeepTheNewestConfirmation() {
+    ConfigurationHolder holder = new ConfigurationHolder();
+    long now = System.nanoTime();
+    holder.confirm(now);
+    holder.confirm(now - 5_000_000_000L);
+    assertThat(holder.confirmedAgeMillis(now)).isZero();
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/control/ControlStateMachineTest.java
@@ -0,0 +1,193 @@
+package org.toucansaddle.daemon.internal.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.SplittableRandom;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.protocol.generated.Claim;
+import org.toucansaddle.protocol.generated.ClaimOutcome;
+import org.toucansaddle.protocol.generated.ClaimResult.State;
+import org.toucansaddle.protocol.generated.ClientAccount;
+import org.toucansaddle.protocol.generated.Command;
+import org.toucansaddle.protocol.generated.CommandResult;
+import org.toucansaddle.protocol.generated.CommandStatus;
+import org.toucansaddle.protocol.generated.WorkClass;
+
+/** Applies commands to the control state. */
+public class ControlStateMachineTest {
+
+  private static final long DAY_MILLIS = 24L * 60 * 60 * 1_000;
+
+  private ControlStateMachine machine;
+  private long index;
+
+  @BeforeMethod
+  public void createMachine() {
+    machine = new ControlStateMachine(items -> {});
+    index = 0;
+  }
+
+  private CommandResult apply(Command.Builder command) {
+    try {
+      return CommandResult.parseFrom(machine.apply(++index, command.build().toByteArray()));
+    } catch (InvalidProtocolBufferException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static Command.Builder putClass(String id, String name, long decidedOn) {
+    WorkClass workClass = WorkClass.newBuilder().setName(name).setPool("m").build();
+    return Command.newBuilder()
+        .setCommandId(id)
+        .setDecidedOnRevision(decidedOn)
+        .setPutClass(workClass);
+  }
+
+  private static Command.Builder claim(String id, String key, String digest, String router) {
+    return Command.newBuilder()
+        .setCommandId(id)
+        .setClaim(
+            Claim.newBuilder()
+                .setAccount(1)
+                .setKey(ByteString.copyFromUtf8(key))
+                .setDigest(ByteString.copyFromUtf8(digest))
+                .setRouter(router)
+                .setRouterIncarnation(1));
+  }
+
+  private static ClaimOutcome.Builder outcome(String key, String router) {
+    return ClaimOutcome.newBuilder()
+        .setAccount(1)
+        .setKey(ByteString.copyFromUtf8(key))
+        .setRouter(router)
+        .setRouterIncarnation(1);
+  }
+
+  private CommandResult complete(ClaimOutcome.Builder outcome) {
+    return apply(Command.newBuilder().setCommandId("o" + index).setClaimOutcome(outcome));
+  }
+
+  @Test
+  public void shouldReturnFirstResultToResend() {
+    CommandResult first = apply(putClass("c1", "a", 0));
+    CommandResult resent = apply(putClass("c1", "a", 0));
+    assertThat(resent).isEqualTo(first);
+    assertThat(machine.configuration().revision()).isEqualTo(1);
+  }
+
+  @Test
+  public void shouldLetExactlyOneOfTwoWithEqualRevisionsWin() {
+    apply(putClass("c1", "a", 0));
+    assertThat(apply(putClass("c2", "a", 1)).getStatus()).isEqualTo(CommandStatus.ACCEPTED);
+    CommandResult second = apply(putClass("c3", "a", 1));
+    assertThat(second.getStatus()).isEqualTo(CommandStatus.CONFLICT);
+    assertThat(second.getRevision()).isEqualTo(2);
+    assertThat(second.getMessage()).contains("--revision 2");
+  }
+
+  @DataProvider
+  static Object[][] wrongRevisions() {
+    return new Object[][] {{0}, {2}, {7}};
+  }
+
+  @Test(dataProvider = "wrongRevisions")
+  public void shouldRefuseChangeDecidedOnAnotherRevision(long decidedOn) {
+    apply(putClass("c1", "a", 0));
+    assertThat(apply(putClass("c2", "a", decidedOn)).getStatus()).isEqualTo(CommandStatus.CONFLICT);
+  }
+
+  @Test
+  public void shouldKeepAccountNumberOverChangesAndNeverGiveItTwice() {
+    Command.Builder first =
+        Command.newBuilder()
+            .setCommandId("a1")
+            .setPutAccount(ClientAccount.newBuilder().setName("x"));
+    apply(first);
+    apply(Command.newBuilder().setCommandId("a2").setDecidedOnRevision(1).setDeleteAccount("x"));
+    apply(first.setCommandId("a3"));
+    assertThat(machine.configuration().items().get("account/x").getAccount().getNumber())
+        .isEqualTo(2);
+  }
+
+  @Test
+  public void shouldGrantClaimOnce() {
+    assertThat(apply(claim("k1", "key", "d", "r1")).getClaim().getState()).isEqualTo(State.GRANTED);
+    assertThat(apply(claim("k2", "key", "d", "r2")).getClaim().getState()).isEqualTo(State.RUNNING);
+  }
+
+  @Test
+  public void shouldGrantClaimAgainToResentCommand() {
+    apply(claim("k1", "key", "d", "r1"));
+    assertThat(apply(claim("k1", "key", "d", "r1")).getClaim().getState()).isEqualTo(State.GRANTED);
+  }
+
+  @Test
+  public void shouldReplayOutcomeAfterCompletion() {
+    apply(claim("k1", "key", "d", "r1"));
+    complete(outcome("key", "r1").setHttpStatus(201));
+    CommandResult again = apply(claim("k2", "key", "d", "r2"));
+    assertThat(again.getClaim().getState()).isEqualTo(State.DONE);
+    assertThat(again.getClaim().getOutcome().getHttpStatus()).isEqualTo(201);
+  }
+
+  @Test
+  public void shouldRefuseKeyOfAnotherCall() {
+    apply(claim("k1", "key", "d", "r1"));
+    assertThat(apply(claim("k2", "key", "other", "r1")).getClaim().getState())
+        .isEqualTo(State.MISMATCH);
+  }
+
+  @Test
+  public void shouldGrantAgainAfterReleaseOnly() {
+    apply(claim("k1", "key", "d", "r1"));
+    complete(outcome("key", "r1").setReleased(true));
+    assertThat(apply(claim("k2", "key", "d", "r2")).getClaim().getState()).isEqualTo(State.GRANTED);
+  }
+
+  @Test
+  public void shouldNotReleaseClaimOfAnotherRouter() {
+    apply(claim("k1", "key", "d", "r1"));
+    complete(outcome("key", "r2").setReleased(true));
+    assertThat(apply(claim("k2", "key", "d", "r2")).getClaim().getState()).isEqualTo(State.RUNNING);
+  }
+
+  @Test
+  public void shouldNeverRunLostCallAgain() {
+    apply(claim("k1", "key", "d", "r1"));
+    complete(outcome("key", "r1").setUnknown(true));
+    assertThat(apply(claim("k2", "key", "d", "r2")).getClaim().getState()).isEqualTo(State.LOST);
+  }
+
+  @Test
+  public void shouldForgetClaimAfterADay() {
+    apply(claim("k1", "key", "d", "r1"));
+    Command.Builder later = claim("k2", "key", "d", "r2").setProposedAtMillis(DAY_MILLIS + 1);
+    assertThat(apply(later).getClaim().getState()).isEqualTo(State.GRANTED);
+  }
+
+  @Test
+  public void shouldBehaveTheSameAfterSnapshot() {
+    apply(putClass("c1", "a", 0));
+    apply(putClass("c2", "b", 0));
+    apply(claim("k1", "key", "d", "r1"));
+    ControlStateMachine copy = new ControlStateMachine(items -> {});
+    copy.restore(machine.snapshot());
+    assertThat(copy.snapshot()).isEqualTo(machine.snapshot());
+    assertThat(copy.configuration()).isEqualTo(machine.configuration());
+  }
+
+  @Test
+  public void shouldAnswerAnyBytesWithTypedResult() throws InvalidProtocolBufferException {
+    SplittableRandom random = new SplittableRandom(3);
+    for (int round = 0; round < 2_000; round++) {
+      byte[] bytes = putClass("c" + round, "a", 0).build().toByteArray();
+      bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      CommandResult result = CommandResult.parseFrom(machine.apply(++index, bytes));
+      assertThat(result.getStatus()).isNotEqualTo(CommandStatus.COMMAND_STATUS_UNSPECIFIED);
+    }
+  }
+}
