Test the fleet as callers and operators use it, and while its parts fail

Cause: no test drove whole requests.

Found: a refusal because the claim store cannot be reached said not-run, although an earlier sending with the same key may have run; it says unknown now.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/problem/Problems.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/problem/Problems.java
@@ -100,7 +100,9 @@
   /** A header has a value that is not allowed. */
   public static ProblemException badHeader(String name, String allowed) {
     return notRun(
-        400, "bad-header", "The header " + name + " is not valid. Allowed: " + allowed + ".");
+        400,
+        "bad-header",
+        "The header " + name + " is not valid. Send " + allowed + ", or leave it out.");
   }
 
   /** A non-idempotent call came without a key. */
@@ -173,14 +175,27 @@
     return new ProblemException(problem.retryAfter(retryAfter));
   }
 
-  /** The claim could not be recorded. */
+  /** The claim could not be recorded, so it is not known whether an earlier sending ran. */
   public static ProblemException claimUnavailable(int retryAfter) {
+    Problem problem =
+        Problem.of(
+            503,
+            "claim-unavailable",
+            RunState.UNKNOWN,
+            "The control replicas did not answer, so this sending was not started, and it is not"
+                + " known whether an earlier one with the same Idempotency-Key ran. Send it again"
+                + " with the same key.");
+    return new ProblemException(problem.retryAfter(retryAfter));
+  }
+
+  /** No more claims fit, so the call was not started. */
+  public static ProblemException claimsFull(int retryAfter) {
     return notRun(
         503,
-        "claim-unavailable",
+        "claims-full",
         retryAfter,
-        "The call was not started, because the control replicas did not record its claim. Send it"
-            + " again with the same Idempotency-Key.");
+        "The call was not started, because the control replicas hold as many claims as they may."
+            + " Come back later.");
   }
 
   /** Another execution of the call is under way. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/ClaimFilter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/ClaimFilter.java
@@ -34,6 +34,7 @@
   private static final Duration CLAIM_TIMEOUT = Duration.ofMillis(2_500);
   private static final Duration OUTCOME_TIMEOUT = Duration.ofSeconds(10);
   private static final long MAX_REFUTATIONS = 500;
+  private static final int FULL_RETRY_SECONDS = 60;
   private static final int MAX_KEY_LENGTH = 200;
   private static final int MAX_STORED_BYTES = 256 * 1024;
   private static final HttpString REPLAYED = new HttpString("X-Replayed");
@@ -109,6 +110,7 @@
       case RUNNING -> chain.fail(request, running(claim, decision));
       case MISMATCH -> chain.fail(request, Problems.keyMismatch().problem());
       case LOST -> chain.fail(request, Problems.outcomeLost().problem());
+      case FULL -> chain.fail(request, Problems.claimsFull(FULL_RETRY_SECONDS).problem());
       default -> chain.fail(request, Problems.claimUnavailable(1).problem());
     }
   }
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
@@ -0,0 +1,144 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.http.HttpCall;
+import org.toucansaddle.standins.engine.StandinEngine;
+import org.toucansaddle.standins.journal.JournalEntry;
+import org.toucansaddle.standins.load.Caller;
+import org.toucansaddle.standins.load.Caller.Outcome;
+
+/** A fleet while its parts fail. */
+public class FailureUsageTest {
+
+  private LocalFleet fleet;
+
+  @BeforeMethod
+  public void startFleet() throws IOException {
+    fleet = LocalFleet.start(3);
+    fleet.configure();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stopFleet() throws Exception {
+    fleet.close();
+  }
+
+  private void startEngines() {
+    fleet.startEngine("engine-1", 4);
+    fleet.startEngine("engine-2", 4);
+    fleet.await(() -> fleet.ask(0, "warm up").outcome() == Outcome.WHOLE);
+    LocalFleet.sleep(500);
+  }
+
+  private List<CompletableFuture<Caller.Result>> askMany(int count, int tokens) {
+    List<CompletableFuture<Caller.Result>> results = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      String prompt = "question " + i + " [tokens=" + tokens + "]";
+      String router = fleet.callers(i % 2);
+      results.add(fleet.caller().ask(router, LocalFleet.KEY, "summary", prompt, ""));
+    }
+    return results;
+  }
+
+  private void setFault(String engine, String fault, boolean on) {
+    String body = "{\"fault\":\"" + fault + "\",\"on\":" + on + "}";
+    HttpCall call = HttpCall.post(fleet.address(engine), "/standin/fault", body);
+    fleet.client().send(call, Duration.ofSeconds(5)).join();
+  }
+
+  @DataProvider
+  static Object[][] engineFaults() {
+    return new Object[][] {{"silent"}, {"close"}, {"cross"}, {"freeze"}};
+  }
+
+  @Test(dataProvider = "engineFaults")
+  public void shouldGiveEachCallerItsOwnWholeAnswerOverEngineFaults(String fault) {
+    startEngines();
+    List<CompletableFuture<Caller.Result>> results = askMany(12, 120);
+    LocalFleet.sleep(200);
+    setFault("engine-1", fault, true);
+    LocalFleet.sleep(1_500);
+    setFault("engine-1", fault, false);
+    results.forEach(r -> assertThat(r.join().outcome()).isEqualTo(Outcome.WHOLE));
+  }
+
+  @Test
+  public void shouldAnswerThroughOthersWhenARouterStops() {
+    startEngines();
+    List<CompletableFuture<Caller.Result>> results = askMany(8, 60);
+    fleet.daemon(2).close();
+    results.forEach(r -> assertThat(r.join().outcome()).isEqualTo(Outcome.WHOLE));
+    fleet.await(() -> fleet.ask(0, "after the stop").outcome() == Outcome.WHOLE);
+    fleet.await(() -> fleet.ask(1, "after the stop").outcome() == Outcome.WHOLE);
+  }
+
+  @Test
+  public void shouldCutNoRequestByGracefulShutdown() {
+    startEngines();
+    List<CompletableFuture<Caller.Result>> results = askMany(10, 200);
+    LocalFleet.sleep(200);
+    fleet.daemon(0).shutDown();
+    results.forEach(r -> assertThat(r.join().outcome()).isEqualTo(Outcome.WHOLE));
+  }
+
+  @Test
+  public void shouldSendNothingToLeavingEngineAfterThreeSeconds() {
+    startEngines();
+    long leftAt = System.currentTimeMillis();
+    HttpCall leave = HttpCall.post(fleet.address("engine-1"), "/standin/leave", "{}");
+    fleet.client().send(leave, Duration.ofSeconds(5)).join();
+    while (System.currentTimeMillis() < leftAt + 5_000) {
+      askMany(4, 10).forEach(CompletableFuture::join);
+    }
+    for (JournalEntry start : fleet.journal("start")) {
+      if (start.text("engine").equals("engine-1")) {
+        assertThat(start.time()).isLessThanOrEqualTo(leftAt + 3_000);
+      }
+    }
+  }
+
+  @Test
+  public void shouldSendNothingToSilentEngineAfterThreeSeconds() {
+    StandinEngine silent = fleet.startEngine("engine-1", 4);
+    fleet.startEngine("engine-2", 4);
+    fleet.await(() -> fleet.ask(0, "warm up").outcome() == Outcome.WHOLE);
+    silent.close();
+    LocalFleet.sleep(3_000);
+    for (int i = 0; i < 10; i++) {
+      assertThat(fleet.ask(i % 3, "after silence " + i).outcome()).isEqualTo(Outcome.WHOLE);
+    }
+  }
+
+  @Test
+  public void shouldTellNotRunOnlyWhenNothingRan() {
+    Caller.Result result = fleet.ask(0, "nobody serves this");
+    assertThat(result.outcome()).isEqualTo(Outcome.PROBLEM);
+    assertThat(result.run()).isEqualTo("not-run");
+    assertThat(fleet.journalOrNothing("start")).isEmpty();
+  }
+
+  @Test
+  public void shouldNotRunCallAgainWhenItsRouterDied() {
+    fleet.startService("defects-1", 3_000);
+    LocalFleet.sleep(1_500);
+    fleet
+        .caller()
+        .record(fleet.callers(2), LocalFleet.KEY, "record", "/services/defects/record", "k1");
+    fleet.await(() -> !fleet.journalOrNothing("recorded").isEmpty());
+    fleet.daemon(2).close();
+    LocalFleet.sleep(4_000);
+    Caller.Result resent = fleet.record(0, "k1");
+    assertThat(resent.run()).as(resent.text()).isEqualTo("unknown");
+    assertThat(fleet.journal("recorded")).hasSize(1);
+  }
+}
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalFleet.java
@@ -0,0 +1,248 @@
+package org.toucansaddle.usage;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.toucansaddle.cli.CliMain;
+import org.toucansaddle.daemon.Daemon;
+import org.toucansaddle.daemon.settings.SettingsFile;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.standins.announce.Announcer;
+import org.toucansaddle.standins.engine.EngineSettings;
+import org.toucansaddle.standins.engine.StandinEngine;
+import org.toucansaddle.standins.fleet.FreePorts;
+import org.toucansaddle.standins.journal.Journal;
+import org.toucansaddle.standins.journal.JournalEntry;
+import org.toucansaddle.standins.journal.JournalReader;
+import org.toucansaddle.standins.load.Caller;
+import org.toucansaddle.standins.service.ServiceSettings;
+import org.toucansaddle.standins.service.StandinService;
+
+/** Daemons and stand-ins inside the test's process. Used by one thread. */
+final class LocalFleet implements AutoCloseable {
+
+  static final String TOKEN = "operator-token";
+  static final String KEY = "key-of-lessor";
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final Path folder;
+  private final FreePorts ports = new FreePorts();
+  private final List<String> callers = new ArrayList<>();
+  private final List<String> admins = new ArrayList<>();
+  private final List<String> peers = new ArrayList<>();
+  private final List<Daemon> daemons = new ArrayList<>();
+  private final List<AutoCloseable> upstreams = new ArrayList<>();
+  private final Map<String, Integer> enginePorts = new HashMap<>();
+  private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
+  private final Caller caller = new Caller(client);
+
+  private LocalFleet(Path folder) {
+    this.folder = folder;
+  }
+
+  static LocalFleet start(int routers) throws IOException {
+    LocalFleet fleet = new LocalFleet(Files.createTempDirectory("local-fleet"));
+    for (int i = 0; i < routers; i++) {
+      fleet.callers.add("127.0.0.1:" + fleet.ports.next());
+      fleet.admins.add("127.0.0.1:" + fleet.ports.next());
+      fleet.peers.add("127.0.0.1:" + fleet.ports.next());
+    }
+    Files.writeString(fleet.folder.resolve("token"), TOKEN);
+    for (int i = 0; i < routers; i++) {
+      fleet.daemons.add(fleet.startDaemon(i));
+    }
+    fleet.await(() -> fleet.daemons.stream().allMatch(Daemon::isReady));
+    return fleet;
+  }
+
+  private Daemon startDaemon(int index) throws IOException {
+    return Daemon.start(SettingsFile.parse("router-" + (index + 1), settings(index)));
+  }
+
+  private String settings(int index) {
+    String name = "router-" + (index + 1);
+    return """
+        [daemon]
+        name = "%s"
+        zone = "zone-a"
+        fleet = "test"
+        [listen]
+        callers = "%s"
+        admin = "%s"
+        peers = "%s"
+        [peers]
+        seeds = [%s]
+        secret = "secret-for-tests"
+        [control]
+        replicas = ["router-1", "router-2", "router-3"]
+        data_folder = "%s"
+        [admin]
+        token_digest = "%s"
+        [limits]
+        stall_millis = 600
+        """
+        .formatted(
+            name,
+            callers.get(index),
+            admins.get(index),
+            peers.get(index),
+            peers.stream().map(p -> "\"" + p + "\"").collect(Collectors.joining(", ")),
+            folder.resolve("data-" + name),
+            digest(TOKEN));
+  }
+
+  void await(BooleanSupplier condition) {
+    long deadline = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        throw new AssertionError("the condition did not become true within 20 s");
+      }
+      sleep(20);
+    }
+  }
+
+  static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  StandinEngine startEngine(String id, int slots) {
+    int port = ports.next();
+    EngineSettings settings = new EngineSettings(id, port, "model-a", slots, 5, "zone-a");
+    Journal journal = new Journal(folder.resolve("journals").resolve(id + ".jsonl"));
+    StandinEngine engine = new StandinEngine(settings, journal);
+    ObjectNode fixed = announcement("model", id, "model-a", port, slots);
+    announce(() -> fixed.deepCopy().put("leaving", engine.isLeaving()));
+    upstreams.add(engine);
+    enginePorts.put(id, port);
+    return engine;
+  }
+
+  String address(String engine) {
+    return "127.0.0.1:" + enginePorts.get(engine);
+  }
+
+  void startService(String id, int delayMillis) {
+    int port = ports.next();
+    ServiceSettings settings = new ServiceSettings(id, port, "defects", 4, delayMillis, "zone-a");
+    Journal journal = new Journal(folder.resolve("journals").resolve(id + ".jsonl"));
+    upstreams.add(new StandinService(settings, journal));
+    ObjectNode fixed = announcement("service", id, "defects", port, 4);
+    announce(() -> fixed);
+  }
+
+  private void announce(Supplier<ObjectNode> content) {
+    upstreams.add(new Announcer(callers, content));
+  }
+
+  private static ObjectNode announcement(String kind, String id, String pool, int port, int slots) {
+    return JSON.createObjectNode()
+        .put("id", id)
+        .put("incarnation", System.currentTimeMillis())
+        .put("address", "127.0.0.1:" + port)
+        .put("zone", "zone-a")
+        .put("kind", kind)
+        .put("pool", pool)
+        .put("slots", slots);
+  }
+
+  /** Creates a model class, a service class and an account. */
+  void configure() {
+    String[] model = {"--pool", "model-a", "--first-token", "6s", "--whole-answer", "15s"};
+    operate(concat(model, "class", "set", "summary"));
+    String[] service = {"--pool", "defects", "--first-token", "6s", "--whole-answer", "6s"};
+    operate(concat(service, "class", "set", "record", "--kind", "service"));
+    operate("account", "put", "lessor", "--key-digest", digest(KEY), "--wait");
+  }
+
+  private static String[] concat(String[] last, String... first) {
+    List<String> all = new ArrayList<>(List.of(first));
+    all.addAll(List.of(last));
+    return all.toArray(String[]::new);
+  }
+
+  int operate(String... arguments) {
+    List<String> all = new ArrayList<>(List.of(arguments));
+    all.addAll(List.of("--admin", String.join(",", admins)));
+    all.addAll(List.of("--token-file", folder.resolve("token").toString()));
+    return CliMain.run(all.toArray(String[]::new));
+  }
+
+  String callers(int router) {
+    return callers.get(router);
+  }
+
+  String admin(int router) {
+    return admins.get(router);
+  }
+
+  Daemon daemon(int router) {
+    return daemons.get(router);
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  Caller caller() {
+    return caller;
+  }
+
+  /** Sends a model request through a router and returns what became of it. */
+  Caller.Result ask(int router, String prompt) {
+    return caller.ask(callers(router), KEY, "summary", prompt, "").join();
+  }
+
+  /** Sends a service call through a router and returns what became of it. */
+  Caller.Result record(int router, String key) {
+    return caller.record(callers(router), KEY, "record", "/services/defects/record", key).join();
+  }
+
+  List<JournalEntry> journal(String event) {
+    return JournalReader.read(folder.resolve("journals")).stream()
+        .filter(entry -> entry.event().equals(event))
+        .toList();
+  }
+
+  /** Returns the journal entries of an event, also when no stand-in has written yet. */
+  List<JournalEntry> journalOrNothing(String event) {
+    return Files.exists(folder.resolve("journals")) ? journal(event) : List.of();
+  }
+
+  static String digest(String text) {
+    try {
+      MessageDigest sha = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(sha.digest(text.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (AutoCloseable upstream : upstreams) {
+      upstream.close();
+    }
+    daemons.forEach(Daemon::close);
+    client.close();
+  }
+}
