--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
@@ -20,6 +20,7 @@
   private final Map<String, Integer> leased = new HashMap<>();
   private RouterDemand demand;
   private long heardAt;
+  private int leasedAtDemand;
   private final Deque<Lease> unacknowledged = new ArrayDeque<>();
   private long sequence;
   private Lease lastSent;
@@ -52,6 +53,7 @@
     heardAt = now;
     if (lastSent == null) {
       next.upstreams().forEach((id, usage) -> leased.put(id, usage.total()));
+      leasedAtDemand = leasedTotal();
       return;
     }
     if (next.leaseEpoch() == epoch) {
@@ -61,6 +63,7 @@
       leased.replaceAll((id, slots) -> Math.min(slots, usage(id).total()));
       leased.values().removeIf(slots -> slots == 0);
     }
+    leasedAtDemand = leasedTotal();
   }
 
   private boolean isOlder(RouterDemand next) {
@@ -106,6 +109,11 @@
     return leased.values().stream().mapToInt(slots -> slots).sum();
   }
 
+  /** Returns how many requests waited at the last demand, less the slots granted since. */
+  int unservedWaiting() {
+    return Math.max(0, demand.waiting() - Math.max(0, leasedTotal() - leasedAtDemand));
+  }
+
   /** Returns the slots of an upstream that this router may use now. */
   int held(String upstream) {
     int promised = leased(upstream);
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -39,8 +39,12 @@
   private final Map<String, RouterState> routers = new TreeMap<>();
   private Set<String> liveRouters = Set.of();
   private SlotPlan plan = SlotPlan.empty();
-  private boolean changed;
+  private Map<String, Map<Integer, AccountDemand>> plannedDemands = Map.of();
+  private Map<String, Integer> targets = Map.of();
+  private boolean planOutdated;
+  private boolean slotsChanged;
   private boolean spareSlots = true;
+  private boolean wanted;
   private long plannedAt;
 
   /** Creates a dispatcher that knows nothing yet. */
@@ -66,7 +70,7 @@
       return;
     }
     long latest = known == null ? heardAt : Math.max(known.heardAt(), heardAt);
-    changed |= known == null || !known.slots().equals(upstream);
+    planOutdated |= known == null || !known.slots().equals(upstream);
     upstreams.put(upstream.id(), new HeardUpstream(upstream, latest));
   }
 
@@ -75,12 +79,13 @@
     RouterState router = routers.computeIfAbsent(demand.router(), RouterState::new);
     router.update(demand, epoch, now);
     balance.report(demand.router(), demand.incarnation(), demand.service());
-    changed = true;
+    slotsChanged = true;
+    planOutdated |= isNewDemand(demand);
   }
 
   @Override
   public void setLiveRouters(Set<String> live, long now) {
-    changed |= !live.equals(liveRouters);
+    planOutdated |= !live.equals(liveRouters);
     liveRouters = Set.copyOf(live);
     boolean removed =
         routers
@@ -89,18 +94,31 @@
                 router ->
                     !live.contains(router.name())
                         && now - router.heardAt() > settings.leaseMillis());
-    changed |= removed;
+    planOutdated |= removed;
   }
 
   @Override
   public List<Lease> poll(long now) {
-    boolean due = changed && now - plannedAt >= settings.replanMillis();
+    boolean due = planOutdated && now - plannedAt >= settings.replanMillis();
     if (due || now - plannedAt >= settings.planMillis()) {
       replan(now);
+    } else if (slotsChanged) {
+      grantFreeSlots(now);
     }
     return leasesToSend(now);
   }
 
+  /** Returns whether an account wants much more at a router than the plan knew of. */
+  private boolean isNewDemand(RouterDemand demand) {
+    Map<Integer, AccountDemand> planned = plannedDemands.getOrDefault(demand.router(), Map.of());
+    return demand.accounts().entrySet().stream()
+        .anyMatch(
+            entry -> {
+              int before = planned.getOrDefault(entry.getKey(), AccountDemand.NONE).total();
+              return entry.getValue().waiting() > 0 && entry.getValue().total() > 2 * before;
+            });
+  }
+
   @Override
   public Collection<UpstreamSlots> usableUpstreams(long now) {
     List<UpstreamSlots> usable = new ArrayList<>();
@@ -126,18 +144,38 @@
   // ---- planning ----
 
   private void replan(long now) {
-    changed = false;
+    planOutdated = false;
     plannedAt = now;
     upstreams.values().removeIf(heard -> now - heard.heardAt() > FORGET_UPSTREAM_MILLIS);
-    Map<String, UpstreamSlots> usable = new LinkedHashMap<>();
-    usableUpstreams(now).forEach(upstream -> usable.put(upstream.id(), upstream));
+    Map<String, UpstreamSlots> usable = usableById(now);
     dropUnusable(usable.keySet());
     int capacity = usable.values().stream().mapToInt(UpstreamSlots::slots).sum();
     plan = settings.mode() == SharingMode.FLEET ? planByAccount(capacity, now) : SlotPlan.empty();
-    Map<String, Integer> targets = targets(capacity);
+    targets = targets(capacity);
+    wanted = isSlotWanted();
     shrink(targets);
-    if (mayGrant(now)) {
-      grow(targets, usable);
+    grantFreeSlots(now);
+  }
+
+  private Map<String, UpstreamSlots> usableById(long now) {
+    Map<String, UpstreamSlots> usable = new LinkedHashMap<>();
+    usableUpstreams(now).forEach(upstream -> usable.put(upstream.id(), upstream));
+    return usable;
+  }
+
+  /** Grants what is free as planned, and what the plan leaves to whoever waits. */
+  private void grantFreeSlots(long now) {
+    slotsChanged = false;
+    wanted |= isSlotWanted();
+    if (!mayGrant(now)) {
+      return;
+    }
+    Map<String, UpstreamSlots> usable = usableById(now);
+    grow(targets, usable);
+    if (settings.mode() == SharingMode.FLEET) {
+      Map<String, Integer> wishes = new TreeMap<>();
+      routers.values().forEach(r -> wishes.put(r.name(), r.leasedTotal() + r.unservedWaiting()));
+      grow(wishes, usable);
     }
   }
 
@@ -152,6 +190,7 @@
   private SlotPlan planByAccount(int capacity, long now) {
     Map<String, Map<Integer, AccountDemand>> demands = new TreeMap<>();
     routers.values().forEach(router -> demands.put(router.name(), router.accounts()));
+    plannedDemands = demands;
     Set<Integer> backlogged = backloggedAccounts();
     balance.setBacklogged(backlogged);
     int inFlight = 0;
@@ -246,7 +285,7 @@
     while (granted) {
       granted = false;
       for (RouterState router : routers.values()) {
-        if (router.leasedTotal() < targets.get(router.name())) {
+        if (router.leasedTotal() < targets.getOrDefault(router.name(), 0)) {
           granted |= grantOne(router, free);
         }
       }
@@ -285,7 +324,6 @@
   // ---- leases ----
 
   private List<Lease> leasesToSend(long now) {
-    boolean wanted = settings.mode() == SharingMode.FLEET && isSlotWanted();
     List<Lease> leases = new ArrayList<>();
     for (RouterState router : routers.values()) {
       if (!liveRouters.contains(router.name())) {
@@ -311,7 +349,9 @@
 
   /** Slots are wanted while requests wait and no slot is left to grant. */
   private boolean isSlotWanted() {
-    return !spareSlots && routers.values().stream().anyMatch(r -> r.demand().waiting() > 0);
+    return settings.mode() == SharingMode.FLEET
+        && !spareSlots
+        && routers.values().stream().anyMatch(r -> r.demand().waiting() > 0);
   }
 
   private Lease lease(RouterState router, boolean wanted) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
@@ -127,14 +127,16 @@
   }
 
   @Override
-  public void finished(R request) {
+  public boolean finished(R request) {
     HeldUpstream slots = running.remove(request);
+    boolean over = slots.isOver();
     preempted.remove(request);
     inFlight.merge(request.account(), -1, Integer::sum);
     slots.finished();
     if (slots.isUnused()) {
       held.remove(slots.info().id());
     }
+    return over;
   }
 
   @Override
@@ -304,11 +306,6 @@
     return queues.values().stream().anyMatch(queue -> queue.size() > 0);
   }
 
-  @Override
-  public boolean isOverLease() {
-    return held.values().stream().anyMatch(HeldUpstream::isOver);
-  }
-
   @Override
   public int waiting(int account) {
     AccountQueue<R> queue = queues.get(account);
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/membership/MembershipSettings.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/membership/MembershipSettings.java
@@ -19,6 +19,6 @@
 
   /** Returns settings for members a few milliseconds apart. */
   public static MembershipSettings defaults() {
-    return new MembershipSettings(600, 250, 1_500, 2, 6);
+    return new MembershipSettings(800, 350, 1_200, 2, 6);
   }
 }
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
@@ -47,8 +47,13 @@
   /** Blocks new work on an upstream until its next lease, because it cannot be reached. */
   void blockUpstream(String upstream);
 
-  /** Records that a request ended its use of the slot it was assigned. */
-  void finished(R request);
+  /**
+   * Records that a request ended its use of the slot it was assigned.
+   *
+   * @return whether the slot was above the lease, so that the dispatcher should hear at once that
+   *     it is free
+   */
+  boolean finished(R request);
 
   /**
    * Returns running requests to stop, so that their slots go to accounts further behind.
@@ -73,9 +78,6 @@
   /** Returns whether a request waits. */
   boolean hasWaiting();
 
-  /** Returns whether slots above the lease are still in use, so that each end matters. */
-  boolean isOverLease();
-
   /** Returns the number of waiting requests of an account. */
   int waiting(int account);
 
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharingSettings.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharingSettings.java
@@ -25,7 +25,7 @@
 
   /** Returns settings for requests that take a few seconds. */
   public static SharingSettings defaults() {
-    return new SharingSettings(SharingMode.FLEET, 500, 25, 2_500, 900, 2_300, 3, 100_000);
+    return new SharingSettings(SharingMode.FLEET, 1_000, 25, 2_800, 1_250, 2_300, 3, 100_000);
   }
 
   /** Returns these settings with another mode. */
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/SharingSimulation.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/SharingSimulation.java
@@ -196,8 +196,7 @@
   private void finish(String router, String upstream, Request request) {
     PoolScheduler<Request> scheduler = routers.get(router);
     running.merge(upstream, -1, Integer::sum);
-    boolean over = scheduler.isOverLease();
-    scheduler.finished(request);
+    boolean over = scheduler.finished(request);
     startReady(router);
     if (scheduler.releaseWanted() || over) {
       demand(router);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
@@ -41,7 +41,7 @@
 final class ControlPlane implements AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
-  private static final int TICK_MILLIS = 40;
+  private static final int TICK_MILLIS = 100;
   private static final int REPLICA_SET_MILLIS = 300;
 
   private final ConfigurationHolder holder = new ConfigurationHolder();
@@ -143,12 +143,16 @@
   }
 
   private void schedule(Optional<ReplicaSetController> replicaSet) {
-    every(TICK_MILLIS, control, membership::tick);
-    every(TICK_MILLIS, control, sharing::tick);
-    every(TICK_MILLIS, control, this::confirmAsLeader);
+    every(TICK_MILLIS, control, this::tick);
     replicaSet.ifPresent(set -> every(REPLICA_SET_MILLIS, control, set::step));
   }
 
+  private void tick() {
+    membership.tick();
+    sharing.tick();
+    confirmAsLeader();
+  }
+
   static void every(int millis, ScheduledExecutorService executor, Runnable action) {
     executor.scheduleWithFixedDelay(
         () -> {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RequestPath.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RequestPath.java
@@ -99,6 +99,7 @@
     String start = Long.toString(plane.self().incarnation(), Character.MAX_RADIX);
     String idPrefix = plane.self().name() + "-" + start;
     this.callers = new CallerHandler(chain, idPrefix, MonotonicClock::millis);
+    metrics.peerTraffic(plane.clients().traffic());
     metrics.gauge(
         "toucansaddle_requests_under_way", "Requests under way at this router.", watch::size);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RouterDaemon.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RouterDaemon.java
@@ -24,7 +24,7 @@
 public final class RouterDaemon implements Daemon {
 
   private static final Logger LOG = LoggerFactory.getLogger(RouterDaemon.class);
-  private static final int WATCH_MILLIS = 50;
+  private static final int WATCH_MILLIS = 100;
   private static final int STRIKE_LIMIT = 3;
   private static final long QUARANTINE_MILLIS = 60_000;
   private static final long FRESHNESS_MILLIS = 8_000;
@@ -47,9 +47,12 @@
     this.requestPath = new RequestPath(settings, plane, strikes, watch, timers, refusing::get);
     this.callerServer = requestPath.startServer(plane.sharing()::onAnnouncement, this::isReady);
     this.adminServer = startAdmin(settings);
-    ControlPlane.every(WATCH_MILLIS, timers, () -> watch.check(MonotonicClock.millis()));
-    ControlPlane.every(
-        WATCH_MILLIS * 2, timers, () -> plane.sharing().pools().forEach(RouterPool::retryAssign));
+    ControlPlane.every(WATCH_MILLIS, timers, this::watch);
+  }
+
+  private void watch() {
+    watch.check(MonotonicClock.millis());
+    plane.sharing().pools().forEach(RouterPool::retryAssign);
   }
 
   private Undertow startAdmin(DaemonSettings settings) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ControlReplica.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ControlReplica.java
@@ -33,7 +33,7 @@
 public final class ControlReplica implements AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(ControlReplica.class);
-  private static final int TICK_MILLIS = 20;
+  private static final int TICK_MILLIS = 50;
   private static final int MAX_BATCH = 512;
   private static final int CLOSE_MILLIS = 3_000;
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/metrics/RouterMetrics.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/metrics/RouterMetrics.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.metrics;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -9,6 +10,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.DoubleSupplier;
+import org.toucansaddle.daemon.internal.peer.PeerTraffic;
 
 /** Counters, gauges and histograms of one daemon. Thread-safe. */
 public final class RouterMetrics {
@@ -70,6 +72,22 @@
         .register(registry);
   }
 
+  /** Adds counters of the messages to other daemons, read when metrics are collected. */
+  public void peerTraffic(PeerTraffic traffic) {
+    CounterWithCallback.builder()
+        .name("toucansaddle_peer_messages_total")
+        .help("Messages sent to other daemons, by kind.")
+        .labelNames("kind")
+        .callback(c -> traffic.sent().forEach((kind, volume) -> c.call(volume.messages(), kind)))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("toucansaddle_peer_bytes_total")
+        .help("Encoded size of the messages sent to other daemons, by kind.")
+        .labelNames("kind")
+        .callback(c -> traffic.sent().forEach((kind, volume) -> c.call(volume.bytes(), kind)))
+        .register(registry);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public String text() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerClients.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerClients.java
@@ -26,6 +26,7 @@
 
   private static final int FLOW_CONTROL_BYTES = 1 << 20;
   private static final int MAX_MESSAGE_BYTES = 64 << 20;
+  private static final int DEFER_MILLIS = 300;
   private static final int KEEP_ALIVE_SECONDS = 20;
   private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 3;
 
@@ -33,6 +34,7 @@
   private final FleetProof proof;
   private final PeerTls tls;
   private final EventLoopGroup threads;
+  private final PeerTraffic traffic = new PeerTraffic();
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
 
   /** Creates a set of connections without any. */
@@ -43,11 +45,27 @@
     this.threads = threads;
   }
 
+  /** Returns what was sent so far. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
   /** Sends a message to an address, or drops it if the connection is broken or backed up. */
   public void send(String address, PeerMessage message) {
     link(address).send(message);
   }
 
+  /**
+   * Sends a message that can wait a moment, so that it shares a packet with another.
+   *
+   * <p>Small messages cost less than the headers and the acknowledgement of a packet.
+   */
+  public void sendSoon(String address, PeerMessage message) {
+    PeerLink link = link(address);
+    link.defer(message);
+    threads.schedule(link::flush, DEFER_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /** Makes a call; the future fails if no answer arrives within the timeout. */
   public <I, O> CompletableFuture<O> call(
       String address, MethodDescriptor<I, O> method, I request, Duration timeout) {
@@ -68,7 +86,7 @@
   }
 
   private PeerLink link(String address) {
-    return links.computeIfAbsent(address, a -> new PeerLink(open(a)));
+    return links.computeIfAbsent(address, a -> new PeerLink(open(a), traffic));
   }
 
   private ManagedChannel open(String address) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerLink.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerLink.java
@@ -5,6 +5,8 @@
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientCalls;
 import io.grpc.stub.ClientResponseObserver;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.protocol.PeerMethods;
 import org.toucansaddle.protocol.generated.PeerMessage;
@@ -16,20 +18,41 @@
   private static final int MAX_UNREADY = 512;
 
   private final ManagedChannel channel;
+  private final PeerTraffic traffic;
+  private final Deque<PeerMessage> deferred = new ArrayDeque<>();
   private ClientCallStreamObserver<PeerMessage> stream;
   private long openedAt;
   private int unready;
 
-  PeerLink(ManagedChannel channel) {
+  PeerLink(ManagedChannel channel, PeerTraffic traffic) {
     this.channel = channel;
+    this.traffic = traffic;
   }
 
   ManagedChannel channel() {
     return channel;
   }
 
-  /** Sends a message; drops it if the stream broke a moment ago or is backed up. */
+  /** Keeps a message until the next one is sent or {@link #flush} is called. */
+  synchronized void defer(PeerMessage message) {
+    deferred.add(message);
+  }
+
+  /** Sends what was deferred. */
+  synchronized void flush() {
+    for (PeerMessage next = deferred.poll(); next != null; next = deferred.poll()) {
+      sendNow(next);
+    }
+  }
+
+  /** Sends what was deferred and a message, which then share a packet. */
   synchronized void send(PeerMessage message) {
+    flush();
+    sendNow(message);
+  }
+
+  /** Drops a message if the stream broke a moment ago or is backed up. */
+  private void sendNow(PeerMessage message) {
     if (stream == null && !open()) {
       return;
     }
@@ -37,6 +60,7 @@
     if (unready > MAX_UNREADY) {
       return;
     }
+    traffic.sent(message);
     stream.onNext(message);
   }
 
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerTraffic.java
@@ -0,0 +1,43 @@
+package org.toucansaddle.daemon.internal.peer;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.toucansaddle.protocol.generated.PeerMessage;
+
+/** Messages sent to other daemons, by kind. Thread-safe. */
+public final class PeerTraffic {
+
+  /**
+   * Messages of one kind.
+   *
+   * @param messages number of messages
+   * @param bytes their encoded size, without the headers of any protocol below
+   */
+  public record Volume(long messages, long bytes) {}
+
+  private record Adders(LongAdder messages, LongAdder bytes) {}
+
+  private final Map<PeerMessage.KindCase, Adders> sent = new ConcurrentHashMap<>();
+
+  void sent(PeerMessage message) {
+    Adders adders =
+        sent.computeIfAbsent(
+            message.getKindCase(), kind -> new Adders(new LongAdder(), new LongAdder()));
+    adders.messages().increment();
+    adders.bytes().add(message.getSerializedSize());
+  }
+
+  /** Returns what was sent by kind of message. */
+  public Map<String, Volume> sent() {
+    Map<String, Volume> volumes = new TreeMap<>();
+    sent.forEach(
+        (kind, adders) ->
+            volumes.put(
+                kind.name().toLowerCase(Locale.ROOT),
+                new Volume(adders.messages().sum(), adders.bytes().sum())));
+    return volumes;
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/AnnouncementRelay.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/AnnouncementRelay.java
@@ -47,6 +47,11 @@
     return pending.isEmpty();
   }
 
+  /** Returns the time since the oldest announcement collected was received, in milliseconds. */
+  long oldestAge(long now) {
+    return pending.values().stream().mapToLong(p -> now - p.receivedAt()).max().orElse(0);
+  }
+
   /** Returns the collected announcements and forgets them. */
   AnnouncementBatch take(long now) {
     AnnouncementBatch.Builder batch = AnnouncementBatch.newBuilder();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DemandSender.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DemandSender.java
@@ -39,7 +39,7 @@
   /** Returns the demand to send now. */
   Demand next(Map<Integer, Long> service, long now) {
     sentAt = now;
-    return wire.encode(pool.view(), service);
+    return wire.encode(pool.viewForDemand(), service);
   }
 
   /** Applies a lease; returns false if the dispatcher must send it in full. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatcherElection.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatcherElection.java
@@ -11,7 +11,8 @@
  * Chooses each pool's dispatcher by rendezvous hashing over the live members.
  *
  * <p>Members that see the same members choose the same dispatcher, and only the pools of a member
- * that died move. Stateless and thread-safe.
+ * that died move. A suspected member dispatches nothing, so that its pools move before its leases
+ * expire. Stateless and thread-safe.
  */
 final class DispatcherElection {
 
@@ -22,6 +23,8 @@
   static Optional<Member> dispatcher(String pool, Collection<Member> live) {
     Comparator<Member> byWeight =
         Comparator.comparingLong(m -> HASHER.hashCharsToLong(pool + "|" + m.name()));
-    return live.stream().filter(Member::isLive).max(byWeight);
+    Optional<Member> chosen =
+        live.stream().filter(m -> m.state() == Member.State.ALIVE).max(byWeight);
+    return chosen.or(() -> live.stream().filter(Member::isLive).max(byWeight));
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.sharing;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.locks.ReentrantLock;
@@ -38,6 +39,7 @@
   private final PoolScheduler<PooledRequest> scheduler;
   private final LongSupplier clock;
   private final Listener listener;
+  private final Map<Integer, Integer> reportedWaiting = new HashMap<>();
   private final ReentrantLock lock = new ReentrantLock();
 
   /**
@@ -61,7 +63,8 @@
   /**
    * Queues a request; it is started as soon as a slot is free.
    *
-   * <p>The dispatcher hears at once each time an account's waiting requests have doubled.
+   * <p>The dispatcher hears at once when an account's waiting requests have doubled since the last
+   * demand.
    */
   public void submit(PooledRequest request) {
     List<SlotAssignment<PooledRequest>> assignments;
@@ -70,7 +73,7 @@
     try {
       scheduler.enqueue(request);
       assignments = scheduler.assign(clock.getAsLong());
-      urgent = Integer.bitCount(scheduler.waiting(request.account())) == 1;
+      urgent = hasDoubled(request.account());
     } finally {
       lock.unlock();
     }
@@ -80,6 +83,10 @@
     }
   }
 
+  private boolean hasDoubled(int account) {
+    return scheduler.waiting(account) > 2 * reportedWaiting.getOrDefault(account, 0);
+  }
+
   /** Removes a request from the queue; returns whether it was still waiting. */
   public boolean cancel(PooledRequest request) {
     lock.lock();
@@ -97,8 +104,7 @@
     boolean idleWanted;
     lock.lock();
     try {
-      wasOver = scheduler.isOverLease();
-      scheduler.finished(request);
+      wasOver = scheduler.finished(request);
       assignments = scheduler.assign(clock.getAsLong());
       idleWanted = scheduler.holdsWanted();
     } finally {
@@ -227,6 +233,19 @@
     }
   }
 
+  /** Returns the view that a demand is made from, and remembers what it says. */
+  DemandView viewForDemand() {
+    lock.lock();
+    try {
+      DemandView view = view();
+      reportedWaiting.clear();
+      view.accounts().forEach((account, d) -> reportedWaiting.put(account, d.waiting()));
+      return view;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   private static void start(List<SlotAssignment<PooledRequest>> assignments) {
     assignments.forEach(assignment -> assignment.request().start(assignment));
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.daemon.internal.sharing;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -36,7 +35,7 @@
   private static final int IDLE_DEMAND_MILLIS = 2_500;
   private static final int URGENT_GAP_MILLIS = 20;
   private static final int IDLE_GRACE_MILLIS = 10;
-  private static final int ANNOUNCEMENT_BATCH_MILLIS = 400;
+  private static final int ANNOUNCEMENT_BATCH_MILLIS = 600;
 
   private final PeerIdentity self;
   private final SharingSettings settings;
@@ -51,7 +50,6 @@
   private final Map<String, AnnouncementRelay> relays = new HashMap<>();
   private final Map<Integer, Announcement> announcementsByHash = new ConcurrentHashMap<>();
   private final Map<String, Announcement> announced = new ConcurrentHashMap<>();
-  private long relayedAt;
 
   /** Creates a controller; {@code control} must run one task at a time. */
   public SharingController(
@@ -131,6 +129,10 @@
   }
 
   private void sendDemand(DemandSender sender) {
+    sendDemand(sender, true);
+  }
+
+  private void sendDemand(DemandSender sender, boolean urgent) {
     sender.setScheduled(false);
     Optional<Member> dispatcher =
         DispatcherElection.dispatcher(sender.pool().key().text(), directory.live());
@@ -142,8 +144,9 @@
     if (dispatcher.get().name().equals(self.name())) {
       onDemand(self, demand);
     } else {
+      sendAnnouncements(dispatcher.get().address(), clock.getAsLong());
       PeerMessage message = PeerMessage.newBuilder().setDemand(demand).build();
-      clients.send(dispatcher.get().address(), message);
+      send(dispatcher.get().address(), message, urgent);
     }
   }
 
@@ -228,7 +231,8 @@
     if (address.equals(self.address())) {
       onAnnouncements(self, batch);
     } else {
-      clients.send(address, PeerMessage.newBuilder().setAnnouncements(batch).build());
+      PeerMessage message = PeerMessage.newBuilder().setAnnouncements(batch).build();
+      send(address, message, batch.getChangedCount() > 0);
     }
   }
 
@@ -295,6 +299,14 @@
     return directory.live().stream().map(Member::name).collect(Collectors.toSet());
   }
 
+  private void send(String address, PeerMessage message, boolean urgent) {
+    if (urgent) {
+      clients.send(address, message);
+    } else {
+      clients.sendSoon(address, message);
+    }
+  }
+
   private void sendLeases(DispatchedPool pool) {
     for (DispatchedPool.AddressedLease lease : pool.poll(clock.getAsLong())) {
       if (lease.router().equals(self.name())) {
@@ -302,7 +314,8 @@
         continue;
       }
       PeerMessage message = PeerMessage.newBuilder().setLease(lease.message()).build();
-      directory.address(lease.router()).ifPresent(address -> clients.send(address, message));
+      boolean renewal = lease.message().getRenewal();
+      directory.address(lease.router()).ifPresent(address -> send(address, message, !renewal));
     }
   }
 
@@ -315,16 +328,18 @@
     for (DispatchedPool pool : List.copyOf(dispatched.values())) {
       sendLeases(pool);
     }
-    if (now - relayedAt >= ANNOUNCEMENT_BATCH_MILLIS) {
-      relayedAt = now;
-      new ArrayList<>(relays.keySet()).forEach(address -> sendAnnouncements(address, now));
-    }
+    relays.forEach(
+        (address, relay) -> {
+          if (relay.oldestAge(now) >= ANNOUNCEMENT_BATCH_MILLIS) {
+            sendAnnouncements(address, now);
+          }
+        });
   }
 
   private void sendIfDue(DemandSender sender, long now) {
     int pause = sender.pool().isWaiting() ? WAITING_DEMAND_MILLIS : IDLE_DEMAND_MILLIS;
     if (now - sender.sentAt() >= pause) {
-      sendDemand(sender);
+      sendDemand(sender, false);
     }
   }
 
--- /dev/null
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ControlTrafficExperiment.java
@@ -0,0 +1,62 @@
+package org.toucansaddle.standins.experiment;
+
+import org.toucansaddle.standins.fleet.Fleet;
+import org.toucansaddle.standins.fleet.RouterAddresses;
+
+/** Measures what coordination costs each daemon, at rest and under the load of fairness. */
+final class ControlTrafficExperiment implements Experiment {
+
+  private static final int SETTLE_MILLIS = 4_000;
+  private static final int WINDOW_SECONDS = 6;
+
+  @Override
+  public Figures run(ExperimentRun run) {
+    Figures figures = measure(run, "fleet");
+    return figures.putBaseline(measure(run, "local"));
+  }
+
+  private static Figures measure(ExperimentRun run, String mode) {
+    Figures figures = new Figures();
+    SharingScenario.run(
+        run.folder().resolve(mode),
+        SharingScenario.spec(mode),
+        SharingScenario.allBacklogged(run.seed()),
+        run,
+        new SharingScenario.Observer() {
+          @Override
+          public void atRest(Fleet fleet) {
+            SharingScenario.sleep(SETTLE_MILLIS);
+            fleet.printMetrics("toucansaddle_peer_");
+            put(figures, "rest_", ControlCost.measure(fleet, WINDOW_SECONDS));
+          }
+
+          @Override
+          public void underLoad(Fleet fleet) {
+            fleet.printMetrics("toucansaddle_peer_");
+            put(figures, "", ControlCost.measure(fleet, WINDOW_SECONDS));
+            fleet.printMetrics("toucansaddle_peer_");
+            figures.put("control_heap_bytes_max", heapMax(fleet));
+          }
+        });
+    return figures;
+  }
+
+  private static void put(Figures figures, String prefix, ControlCost cost) {
+    System.out.println(prefix + "bytes/s by daemon " + cost.bytesPerSecond());
+    figures
+        .put(prefix + "control_bytes_per_s_max", cost.bytesMax())
+        .put(prefix + "control_bytes_per_s_mean", cost.bytesMean())
+        .put(prefix + "control_cpu_ratio_max", cost.coresMax())
+        .put(prefix + "control_cpu_ratio_mean", cost.coresMean());
+  }
+
+  /** The whole heap of a daemon bounds what control retains of it. */
+  private static double heapMax(Fleet fleet) {
+    double largest = 0;
+    for (RouterAddresses router : fleet.routers()) {
+      long pid = fleet.process(router.name()).pid();
+      largest = Math.max(largest, ProcessCounters.retainedHeapBytes(pid));
+    }
+    return largest;
+  }
+}
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
@@ -11,6 +11,7 @@
   private static final Map<String, Entry> ALL =
       new TreeMap<>(
           Map.of(
+              "control-traffic", new Entry(new ControlTrafficExperiment(), 4),
               "fairness", new Entry(new FairnessExperiment(), 15),
               "utilisation", new Entry(new UtilisationExperiment(), 14)));
 
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/Fleet.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/Fleet.java
@@ -208,6 +208,17 @@
     }
   }
 
+  /** Prints the metrics of every daemon whose names start with a prefix. */
+  public void printMetrics(String prefix) {
+    for (RouterAddresses router : routers) {
+      HttpCall call = HttpCall.get(router.callers(), "/metrics");
+      String text = client.send(call, Duration.ofSeconds(2)).join().text();
+      text.lines()
+          .filter(line -> line.startsWith(prefix))
+          .forEach(line -> System.out.println(router.name() + " " + line));
+    }
+  }
+
   /** Runs a command of the operators' tool; returns its exit code. */
   public int operator(String... arguments) {
     String admins = routers.stream().map(RouterAddresses::admin).collect(Collectors.joining(","));
