Plan again when an account would get more than it asked before; add experiments

Now a demand sets off a plan when the plan gave the account all it had asked for and it asks for more; accounts at their fair share set off none.

repaired is said only while all replicas answer. New experiments configuration, overload, faults (not yet run). One start of eight daemons hung with two empty logs (1 of 14 starts, cause not found); a daemon that does not get ready now writes its threads to its log.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/LeaderState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/LeaderState.java
@@ -1,7 +1,9 @@
 package org.toucansaddle.coordination.internal.replication;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.toucansaddle.coordination.replication.ReplicaId;
 import org.toucansaddle.coordination.replication.ReplicaSet;
 
@@ -13,6 +15,8 @@
  */
 final class LeaderState {
 
+  private static final int RESPONSIVE_ROUNDS = 3;
+
   private final ReplicaId self;
   private final Map<ReplicaId, PeerProgress> peers = new TreeMap<>();
   private final TreeMap<Long, Long> roundSentAt = new TreeMap<>();
@@ -104,6 +108,18 @@
     return progress == null ? 0 : progress.matchIndex();
   }
 
+  /** Returns the peers that answered one of the last rounds. */
+  Set<ReplicaId> responsive() {
+    Set<ReplicaId> found = new TreeSet<>();
+    peers.forEach(
+        (id, progress) -> {
+          if (progress.ackedRound() + RESPONSIVE_ROUNDS >= round) {
+            found.add(id);
+          }
+        });
+    return found;
+  }
+
   /** Returns the match index of each known peer. */
   Map<ReplicaId, Long> matchIndexes() {
     Map<ReplicaId, Long> all = new TreeMap<>();
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/RaftReplica.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/RaftReplica.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -195,6 +196,7 @@
         set,
         members.currentIndex() <= commitIndex,
         matches,
+        role == Role.LEADER ? leading.responsive() : Set.of(),
         leaseValid());
   }
 
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -108,17 +108,29 @@
     return leasesToSend(now);
   }
 
-  /** Returns whether an account wants much more at a router than the plan knew of. */
+  /**
+   * Returns whether an account wants more at a router than the plan knew of, and would get it.
+   *
+   * <p>An account that the plan gave less than it wanted is at its fair share already.
+   */
   private boolean isNewDemand(RouterDemand demand) {
     Map<Integer, AccountDemand> planned = plannedDemands.getOrDefault(demand.router(), Map.of());
     return demand.accounts().entrySet().stream()
         .anyMatch(
             entry -> {
-              int before = planned.getOrDefault(entry.getKey(), AccountDemand.NONE).total();
-              return entry.getValue().waiting() > 0 && entry.getValue().total() > 2 * before;
+              int account = entry.getKey();
+              int before = planned.getOrDefault(account, AccountDemand.NONE).total();
+              boolean more = entry.getValue().waiting() > 0 && entry.getValue().total() > before;
+              return more && plan.accountTotal(account) >= plannedTotal(account);
             });
   }
 
+  private int plannedTotal(int account) {
+    return plannedDemands.values().stream()
+        .mapToInt(demands -> demands.getOrDefault(account, AccountDemand.NONE).total())
+        .sum();
+  }
+
   @Override
   public Collection<UpstreamSlots> usableUpstreams(long now) {
     List<UpstreamSlots> usable = new ArrayList<>();
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/replication/ReplicaStatus.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/replication/ReplicaStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * State of one replica at one moment. Immutable.
@@ -16,6 +17,7 @@
  * @param members replica set it uses
  * @param membersCommitted whether that set is committed
  * @param matchIndexes on the leader, the highest index known to be on each other replica's disk
+ * @param responsive on the leader, the other replicas that answered one of its last heartbeats
  * @param leaseValid on the leader, whether no other leader can have been elected yet
  */
 public record ReplicaStatus(
@@ -29,6 +31,7 @@
     ReplicaSet members,
     boolean membersCommitted,
     Map<ReplicaId, Long> matchIndexes,
+    Set<ReplicaId> responsive,
     boolean leaseValid) {
 
   /** What a replica does in its term. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/DaemonStatus.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/DaemonStatus.java
@@ -92,8 +92,10 @@
     boolean allCaughtUp =
         status.members().voters().stream()
             .filter(id -> !id.equals(status.self()))
+            .filter(status.responsive()::contains)
             .allMatch(id -> status.matchIndexes().getOrDefault(id, 0L) >= status.commitIndex());
-    return allCaughtUp && status.members().learners().isEmpty();
+    boolean allResponsive = status.responsive().size() == status.members().voters().size() - 1;
+    return allCaughtUp && allResponsive && status.members().learners().isEmpty();
   }
 
   ObjectNode upstreams() {
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
@@ -11,8 +11,11 @@
   private static final Map<String, Entry> ALL =
       new TreeMap<>(
           Map.of(
+              "configuration", new Entry(new ConfigurationExperiment(), 4),
               "control-traffic", new Entry(new ControlTrafficExperiment(), 4),
-              "fairness", new Entry(new FairnessExperiment(), 15),
+              "fairness", new Entry(new FairnessExperiment(), 20),
+              "faults", new Entry(new FaultsExperiment(), 42),
+              "overload", new Entry(new OverloadExperiment(), 7),
               "utilisation", new Entry(new UtilisationExperiment(), 14)));
 
   private Experiments() {}
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/Fleet.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/Fleet.java
@@ -83,7 +83,10 @@
       Files.writeString(settings, settings(router, i));
       List<String> command =
           FleetProcess.java(
-              spec.heapMegabytes(), DaemonMain.class, List.of("--settings", settings.toString()));
+              spec.heapMegabytes(),
+              spec.compilerLevel(),
+              DaemonMain.class,
+              List.of("--settings", settings.toString()));
       FleetProcess process =
           new FleetProcess(router.name(), command, folder.resolve(router.name() + ".log"));
       processes.put(router.name(), process);
@@ -144,7 +147,8 @@
       arguments.addAll(List.of("--delay-millis", "" + group.millis()));
     }
     List<String> command =
-        FleetProcess.java(UPSTREAM_HEAP_MEGABYTES, UpstreamMain.class, arguments);
+        FleetProcess.java(
+            UPSTREAM_HEAP_MEGABYTES, spec.compilerLevel(), UpstreamMain.class, arguments);
     FleetProcess process =
         new FleetProcess(group.id(), command, folder.resolve(group.id() + ".log"));
     processes.put(group.id(), process);
@@ -180,16 +184,22 @@
     return Map.copyOf(keys);
   }
 
+  /** Returns the operators' token. */
+  public String operatorToken() {
+    return token;
+  }
+
   private Path tokenFile() {
     return folder.resolve("operator-token");
   }
 
-  /** Waits until every live daemon is ready. */
+  /** Waits until every live daemon is ready; one that is not writes its threads to its log. */
   public void awaitReady() {
     long deadline = System.nanoTime() + Duration.ofSeconds(READY_SECONDS).toNanos();
     for (RouterAddresses router : routers) {
       while (process(router.name()).isAlive() && !isReady(router)) {
         if (System.nanoTime() > deadline) {
+          process(router.name()).signal("QUIT");
           throw new IllegalStateException(
               router.name() + " is not ready; see " + process(router.name()).log());
         }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/FleetProcess.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/FleetProcess.java
@@ -27,12 +27,13 @@
   }
 
   /** Returns a command that runs a main class of this class path. */
-  public static List<String> java(int heapMegabytes, Class<?> main, List<String> arguments) {
+  public static List<String> java(
+      int heapMegabytes, int compilerLevel, Class<?> main, List<String> arguments) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.add("-Xmx" + heapMegabytes + "m");
     command.add("-XX:+UseSerialGC");
-    command.add("-XX:TieredStopAtLevel=1");
+    command.add("-XX:TieredStopAtLevel=" + compilerLevel);
     command.add("-cp");
     command.add(System.getProperty("java.class.path"));
     command.add(main.getName());
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/FleetSpec.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/fleet/FleetSpec.java
@@ -12,6 +12,7 @@
  * @param maxQueued most waiting requests of an account at a router
  * @param logLevel level of the daemons' logs
  * @param heapMegabytes heap of each daemon
+ * @param compilerLevel highest level of the Java compiler; 1 compiles fast, 4 optimizes
  */
 public record FleetSpec(
     int routers,
@@ -20,7 +21,8 @@
     String sharingMode,
     int maxQueued,
     String logLevel,
-    int heapMegabytes) {
+    int heapMegabytes,
+    int compilerLevel) {
 
   /**
    * Upstreams of one kind that run in one process.
@@ -38,29 +40,43 @@
   /** Returns a fleet of daemons without upstreams. */
   public static FleetSpec of(int routers) {
     return new FleetSpec(
-        routers, Math.min(3, routers - 1 + routers % 2), List.of(), "fleet", 4_096, "info", 96);
+        routers, Math.min(3, routers - 1 + routers % 2), List.of(), "fleet", 4_096, "info", 96, 1);
   }
 
   /** Returns this fleet with other upstreams. */
   public FleetSpec withUpstreams(List<UpstreamGroup> groups) {
     return new FleetSpec(
-        routers, replicas, List.copyOf(groups), sharingMode, maxQueued, logLevel, heapMegabytes);
+        routers,
+        replicas,
+        List.copyOf(groups),
+        sharingMode,
+        maxQueued,
+        logLevel,
+        heapMegabytes,
+        compilerLevel);
   }
 
   /** Returns this fleet with another sharing mode. */
   public FleetSpec withSharingMode(String mode) {
-    return new FleetSpec(routers, replicas, upstreams, mode, maxQueued, logLevel, heapMegabytes);
+    return new FleetSpec(
+        routers, replicas, upstreams, mode, maxQueued, logLevel, heapMegabytes, compilerLevel);
   }
 
   /** Returns this fleet with another bound on waiting requests. */
   public FleetSpec withMaxQueued(int queued) {
     return new FleetSpec(
-        routers, replicas, upstreams, sharingMode, queued, logLevel, heapMegabytes);
+        routers, replicas, upstreams, sharingMode, queued, logLevel, heapMegabytes, compilerLevel);
   }
 
   /** Returns this fleet with another log level. */
   public FleetSpec withLogLevel(String level) {
     return new FleetSpec(
-        routers, replicas, upstreams, sharingMode, maxQueued, level, heapMegabytes);
+        routers, replicas, upstreams, sharingMode, maxQueued, level, heapMegabytes, compilerLevel);
+  }
+
+  /** Returns this fleet with another level of the Java compiler. */
+  public FleetSpec withCompilerLevel(int level) {
+    return new FleetSpec(
+        routers, replicas, upstreams, sharingMode, maxQueued, logLevel, heapMegabytes, level);
   }
 }
