--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerClients.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerClients.java
@@ -4,6 +4,7 @@
 import io.grpc.ManagedChannel;
 import io.grpc.MethodDescriptor;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.netty.channel.ChannelOption;
 import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup;
 import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioSocketChannel;
 import io.grpc.stub.ClientCalls;
@@ -26,6 +27,7 @@
 
   private static final int FLOW_CONTROL_BYTES = 1 << 20;
   private static final int MAX_MESSAGE_BYTES = 64 << 20;
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
   private static final int DEFER_MILLIS = 300;
   private static final int KEEP_ALIVE_SECONDS = 20;
   private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 3;
@@ -97,6 +99,7 @@
         NettyChannelBuilder.forAddress(host, port)
             .eventLoopGroup(threads)
             .channelType(NioSocketChannel.class)
+            .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .directExecutor()
             .flowControlWindow(FLOW_CONTROL_BYTES)
             .maxInboundMessageSize(MAX_MESSAGE_BYTES)
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerLink.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/peer/PeerLink.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.peer;
 
 import io.grpc.CallOptions;
+import io.grpc.ConnectivityState;
 import io.grpc.ManagedChannel;
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientCalls;
@@ -29,10 +30,21 @@
     this.traffic = traffic;
   }
 
+  /** Returns the channel for a call; one that failed to connect tries again at once. */
   ManagedChannel channel() {
+    retryConnect();
     return channel;
   }
 
+  /**
+   * The pauses between attempts to connect grow to minutes, which a restarted daemon can't wait.
+   */
+  private void retryConnect() {
+    if (channel.getState(false) == ConnectivityState.TRANSIENT_FAILURE) {
+      channel.resetConnectBackoff();
+    }
+  }
+
   /** Keeps a message until the next one is sent or {@link #flush} is called. */
   synchronized void defer(PeerMessage message) {
     deferred.add(message);
@@ -71,6 +83,7 @@
     }
     openedAt = now;
     unready = 0;
+    retryConnect();
     stream =
         (ClientCallStreamObserver<PeerMessage>)
             ClientCalls.asyncClientStreamingCall(
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/OverloadExperiment.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/OverloadExperiment.java
@@ -44,7 +44,8 @@
             .withCompilerLevel(OPTIMIZING_COMPILER)
             .withLogLevel("warn")
             .withUpstreams(
-                List.of(new UpstreamGroup("engine", "engine", POOL, ENGINES, 120, STEP_MILLIS)));
+                List.of(
+                    new UpstreamGroup("engine", "chart-engine", POOL, ENGINES, 120, STEP_MILLIS)));
     try (Fleet fleet = Fleet.start(run.folder().resolve("relay"), spec);
         StreamingLoad load = new StreamingLoad()) {
       fleet.awaitReady();
@@ -83,7 +84,7 @@
   private static List<String> engines(Fleet fleet) {
     List<String> addresses = new ArrayList<>();
     for (int i = 0; i < ENGINES; i++) {
-      addresses.add("127.0.0.1:" + (fleet.upstreamPort("engine") + i));
+      addresses.add("127.0.0.1:" + (fleet.upstreamPort("chart-engine") + i));
     }
     return addresses;
   }
@@ -97,7 +98,7 @@
             .withUpstreams(
                 List.of(
                     new UpstreamGroup(
-                        "engine", "engine", POOL, 2, GOODPUT_SLOTS / 2, STEP_MILLIS)));
+                        "engine", "chart-engine", POOL, 2, GOODPUT_SLOTS / 2, STEP_MILLIS)));
     try (Fleet fleet = Fleet.start(run.folder().resolve("goodput-" + mode), spec);
         OpenLoopLoad load = new OpenLoopLoad(run.seed())) {
       fleet.awaitReady();
