End a streamed answer only after its last event was queued

Cause: the end was marked before the last event was queued, so a write in between could end the answer without [DONE]; its late write then closed a connection that may have carried another request. The stand-in engine had the mirror image: marked after, so that an answer could stay unended for good. The end is now marked between queueing and writing, and nothing is written after it. A test sends 200 streams at a time; it was not run against the code before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/EventStreamWriter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/EventStreamWriter.java
@@ -36,6 +36,7 @@
   private final AtomicBoolean drainScheduled = new AtomicBoolean();
   private volatile boolean ended;
   private boolean started;
+  private boolean finished;
   private StreamSinkChannel channel;
 
   EventStreamWriter(CallerRequest request, ProblemWriter problems, Runnable onCallerGone) {
@@ -53,8 +54,7 @@
 
   @Override
   public void end(AnswerUsage usage) {
-    ended = true;
-    write("data: [DONE]\n\n");
+    writeLast("data: [DONE]\n\n");
   }
 
   @Override
@@ -63,16 +63,30 @@
       problems.write(request, problem);
       return;
     }
-    ended = true;
-    write("event: error\ndata: " + ProblemWriter.json(request.id(), problem) + "\n\n");
+    writeLast("event: error\ndata: " + ProblemWriter.json(request.id(), problem) + "\n\n");
   }
 
   private void write(String text) {
+    enqueue(text);
+    scheduleDrain();
+  }
+
+  /** The end is marked after the last text was queued, else a drain in between would cut it off. */
+  private void writeLast(String text) {
+    enqueue(text);
+    ended = true;
+    scheduleDrain();
+  }
+
+  private void enqueue(String text) {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     queue.add(ByteBuffer.wrap(bytes));
     if (queuedBytes.addAndGet(bytes.length) > MAX_QUEUED_BYTES) {
       onCallerGone.run();
     }
+  }
+
+  private void scheduleDrain() {
     if (drainScheduled.compareAndSet(false, true)) {
       exchange.getIoThread().execute(this::drain);
     }
@@ -80,6 +94,9 @@
 
   private void drain() {
     drainScheduled.set(false);
+    if (finished) {
+      return;
+    }
     try {
       if (channel == null) {
         open();
@@ -121,6 +138,7 @@
   }
 
   private void finish() throws IOException {
+    finished = true;
     channel.shutdownWrites();
     if (channel.flush()) {
       exchange.endExchange();
@@ -135,6 +153,7 @@
   }
 
   private void callerGone() {
+    finished = true;
     queue.clear();
     IoUtils.safeClose(exchange.getConnection());
     onCallerGone.run();
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/engine/EngineRequest.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/engine/EngineRequest.java
@@ -106,8 +106,9 @@
             + ",\"completion_tokens\":"
             + length
             + "}";
-    write(event(shownAttempt, "", usage) + "data: [DONE]\n\n");
+    enqueue(event(shownAttempt, "", usage) + "data: [DONE]\n\n");
     finished = true;
+    scheduleDrain();
   }
 
   private String event(String shownAttempt, String text, String usage) {
@@ -128,13 +129,16 @@
   }
 
   private void write(String text) {
-    if (silent) {
-      return;
-    }
-    queue.add(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    enqueue(text);
     scheduleDrain();
   }
 
+  private void enqueue(String text) {
+    if (!silent) {
+      queue.add(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    }
+  }
+
   /** Sends the response's head at once. */
   void open() {
     scheduleDrain();
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/load/StreamingLoad.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/load/StreamingLoad.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.Histogram;
 import org.toucansaddle.http.HttpCall;
@@ -13,6 +14,7 @@
 public final class StreamingLoad implements AutoCloseable {
 
   private static final long HIGHEST_MICROS = 60_000_000;
+  private static final int ANSWER_SECONDS = 20;
 
   private final HttpClient client =
       HttpClient.create(HttpClientSettings.defaults().withIoThreads(3));
@@ -49,7 +51,7 @@
             .withHeader("Authorization", "Bearer " + key)
             .withHeader("X-Work-Class", workClass),
         request);
-    return request.whole();
+    return request.whole().completeOnTimeout(false, ANSWER_SECONDS, TimeUnit.SECONDS);
   }
 
   /** Forgets what was measured so far. */
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CallerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CallerUsageTest.java
@@ -5,7 +5,10 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -68,6 +71,18 @@
     assertThat(tokens).isEqualTo(ExpectedAnswer.length(prompt));
   }
 
+  @Test
+  public void shouldEndEveryOfManyStreamsWithTheLastEvent() {
+    List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      String body = "{\"prompt\":\"stream " + i + " [tokens=3]\",\"stream\":true}";
+      replies.add(fleet.client().send(post("/v1/completions", body), TIMEOUT));
+    }
+    for (CompletableFuture<HttpReply> reply : replies) {
+      assertThat(reply.join().text()).endsWith("data: [DONE]\n\n");
+    }
+  }
+
   @Test
   public void shouldAnswerChat() {
     String body = "{\"messages\":[{\"role\":\"user\",\"content\":\"chart\"}]}";
