--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AdmitFilter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AdmitFilter.java
@@ -15,7 +15,6 @@
 public final class AdmitFilter implements RequestFilter {
 
   private static final int MILLIS_PER_SECOND = 1_000;
-  private static final double WAIT_MARGIN = 1.5;
 
   private final Function<PoolKey, RouterPool> pools;
   private final HoldingTimes holdingTimes;
@@ -56,22 +55,13 @@
       throw Problems.queueFull(maxQueued, 1);
     }
     double holding = holdingTimes.meanMillis(request.pool(), request.workClass().getName());
-    double start = expectedWaitMillis(pool, account, waiting, holding);
+    double start = waiting * holding / pool.concurrency(account);
     long now = clock.getAsLong();
     refuseIfLate("the first token", now + start, request.firstTokenDeadlineMillis());
     refuseIfLate("the whole answer", now + start + holding, request.deadlineMillis());
     chain.next(request);
   }
 
-  /** Returns the time until a slot should be free, with room for requests longer than the mean. */
-  private static double expectedWaitMillis(
-      RouterPool pool, int account, int waiting, double holding) {
-    if (waiting == 0) {
-      return 0;
-    }
-    return WAIT_MARGIN * (waiting + 1) * holding / pool.concurrency(account);
-  }
-
   private static void refuseIfLate(String what, double expected, long deadline) {
     if (expected > deadline) {
       double late = expected - deadline;
