--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -307,7 +307,7 @@
     if (current.isEmpty()) {
       checkWaiting(now);
     } else if (now >= request.deadlineMillis()) {
-      fail(Problems.timedOut(written(true)).problem());
+      fail(Problems.timedOut(runStateWhileRunning()).problem());
       cancelAttempt(AttemptOutcome.CANCELLED);
     } else if (now - current.get().lastEventAtMillis() > allowedSilence(current.get())) {
       cancelAttempt(AttemptOutcome.STALLED);
@@ -320,8 +320,9 @@
         : Math.max(context.stallMillis(), request.workClass().getFirstTokenMillis());
   }
 
-  private synchronized RunState written(boolean running) {
-    everWritten |= running;
+  /** An attempt under way may have reached its upstream already. */
+  private synchronized RunState runStateWhileRunning() {
+    everWritten = true;
     return runState();
   }
 
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ChangeStream.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ChangeStream.java
@@ -47,11 +47,7 @@
 
   void stop() {
     running = false;
-    try {
-      thread.join();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    Threads.joinAll(List.of(thread));
   }
 
   void runFor(long millis) {
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/FaultLoad.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/FaultLoad.java
@@ -113,13 +113,7 @@
 
   void stop() {
     running = false;
-    for (Thread thread : threads) {
-      try {
-        thread.join();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
+    Threads.joinAll(threads);
   }
 
   List<Story> stories() {
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/RevisionWatch.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/RevisionWatch.java
@@ -80,13 +80,7 @@
 
   void stop() {
     running = false;
-    for (Thread thread : threads) {
-      try {
-        thread.join();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
+    Threads.joinAll(threads);
   }
 
   /** Returns how often a daemon that was ready had a lower revision than before. */
