Give a slot back before its request queues again

Cause: after a failed attempt the request was queued for its retry before its slot was given back. If it got the next slot first, the giving back hit the new one, and the old slot stayed counted for good. Seen as a NullPointerException in the output of the tests, which passed. Ruled out: two ends of one attempt (guarded). Change: finished comes first in both kinds of request, and a scheduler refuses to queue a request that holds a slot (test added).

Also an embedding example that the tests run.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
@@ -55,6 +55,10 @@
 
   @Override
   public void enqueue(R request) {
+    if (running.containsKey(request)) {
+      throw new IllegalStateException(
+          "The request still holds a slot. Call finished before it is queued again.");
+    }
     int account = request.account();
     AccountQueue<R> queue = queues.computeIfAbsent(account, a -> new AccountQueue<>());
     if (queue.size() == 0 && inFlight(account) == 0) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
@@ -27,7 +27,11 @@
     return new SlotScheduler<>(mode);
   }
 
-  /** Adds a request to the queue. */
+  /**
+   * Adds a request to the queue.
+   *
+   * @throws IllegalStateException if it still holds a slot; call {@link #finished} first
+   */
   void enqueue(R request);
 
   /** Removes a waiting request; returns whether it was waiting. */
--- /dev/null
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/EmbeddingExampleTest.java
@@ -0,0 +1,88 @@
+package org.toucansaddle.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.Test;
+import org.toucansaddle.coordination.replication.LogStorage;
+import org.toucansaddle.coordination.replication.ReplicaId;
+import org.toucansaddle.coordination.replication.ReplicaSet;
+import org.toucansaddle.coordination.replication.ReplicatedLog;
+import org.toucansaddle.coordination.replication.ReplicationSettings;
+import org.toucansaddle.coordination.replication.StateMachine;
+
+/** A small program that embeds the replicated log: a durable text, one replica. */
+public class EmbeddingExampleTest {
+
+  /** Appends each command to a text. */
+  private static final class TextMachine implements StateMachine {
+    private String text = "";
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+      text += new String(command, StandardCharsets.UTF_8);
+      return snapshot();
+    }
+
+    @Override
+    public byte[] snapshot() {
+      return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void restore(byte[] state) {
+      text = new String(state, StandardCharsets.UTF_8);
+    }
+  }
+
+  private long now;
+
+  private ReplicatedLog open(LogStorage storage, TextMachine machine) {
+    ReplicaId self = new ReplicaId("only", 1);
+    ReplicatedLog log =
+        Coordination.replicatedLog(
+            ReplicationSettings.defaults(),
+            self,
+            storage,
+            machine,
+            (to, message) -> {},
+            () -> now,
+            new SplittableRandom(1));
+    log.bootstrap(ReplicaSet.ofVoters(List.of(self)));
+    log.flush();
+    return log;
+  }
+
+  /** Runs the log's timers for some seconds of its clock. */
+  private void run(ReplicatedLog log, int seconds) {
+    for (long end = now + seconds * 1_000L; now < end; now += 50) {
+      log.tick();
+      log.flush();
+    }
+  }
+
+  @Test
+  public void shouldKeepTextOverARestart() throws IOException {
+    Path folder = Files.createTempDirectory("embedding");
+    TextMachine first = new TextMachine();
+    try (LogStorage storage = Coordination.fileLogStorage(folder)) {
+      ReplicatedLog log = open(storage, first);
+      run(log, 5);
+      CompletableFuture<byte[]> result = log.propose("warm ".getBytes(StandardCharsets.UTF_8));
+      log.propose("edge".getBytes(StandardCharsets.UTF_8));
+      log.flush();
+      assertThat(result.join()).isEqualTo("warm ".getBytes(StandardCharsets.UTF_8));
+    }
+    TextMachine second = new TextMachine();
+    try (LogStorage storage = Coordination.fileLogStorage(folder)) {
+      run(open(storage, second), 5);
+    }
+    assertThat(second.text).isEqualTo("warm edge");
+  }
+}
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/SlotSharingTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/SlotSharingTest.java
@@ -1,7 +1,9 @@
 package org.toucansaddle.coordination.sharing;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.Map;
 import java.util.SplittableRandom;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -68,6 +70,21 @@
     }
   }
 
+  @Test
+  public void shouldRefuseToQueueRequestThatHoldsASlot() {
+    PoolScheduler<SharingSimulation.Request> scheduler = PoolScheduler.create(SharingMode.FLEET);
+    UpstreamSlots upstream = new UpstreamSlots("u1", 1, "127.0.0.1:1", "zone-a", 2, false);
+    scheduler.applyLease(
+        new Lease("r1", 1, 1, 1_000, false, Map.of("u1", 2), Map.of("u1", upstream), Map.of()), 0);
+    SharingSimulation.Request request = new SharingSimulation.Request(1, 10, 0);
+    scheduler.enqueue(request);
+    assertThat(scheduler.assign(1)).hasSize(1);
+    assertThatThrownBy(() -> scheduler.enqueue(request)).hasMessageContaining("finished");
+    scheduler.finished(request);
+    scheduler.enqueue(request);
+    assertThat(scheduler.waiting(1)).isEqualTo(1);
+  }
+
   @Test
   public void shouldServeSmallAccountWithinBoundAmongFloods() {
     SharingSimulation simulation = new SharingSimulation(3, 4, 0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -184,15 +184,17 @@
     String upstream = attempt.upstream().id();
     context.metrics().attempted(outcome.name());
     context.struckUpstreams().free(upstream, request.digest());
-    if (outcome == AttemptOutcome.WHOLE) {
-      whole(attempt, usage, now);
-    } else if (outcome != AttemptOutcome.PREEMPTED) {
-      failed(attempt, outcome, now);
+    if (outcome == AttemptOutcome.NOT_CONNECTED) {
+      pool.block(upstream);
     }
     pool.finished(this);
-    if (outcome == AttemptOutcome.PREEMPTED) {
+    if (outcome == AttemptOutcome.WHOLE) {
+      whole(attempt, usage, now);
+    } else if (outcome == AttemptOutcome.PREEMPTED) {
       DecisionLog.preempted(request, upstream, attempt.id());
       pool.submit(this);
+    } else {
+      failed(attempt, outcome, now);
     }
   }
 
@@ -213,9 +215,6 @@
   private void failed(ModelAttempt attempt, AttemptOutcome outcome, long now) {
     UpstreamSlots upstream = attempt.upstream();
     exclusions.add(upstream.id(), now);
-    if (outcome == AttemptOutcome.NOT_CONNECTED) {
-      pool.block(upstream.id());
-    }
     if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.STALLED) {
       context.client().dropIdle(upstream.address());
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
@@ -130,13 +130,13 @@
     synchronized (this) {
       inFlight = false;
     }
+    pool.finished(this);
     if (failure == null) {
       answered(upstream, startedAt, reply, now);
     } else {
       Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
       failed(upstream, cause, now);
     }
-    pool.finished(this);
   }
 
   private void answered(UpstreamSlots upstream, long startedAt, HttpReply reply, long now) {
