Give up a slow reader's answer outside the request's lock; remove dead code

Cause, found by reading the change: when 8 MB of an answer waited for a slow reader, the writer ended the request while it held the request's lock and then wanted the pool's; preemption holds the pool's and asks the request, so the two could wait for each other. The caller's connection also stayed open, which would have kept a graceful shutdown waiting. It is now ended on the caller's I/O thread, which closes the connection.

Removed: two methods nobody calls. The first attempt is told by its count, not by its id's ending.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -143,11 +143,6 @@
     return usable;
   }
 
-  @Override
-  public Collection<UpstreamSlots> knownUpstreams() {
-    return upstreams.values().stream().map(HeardUpstream::slots).toList();
-  }
-
   @Override
   public double serviceGap() {
     return balance.gap();
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolDispatcher.java
@@ -40,9 +40,6 @@
   /** Returns the upstreams that may get work at {@code now}. */
   Collection<UpstreamSlots> usableUpstreams(long now);
 
-  /** Returns all upstreams heard of recently. */
-  Collection<UpstreamSlots> knownUpstreams();
-
   /** Returns the largest difference of service between two backlogged accounts, in tokens. */
   double serviceGap();
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/EventStreamWriter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/EventStreamWriter.java
@@ -82,7 +82,7 @@
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     queue.add(ByteBuffer.wrap(bytes));
     if (queuedBytes.addAndGet(bytes.length) > MAX_QUEUED_BYTES) {
-      onCallerGone.run();
+      exchange.getIoThread().execute(this::callerGone);
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -100,7 +100,7 @@
     }
     DecisionLog.routed(
         request, upstream.id(), attempt.get().id(), assignment.reason(), assignment.passedOver());
-    if (isFirst(attempt.get())) {
+    if (isFirstAttempt()) {
       charge(promptEstimate());
     }
     attempt.get().send(context.client(), request.exchange().getRequestPath(), upstreamBody());
@@ -121,8 +121,8 @@
     return running;
   }
 
-  private boolean isFirst(ModelAttempt attempt) {
-    return attempt.id().endsWith(".1");
+  private synchronized boolean isFirstAttempt() {
+    return startedAttempts == 1;
   }
 
   private String upstreamBody() {
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/announce/Announcer.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/announce/Announcer.java
@@ -67,11 +67,6 @@
     }
   }
 
-  /** Announces at once. */
-  public void announceNow() {
-    announce();
-  }
-
   @Override
   public void close() {
     closed = true;
