--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -26,6 +26,7 @@
 public final class SlotDispatcher implements PoolDispatcher {
 
   private static final long FORGET_UPSTREAM_MILLIS = 60_000;
+  private static final long FORGET_ROUTER_MILLIS = 600_000;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private record HeardUpstream(UpstreamSlots slots, long heardAt) {}
@@ -37,6 +38,7 @@
   private final SlotSpeed speed = new SlotSpeed();
   private final Map<String, HeardUpstream> upstreams = new TreeMap<>();
   private final Map<String, RouterState> routers = new TreeMap<>();
+  private final Map<String, Long> departedAt = new HashMap<>();
   private Set<String> liveRouters = Set.of();
   private SlotPlan plan = SlotPlan.empty();
   private Map<String, Map<Integer, AccountDemand>> plannedDemands = Map.of();
@@ -95,6 +97,22 @@
                     !live.contains(router.name())
                         && now - router.heardAt() > settings.leaseMillis());
     planOutdated |= removed;
+    live.forEach(departedAt::remove);
+    routers.keySet().forEach(departedAt::remove);
+    balance.routers().stream()
+        .filter(name -> !live.contains(name) && !routers.containsKey(name))
+        .forEach(name -> departedAt.putIfAbsent(name, now));
+  }
+
+  /** Service that a router gave while it was cut off counts if it comes back within this time. */
+  private void forgetDeparted(long now) {
+    departedAt.forEach(
+        (name, since) -> {
+          if (now - since > FORGET_ROUTER_MILLIS) {
+            balance.forget(name);
+          }
+        });
+    departedAt.keySet().retainAll(balance.routers());
   }
 
   @Override
@@ -143,6 +161,19 @@
     return usable;
   }
 
+  @Override
+  public int waiting() {
+    return routers.values().stream().mapToInt(router -> router.demand().waiting()).sum();
+  }
+
+  @Override
+  public int inFlight() {
+    return routers.values().stream()
+        .flatMap(router -> router.accounts().values().stream())
+        .mapToInt(AccountDemand::inFlight)
+        .sum();
+  }
+
   @Override
   public double serviceGap() {
     return balance.gap();
@@ -153,6 +184,7 @@
   private void replan(long now) {
     planOutdated = false;
     plannedAt = now;
+    forgetDeparted(now);
     upstreams.values().removeIf(heard -> now - heard.heardAt() > FORGET_UPSTREAM_MILLIS);
     Map<String, UpstreamSlots> usable = usableById(now);
     dropUnusable(usable.keySet());
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/retry/StrikeTable.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/retry/StrikeTable.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -55,6 +56,11 @@
     byDigest.remove(digest);
   }
 
+  /** Returns the strikes of a digest, if it has any. */
+  public Optional<Strikes> find(long digest) {
+    return Optional.ofNullable(byDigest.get(digest));
+  }
+
   /** Returns the number of strikes. */
   public int count(long digest) {
     Strikes strikes = byDigest.get(digest);
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolDispatcher.java
@@ -40,6 +40,12 @@
   /** Returns the upstreams that may get work at {@code now}. */
   Collection<UpstreamSlots> usableUpstreams(long now);
 
+  /** Returns how many requests wait at all routers, as last heard. */
+  int waiting();
+
+  /** Returns how many requests run at all routers, as last heard. */
+  int inFlight();
+
   /** Returns the largest difference of service between two backlogged accounts, in tokens. */
   double serviceGap();
 }
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ServiceBalance.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ServiceBalance.java
@@ -16,13 +16,18 @@
  */
 public final class ServiceBalance {
 
-  private record Row(String router, long incarnation, int account) {}
+  /** Running totals of one start of a router. */
+  private static final class RouterTotals {
+    private final long incarnation;
+    private final Map<Integer, Long> byAccount = new HashMap<>();
 
-  private record Source(String router, long incarnation) {}
+    RouterTotals(long incarnation) {
+      this.incarnation = incarnation;
+    }
+  }
 
   private final double maxLeadTokens;
-  private final Map<Row, Long> rows = new HashMap<>();
-  private final Set<Source> sources = new HashSet<>();
+  private final Map<String, RouterTotals> routers = new HashMap<>();
   private final Map<Integer, Double> service = new HashMap<>();
   private Set<Integer> backlogged = new HashSet<>();
   private double totalTokens;
@@ -40,20 +45,26 @@
   /**
    * Takes a router's running totals by account, in tokens.
    *
-   * <p>The first report of a router's incarnation only says where its totals stand.
+   * <p>The first report of a router's incarnation only says where its totals stand. A report of an
+   * earlier incarnation is ignored.
    */
   public void report(String router, long incarnation, Map<Integer, Long> totals) {
-    boolean known = !sources.add(new Source(router, incarnation));
-    totals.forEach((account, total) -> report(router, incarnation, account, total, known));
+    RouterTotals known = routers.get(router);
+    if (known != null && known.incarnation > incarnation) {
+      return;
+    }
+    boolean first = known == null || known.incarnation < incarnation;
+    RouterTotals current = first ? new RouterTotals(incarnation) : known;
+    routers.put(router, current);
+    totals.forEach((account, total) -> report(current, account, total, !first));
   }
 
-  private void report(String router, long incarnation, int account, long total, boolean counts) {
-    Row row = new Row(router, incarnation, account);
-    long before = rows.getOrDefault(row, 0L);
+  private void report(RouterTotals router, int account, long total, boolean counts) {
+    long before = router.byAccount.getOrDefault(account, 0L);
     if (total <= before) {
       return;
     }
-    rows.put(row, total);
+    router.byAccount.put(account, total);
     if (counts) {
       double added = total - before;
       totalTokens += added;
@@ -61,10 +72,14 @@
     }
   }
 
-  /** Forgets a router's running totals. */
+  /** Forgets the running totals of a router that will not come back as it was. */
   public void forget(String router) {
-    rows.keySet().removeIf(row -> row.router().equals(router));
-    sources.removeIf(source -> source.router().equals(router));
+    routers.remove(router);
+  }
+
+  /** Returns the routers whose totals are kept. */
+  public Set<String> routers() {
+    return Set.copyOf(routers.keySet());
   }
 
   /** Sets which accounts have requests waiting somewhere. */
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/ServiceBalanceTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/ServiceBalanceTest.java
@@ -40,6 +40,22 @@
     assertThat(lag(2)).isEqualTo(80);
   }
 
+  @Test
+  public void shouldIgnoreLateReportOfEarlierIncarnation() {
+    balance.report("r1", 2, Map.of(1, 60L));
+    balance.report("r1", 1, Map.of(1, 900L));
+    assertThat(lag(2)).isZero();
+    assertThat(balance.routers()).containsExactlyInAnyOrder("r1", "r2");
+  }
+
+  @Test
+  public void shouldKeepNothingOfForgottenRouter() {
+    balance.report("r1", 1, Map.of(1, 60L));
+    balance.forget("r1");
+    assertThat(balance.routers()).containsExactly("r2");
+    assertThat(lag(2)).isEqualTo(30);
+  }
+
   @Test
   public void shouldNotCountTotalsFromBeforeTheFirstReport() {
     balance.report("r3", 1, Map.of(1, 5_000L));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
@@ -3,7 +3,9 @@
 import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup;
 import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -28,9 +30,17 @@
 import org.toucansaddle.daemon.internal.peer.PeerIdentity;
 import org.toucansaddle.daemon.internal.peer.PeerServer;
 import org.toucansaddle.daemon.internal.peer.PeerTls;
+import org.toucansaddle.daemon.internal.placement.HttpOrderClient;
+import org.toucansaddle.daemon.internal.placement.PlacementController;
 import org.toucansaddle.daemon.internal.sharing.ServiceCounters;
 import org.toucansaddle.daemon.internal.sharing.SharingController;
 import org.toucansaddle.daemon.settings.DaemonSettings;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.protocol.generated.ConfigurationItem;
+import org.toucansaddle.protocol.generated.PoolReport;
+import org.toucansaddle.protocol.generated.UpstreamKind;
+import org.toucansaddle.protocol.generated.WorkClass;
 
 /**
  * The controllers of one daemon and their links to other daemons.
@@ -43,6 +53,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
   private static final int TICK_MILLIS = 100;
   private static final int REPLICA_SET_MILLIS = 300;
+  private static final String MODEL_POOLS = "model/";
 
   private final ConfigurationHolder holder = new ConfigurationHolder();
   private final FleetDirectory directory = new FleetDirectory();
@@ -57,6 +68,9 @@
   private final ConfigurationFollower follower;
   private final SharingController sharing;
   private final MembershipController membership;
+  private final HttpClient orderClient =
+      HttpClient.create(HttpClientSettings.defaults().withIoThreads(1));
+  private final PlacementController placement;
 
   ControlPlane(DaemonSettings settings, StrikeTable strikes, ScheduledExecutorService timers)
       throws IOException {
@@ -72,6 +86,7 @@
     this.follower = new ConfigurationFollower(name, holder, controlClient, directory, clients);
     this.sharing = sharing(settings);
     this.membership = membership(settings, strikes);
+    this.placement = placement(leaderCalls);
     Optional<ReplicaSetController> replicaSet =
         replica.map(
             r -> new ReplicaSetController(r, settings.control().replicas(), directory, clients));
@@ -80,6 +95,7 @@
             control,
             membership,
             sharing,
+            this::onPoolReport,
             follower,
             leaderCalls,
             replica.map(r -> links),
@@ -118,7 +134,42 @@
   private SharingController sharing(DaemonSettings settings) {
     SharingSettings sharingSettings = SharingSettings.defaults().withMode(settings.sharingMode());
     return new SharingController(
-        self, sharingSettings, directory, clients, service, control, MonotonicClock::millis);
+        self,
+        sharingSettings,
+        directory,
+        clients,
+        service,
+        control,
+        MonotonicClock::millis,
+        this::onPoolReport);
+  }
+
+  private PlacementController placement(LeaderCalls leaderCalls) {
+    return new PlacementController(
+        () -> replica.map(ControlReplica::status),
+        leaderCalls,
+        this::firstTokenTargets,
+        new HttpOrderClient(orderClient),
+        MonotonicClock::millis,
+        ReplicationSettings.defaults().electionTimeoutMillis());
+  }
+
+  /** Returns the tightest target of each model that a class calls for, in milliseconds. */
+  private Map<String, Integer> firstTokenTargets() {
+    Map<String, Integer> targets = new TreeMap<>();
+    for (ConfigurationItem item : holder.current().items().items().values()) {
+      WorkClass workClass = item.getWorkClass();
+      if (item.hasWorkClass() && workClass.getKind() == UpstreamKind.MODEL) {
+        targets.merge(workClass.getPool(), workClass.getFirstTokenMillis(), Math::min);
+      }
+    }
+    return targets;
+  }
+
+  private void onPoolReport(PoolReport report) {
+    if (report.getPool().startsWith(MODEL_POOLS)) {
+      placement.onReport(report.getPool().substring(MODEL_POOLS.length()), report);
+    }
   }
 
   private MembershipController membership(DaemonSettings settings, StrikeTable strikes) {
@@ -150,6 +201,9 @@
   private void tick() {
     membership.tick();
     sharing.tick();
+    if (replica.isPresent()) {
+      placement.tick();
+    }
     confirmAsLeader();
   }
 
@@ -208,6 +262,11 @@
     return sharing;
   }
 
+  /** Tells all daemons at once that a request reached the limit of strikes. */
+  void announceStrikes(long digest) {
+    control.execute(() -> membership.announceStrikes(digest));
+  }
+
   /** Tells the other daemons that this one leaves. */
   void leave() {
     control.execute(membership::leave);
@@ -219,6 +278,7 @@
     replica.ifPresent(ControlReplica::close);
     clients.close();
     peerServer.close();
+    orderClient.close();
     peerThreads.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/InboundPeerService.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/InboundPeerService.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.internal.control.ConfigurationFollower;
@@ -16,6 +17,7 @@
 import org.toucansaddle.protocol.generated.FetchConfigurationReply;
 import org.toucansaddle.protocol.generated.FetchConfigurationRequest;
 import org.toucansaddle.protocol.generated.PeerMessage;
+import org.toucansaddle.protocol.generated.PoolReport;
 import org.toucansaddle.protocol.generated.ProposeReply;
 import org.toucansaddle.protocol.generated.ProposeRequest;
 import org.toucansaddle.protocol.generated.ReplicaProbeReply;
@@ -33,6 +35,7 @@
   private final ScheduledExecutorService control;
   private final MembershipController membership;
   private final SharingController sharing;
+  private final Consumer<PoolReport> onPoolReport;
   private final ConfigurationFollower follower;
   private final LeaderCalls leaderCalls;
   private final Optional<ReplicaLinks> replicaLinks;
@@ -42,6 +45,7 @@
       ScheduledExecutorService control,
       MembershipController membership,
       SharingController sharing,
+      Consumer<PoolReport> onPoolReport,
       ConfigurationFollower follower,
       LeaderCalls leaderCalls,
       Optional<ReplicaLinks> replicaLinks,
@@ -49,6 +53,7 @@
     this.control = control;
     this.membership = membership;
     this.sharing = sharing;
+    this.onPoolReport = onPoolReport;
     this.follower = follower;
     this.leaderCalls = leaderCalls;
     this.replicaLinks = replicaLinks;
@@ -63,6 +68,8 @@
       case LEASE -> onControl(() -> sharing.onLease(from, message.getLease()));
       case ANNOUNCEMENTS ->
           onControl(() -> sharing.onAnnouncements(from, message.getAnnouncements()));
+      case STRIKES -> onControl(() -> membership.onStrikes(message.getStrikes()));
+      case POOL_REPORT -> onControl(() -> onPoolReport.accept(message.getPoolReport()));
       case CONFIGURATION -> follower.onDelta(from.address(), message.getConfiguration());
       case REPLICATION ->
           replicaLinks.ifPresent(links -> links.receive(from, message.getReplication()));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RequestPath.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RequestPath.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
@@ -34,6 +35,10 @@
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
 import org.toucansaddle.protocol.generated.Announcement;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
 
 /** The way of callers' requests through one daemon: server, filters, client. Thread-safe. */
 final class RequestPath implements AutoCloseable {
@@ -44,6 +49,7 @@
   private static final int MAX_REPLY_BYTES = 32 << 20;
 
   private final DaemonSettings settings;
+  private final XnioWorker worker;
   private final HttpClient client;
   private final FilterChain chain;
   private final CallerHandler callers;
@@ -58,8 +64,10 @@
       ScheduledExecutorService timers,
       BooleanSupplier refusing) {
     this.settings = settings;
+    this.worker = createWorker(settings.limits().ioThreads());
     this.client =
-        HttpClient.create(
+        HttpClient.createOn(
+            worker,
             new HttpClientSettings(
                 settings.limits().ioThreads(),
                 CONNECT_TIMEOUT,
@@ -80,7 +88,8 @@
             metrics,
             timers,
             MonotonicClock::millis,
-            settings.limits().stallMillis());
+            settings.limits().stallMillis(),
+            plane::announceStrikes);
     List<RequestFilter> filters =
         List.of(
             new IdentifyFilter(plane.holder()),
@@ -104,6 +113,26 @@
         "toucansaddle_requests_under_way", "Requests under way at this router.", watch::size);
   }
 
+  /** Server and client share their I/O threads, so an answer is relayed on one thread. */
+  private static XnioWorker createWorker(int ioThreads) {
+    try {
+      return Xnio.getInstance(Undertow.class.getClassLoader())
+          .createWorker(
+              OptionMap.builder()
+                  .set(Options.WORKER_IO_THREADS, ioThreads)
+                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                  .set(Options.WORKER_NAME, "requests")
+                  .getMap());
+    } catch (IOException e) {
+      throw new IllegalStateException(
+          "The daemon could not start its I/O threads ("
+              + e.getMessage()
+              + "). Check the limit on open files, for example with ulimit -n.",
+          e);
+    }
+  }
+
   Undertow startServer(Consumer<Announcement> onAnnouncement, BooleanSupplier ready) {
     HttpHandler paths =
         Handlers.path(this::countAndHandle)
@@ -113,8 +142,7 @@
             .addExactPath("/metrics", exchange -> text(exchange, 200, metrics.text()));
     Undertow server =
         Addresses.listen(Undertow.builder(), settings.listen().callers())
-            .setIoThreads(settings.limits().ioThreads())
-            .setWorkerThreads(1)
+            .setWorker(worker)
             .setHandler(paths)
             .build();
     server.start();
@@ -149,5 +177,6 @@
   @Override
   public void close() {
     client.close();
+    worker.shutdownNow();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ControlStateMachine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ControlStateMachine.java
@@ -17,7 +17,7 @@
 import org.toucansaddle.protocol.generated.WorkClass;
 
 /**
- * State of the control replicas: configuration, results of commands, claims.
+ * State of the control replicas: configuration, results of commands, claims, placement orders.
  *
  * <p>Deterministic: depends on the commands alone; time comes with the commands and never runs
  * back. Not thread-safe.
@@ -27,6 +27,7 @@
   private final Consumer<ConfigurationItems> onConfiguration;
   private final CommandResults results = new CommandResults();
   private final ClaimTable claims = new ClaimTable();
+  private final OrderTable orders = new OrderTable();
   private ConfigurationItems configuration = ConfigurationItems.empty();
   private int nextAccountNumber = 1;
   private long clockMillis;
@@ -51,10 +52,16 @@
           .toByteArray();
     }
     clockMillis = Math.max(clockMillis, command.getProposedAtMillis());
-    return apply(command).toByteArray();
+    return apply(index, command).toByteArray();
   }
 
-  private CommandResult apply(Command command) {
+  private CommandResult apply(long index, Command command) {
+    if (command.hasPlacementOrder()) {
+      return orders
+          .issue(command.getPlacementOrder(), index, clockMillis)
+          .map(why -> result(CommandStatus.CONFLICT, why))
+          .orElseGet(() -> result(CommandStatus.ACCEPTED, "").toBuilder().setIndex(index).build());
+    }
     if (command.hasClaim()) {
       return claimResult(claims.claim(command, clockMillis));
     }
@@ -168,6 +175,7 @@
         .setNextAccountNumber(nextAccountNumber)
         .addAllResults(results.stored())
         .addAllClaims(claims.stored())
+        .addAllOrders(orders.stored())
         .setClockMillis(clockMillis)
         .build()
         .toByteArray();
@@ -188,6 +196,7 @@
     nextAccountNumber = Math.max(1, snapshot.getNextAccountNumber());
     results.restore(snapshot.getResultsList());
     claims.restore(snapshot.getClaimsList());
+    orders.restore(snapshot.getOrdersList());
     clockMillis = snapshot.getClockMillis();
     onConfiguration.accept(configuration);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
@@ -9,6 +9,7 @@
 import org.toucansaddle.coordination.sharing.SlotAssignment.Reason;
 import org.toucansaddle.daemon.internal.problem.Problem;
 import org.toucansaddle.daemon.internal.request.CallerRequest;
+import org.toucansaddle.protocol.generated.PlacementOrder;
 
 /**
  * Logs one line for each routing or placement decision.
@@ -94,6 +95,18 @@
         kv("upstreams", demand.upstreams()));
   }
 
+  /** An upstream was told what to hold, or answered that order. */
+  public static void ordered(PlacementOrder order, long fencing, String outcome) {
+    PLACEMENT.info(
+        "ordered {} {} {} {} {} {}",
+        kv("upstream", order.getUpstream()),
+        kv("action", order.getAction()),
+        kv("model", order.getModel()),
+        kv("from_pool", order.getFromPool()),
+        kv("fencing", fencing),
+        kv("outcome", outcome));
+  }
+
   /** A dispatcher changed what a router may use. */
   public static void leased(String pool, Lease lease, double gapTokens) {
     PLACEMENT.info(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/membership/MembershipController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/membership/MembershipController.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -12,6 +13,7 @@
 import org.toucansaddle.coordination.membership.MembershipTransport;
 import org.toucansaddle.coordination.membership.ProbeMessage;
 import org.toucansaddle.coordination.retry.StrikeTable;
+import org.toucansaddle.coordination.retry.StrikeTable.Strikes;
 import org.toucansaddle.daemon.internal.config.ConfigurationHolder;
 import org.toucansaddle.daemon.internal.control.ConfigurationFollower;
 import org.toucansaddle.daemon.internal.control.FleetDirectory;
@@ -20,6 +22,7 @@
 import org.toucansaddle.protocol.generated.PeerMessage;
 import org.toucansaddle.protocol.generated.Probe;
 import org.toucansaddle.protocol.generated.Strike;
+import org.toucansaddle.protocol.generated.StrikeNotice;
 
 /**
  * Runs the membership protocol; its probes also carry the configuration's revision and strikes.
@@ -31,6 +34,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(MembershipController.class);
   private static final int MAX_STRIKES = 8;
 
+  private final Member self;
   private final Membership membership;
   private final FleetDirectory directory;
   private final PeerClients clients;
@@ -51,6 +55,7 @@
       StrikeTable strikes,
       LongSupplier clock,
       Runnable onChange) {
+    this.self = self;
     this.directory = directory;
     this.clients = clients;
     this.holder = holder;
@@ -84,18 +89,43 @@
             .setConfirmedRevision(holder.current().revision())
             .setConfirmedAgeMillis((int) Math.min(Integer.MAX_VALUE, age));
     long now = clock.getAsLong();
-    strikes
-        .newest(MAX_STRIKES, now)
-        .forEach(
-            s ->
-                probe.addStrikes(
-                    Strike.newBuilder()
-                        .setDigest(s.digest())
-                        .setCount(s.count())
-                        .setAgeMillis((int) (now - s.atMillis()))));
+    strikes.newest(MAX_STRIKES, now).forEach(s -> probe.addStrikes(wire(s, now)));
     clients.send(address, PeerMessage.newBuilder().setProbe(probe).build());
   }
 
+  private static Strike wire(Strikes strikes, long now) {
+    return Strike.newBuilder()
+        .setDigest(strikes.digest())
+        .setCount(strikes.count())
+        .setAgeMillis((int) (now - strikes.atMillis()))
+        .build();
+  }
+
+  /** Tells every live daemon of a request's strikes without waiting for the next probes. */
+  public void announceStrikes(long digest) {
+    long now = clock.getAsLong();
+    Optional<Strikes> struck = strikes.find(digest);
+    if (struck.isEmpty()) {
+      return;
+    }
+    StrikeNotice notice = StrikeNotice.newBuilder().addStrikes(wire(struck.get(), now)).build();
+    PeerMessage message = PeerMessage.newBuilder().setStrikes(notice).build();
+    directory.live().stream()
+        .filter(member -> !member.name().equals(self.name()))
+        .forEach(member -> clients.send(member.address(), message));
+  }
+
+  /** Takes strikes that another daemon counted. */
+  public void onStrikes(StrikeNotice notice) {
+    merge(notice.getStrikesList(), clock.getAsLong());
+  }
+
+  private void merge(List<Strike> counted, long now) {
+    for (Strike strike : counted) {
+      strikes.merge(strike.getDigest(), strike.getCount(), now - strike.getAgeMillis(), now);
+    }
+  }
+
   @Override
   public void reconnect(String address) {
     clients.reconnect(address);
@@ -105,9 +135,7 @@
   public void onProbe(PeerIdentity from, Probe probe) {
     long now = clock.getAsLong();
     ProbeWire.decode(probe).ifPresent(message -> membership.receive(from.address(), message, now));
-    for (Strike strike : probe.getStrikesList()) {
-      strikes.merge(strike.getDigest(), strike.getCount(), now - strike.getAgeMillis(), now);
-    }
+    merge(probe.getStrikesList(), now);
     follower.onRevision(
         from.address(),
         probe.getRevision(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/AnswerWriter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/AnswerWriter.java
@@ -1,16 +1,20 @@
 package org.toucansaddle.daemon.internal.relay;
 
+import java.util.List;
 import org.toucansaddle.daemon.internal.problem.Problem;
 
 /**
  * Writes one model answer to a caller.
  *
- * <p>Calls come one at a time: any number of tokens, then one end or failure.
+ * <p>Calls come one at a time: any number of parts, then one end or failure.
  */
 interface AnswerWriter {
 
-  /** Writes one part of the answer, as the upstream's JSON and its text. */
-  void part(String json, String text);
+  /** Takes parts of the answer; they may stay unwritten until {@link #flush}. */
+  void parts(List<AnswerPart> parts);
+
+  /** Writes what was taken. Call it without any lock: it may find that the caller is gone. */
+  void flush();
 
   /** Ends a whole answer. */
   void end(AnswerUsage usage);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/EventStreamWriter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/EventStreamWriter.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -26,6 +27,8 @@
 final class EventStreamWriter implements AnswerWriter {
 
   private static final int MAX_QUEUED_BYTES = 8 << 20;
+  private static final byte[] DATA = "data: ".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] END_OF_EVENT = "\n\n".getBytes(StandardCharsets.US_ASCII);
 
   private final CallerRequest request;
   private final ProblemWriter problems;
@@ -47,9 +50,27 @@
   }
 
   @Override
-  public void part(String json, String text) {
+  public void parts(List<AnswerPart> parts) {
     started = true;
-    write("data: " + json + "\n\n");
+    int length = 0;
+    for (AnswerPart part : parts) {
+      length += DATA.length + part.json().length + END_OF_EVENT.length;
+    }
+    ByteBuffer events = ByteBuffer.allocate(length);
+    for (AnswerPart part : parts) {
+      events.put(DATA).put(part.json()).put(END_OF_EVENT);
+    }
+    enqueue(events.array());
+  }
+
+  /** Written at once on the caller's I/O thread, where an answer's parts usually arrive. */
+  @Override
+  public void flush() {
+    if (exchange.isInIoThread()) {
+      drain();
+    } else {
+      scheduleDrain();
+    }
   }
 
   @Override
@@ -66,20 +87,14 @@
     writeLast("event: error\ndata: " + ProblemWriter.json(request.id(), problem) + "\n\n");
   }
 
-  private void write(String text) {
-    enqueue(text);
-    scheduleDrain();
-  }
-
   /** The end is marked after the last text was queued, else a drain in between would cut it off. */
   private void writeLast(String text) {
-    enqueue(text);
+    enqueue(text.getBytes(StandardCharsets.UTF_8));
     ended = true;
     scheduleDrain();
   }
 
-  private void enqueue(String text) {
-    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+  private void enqueue(byte[] bytes) {
     queue.add(ByteBuffer.wrap(bytes));
     if (queuedBytes.addAndGet(bytes.length) > MAX_QUEUED_BYTES) {
       exchange.getIoThread().execute(this::callerGone);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelAttempt.java
@@ -1,10 +1,13 @@
 package org.toucansaddle.daemon.internal.relay;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.toucansaddle.coordination.sharing.UpstreamSlots;
 import org.toucansaddle.http.HttpCall;
@@ -22,14 +25,13 @@
  */
 final class ModelAttempt implements HttpStreamHandler {
 
-  private static final ObjectMapper JSON = new ObjectMapper();
   private static final int OK = 200;
-  private static final String DONE = "[DONE]";
+  private static final byte[] DONE = "[DONE]".getBytes(StandardCharsets.US_ASCII);
 
   /** Follows an attempt. */
   interface Listener {
-    /** Called with each part of the answer, in order. */
-    void onPart(ModelAttempt attempt, String json, String text);
+    /** Called with the parts of the answer that arrived together, in order. */
+    void onParts(ModelAttempt attempt, List<AnswerPart> parts);
 
     /** Called once when the attempt ended. */
     void onEnded(ModelAttempt attempt, AttemptOutcome outcome, boolean written, AnswerUsage usage);
@@ -46,6 +48,8 @@
   private volatile HttpExchange exchange;
   private int nextOffset;
   private AnswerUsage usage;
+  private List<AnswerPart> arrived = new ArrayList<>();
+  private Optional<AttemptOutcome> outcomeRead = Optional.empty();
 
   /**
    * Creates an attempt.
@@ -61,13 +65,20 @@
     this.listener = listener;
   }
 
-  /** Sends the request. */
+  /** Sends the request, unless the attempt was given up before. */
   void send(HttpClient client, String path, String body) {
+    if (ended.get()) {
+      return;
+    }
     HttpCall call =
         HttpCall.post(upstream.address(), path, body)
             .withHeader("X-Attempt-Id", id)
             .withHeader("X-Resume-Offset", Integer.toString(nextOffset));
-    exchange = client.stream(call, this);
+    HttpExchange started = client.stream(call, this);
+    exchange = started;
+    if (ended.get()) {
+      started.cancel();
+    }
   }
 
   String id() {
@@ -110,53 +121,48 @@
   public void onData(ByteBuffer data) {
     lastEventAtMillis = System.nanoTime() / 1_000_000;
     if (!parser.accept(data)) {
-      end(AttemptOutcome.WRONG_ANSWER, true);
+      read(AttemptOutcome.WRONG_ANSWER);
+    }
+    if (!arrived.isEmpty() && !ended.get()) {
+      List<AnswerPart> parts = arrived;
+      arrived = new ArrayList<>();
+      listener.onParts(this, parts);
     }
+    outcomeRead.ifPresent(outcome -> end(outcome, true));
   }
 
-  private void onEvent(String eventId, String data) {
-    if (ended.get()) {
+  private void read(AttemptOutcome outcome) {
+    if (outcomeRead.isEmpty()) {
+      outcomeRead = Optional.of(outcome);
+    }
+  }
+
+  private void onEvent(String eventId, byte[] data) {
+    if (outcomeRead.isPresent() || ended.get()) {
       return;
     }
-    if (data.equals(DONE)) {
-      end(usage == null ? AttemptOutcome.WRONG_ANSWER : AttemptOutcome.WHOLE, true);
+    if (Arrays.equals(data, DONE)) {
+      read(usage == null ? AttemptOutcome.WRONG_ANSWER : AttemptOutcome.WHOLE);
       return;
     }
     if (!eventId.equals(id + ":" + nextOffset)) {
-      end(AttemptOutcome.WRONG_ANSWER, true);
+      read(AttemptOutcome.WRONG_ANSWER);
       return;
     }
-    JsonNode event;
     try {
-      event = JSON.readTree(data);
-    } catch (JsonProcessingException e) {
-      end(AttemptOutcome.WRONG_ANSWER, true);
-      return;
+      onCompletion(data, CompletionEvent.parse(data));
+    } catch (IOException e) {
+      read(AttemptOutcome.WRONG_ANSWER);
     }
-    JsonNode choice = event.path("choices").path(0);
-    readUsage(event, choice);
+  }
+
+  private void onCompletion(byte[] data, CompletionEvent event) {
+    event.usage().ifPresent(counts -> usage = counts);
     if (usage == null) {
       nextOffset++;
     }
     answering = true;
-    listener.onPart(this, data, text(choice));
-  }
-
-  private void readUsage(JsonNode event, JsonNode choice) {
-    JsonNode reason = choice.path("finish_reason");
-    if (reason.isTextual()) {
-      JsonNode counts = event.path("usage");
-      usage =
-          new AnswerUsage(
-              counts.path("prompt_tokens").asInt(),
-              counts.path("completion_tokens").asInt(),
-              reason.asText());
-    }
-  }
-
-  private static String text(JsonNode choice) {
-    JsonNode text = choice.path("text");
-    return text.isTextual() ? text.asText() : choice.path("delta").path("content").asText("");
+    arrived.add(new AnswerPart(data, event.text()));
   }
 
   @Override
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.relay;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import org.toucansaddle.daemon.internal.request.CallerRequest;
 import org.toucansaddle.daemon.internal.sharing.PooledRequest;
 import org.toucansaddle.daemon.internal.sharing.RouterPool;
+import org.xnio.XnioIoThread;
 
 /**
  * A model request from its queue to its final answer, over one or more attempts.
@@ -26,6 +28,7 @@
   private static final int MAX_ATTEMPTS = 5;
   private static final int BACKOFF_MILLIS = 40;
   private static final int CHARACTERS_PER_TOKEN = 4;
+  private static final int TOKENS_CHARGED_TOGETHER = 8;
 
   private final CallerRequest request;
   private final RouterPool pool;
@@ -39,6 +42,7 @@
   private int startedAttempts;
   private int failedAttempts;
   private int parts;
+  private int unchargedTokens;
 
   ModelRequest(CallerRequest request, RouterPool pool, RelayContext context, RequestWatch watch) {
     this.request = request;
@@ -103,7 +107,19 @@
     if (isFirstAttempt()) {
       charge(promptEstimate());
     }
-    attempt.get().send(context.client(), request.exchange().getRequestPath(), upstreamBody());
+    send(attempt.get());
+  }
+
+  /** The attempt runs on the caller's I/O thread, so its parts need no change of thread. */
+  private void send(ModelAttempt attempt) {
+    String path = request.exchange().getRequestPath();
+    String body = upstreamBody();
+    XnioIoThread thread = request.exchange().getIoThread();
+    if (thread == Thread.currentThread()) {
+      attempt.send(context.client(), path, body);
+    } else {
+      thread.execute(() -> attempt.send(context.client(), path, body));
+    }
   }
 
   private boolean markStruck(UpstreamSlots upstream) {
@@ -138,31 +154,41 @@
   }
 
   private void charge(long tokens) {
+    if (tokens == 0) {
+      return;
+    }
     context.service().add(account(), tokens);
     context.metrics().served(request.account().getName(), tokens);
     pool.served(account(), tokens);
   }
 
   @Override
-  public void onPart(ModelAttempt attempt, String json, String text) {
+  public void onParts(ModelAttempt attempt, List<AnswerPart> arrived) {
     boolean first;
+    int due;
     synchronized (this) {
       if (ended || !isRunning(attempt)) {
         return;
       }
       first = parts == 0;
-      if (!text.isEmpty()) {
-        parts++;
-      }
-      answer.part(json, text);
+      int tokens = (int) arrived.stream().filter(AnswerPart::isToken).count();
+      parts += tokens;
+      unchargedTokens += tokens;
+      due = unchargedTokens < TOKENS_CHARGED_TOGETHER ? 0 : takeUncharged();
+      answer.parts(arrived);
     }
+    answer.flush();
     if (first) {
       long millis = context.clock().getAsLong() - request.receivedAtMillis();
       context.metrics().firstToken(request.workClass().getName(), millis / 1e3);
     }
-    if (!text.isEmpty()) {
-      charge(1);
-    }
+    charge(due);
+  }
+
+  private synchronized int takeUncharged() {
+    int tokens = unchargedTokens;
+    unchargedTokens = 0;
+    return tokens;
   }
 
   private boolean isRunning(ModelAttempt attempt) {
@@ -180,6 +206,7 @@
       everWritten |= written;
       failedAttempts += outcome == AttemptOutcome.PREEMPTED ? 0 : 1;
     }
+    charge(takeUncharged());
     long now = context.clock().getAsLong();
     String upstream = attempt.upstream().id();
     context.metrics().attempted(outcome.name());
@@ -234,6 +261,7 @@
   private void retryOrFail(AttemptOutcome outcome, long now) {
     long refusedFor = context.strikes().refusedForMillis(request.digest(), now);
     if (refusedFor > 0) {
+      context.onQuarantine().accept(request.digest());
       int seconds = (int) (refusedFor / 1_000) + 1;
       fail(Problems.quarantined(runState(), seconds).problem());
       return;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/RelayContext.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.relay;
 
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.toucansaddle.coordination.retry.StrikeTable;
 import org.toucansaddle.daemon.internal.metrics.RouterMetrics;
@@ -23,6 +24,7 @@
  * @param timers runs retries after their backoff
  * @param clock monotonic milliseconds
  * @param stallMillis longest silence of an upstream, in milliseconds
+ * @param onQuarantine told the digest of a request that reached the limit of strikes
  */
 public record RelayContext(
     HttpClient client,
@@ -35,4 +37,5 @@
     RouterMetrics metrics,
     ScheduledExecutorService timers,
     LongSupplier clock,
-    int stallMillis) {}
+    int stallMillis,
+    LongConsumer onQuarantine) {}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
@@ -118,7 +118,8 @@
             method,
             rest.isEmpty() ? "/" : rest,
             Map.of("X-Attempt-Id", attemptId(), "X-Account", request.account().getName()),
-            request.body());
+            request.body(),
+            request.claim().isPresent());
     String contentType = request.header("Content-Type");
     String key = request.header("Idempotency-Key");
     HttpCall typed = contentType.isEmpty() ? call : call.withHeader("Content-Type", contentType);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/SseParser.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/SseParser.java
@@ -13,19 +13,22 @@
 
   private static final int INITIAL_BYTES = 512;
   private static final int MAX_LINE_BYTES = 1 << 20;
+  private static final byte[] NONE = new byte[0];
+  private static final byte[] DATA = "data:".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
   /** Receives events. */
   @FunctionalInterface
   interface EventHandler {
-    /** Called with an event's id, or an empty string, and its data. */
-    void onEvent(String id, String data);
+    /** Called with an event's id, or an empty string, and its data in UTF-8. */
+    void onEvent(String id, byte[] data);
   }
 
   private final EventHandler handler;
   private byte[] line = new byte[INITIAL_BYTES];
   private int length;
   private String id = "";
-  private final StringBuilder data = new StringBuilder();
+  private byte[] data = NONE;
 
   SseParser(EventHandler handler) {
     this.handler = handler;
@@ -56,26 +59,39 @@
   }
 
   private void endLine() {
-    String text = new String(line, 0, length, StandardCharsets.UTF_8);
-    length = 0;
-    if (text.isEmpty()) {
+    if (length == 0) {
       dispatch();
-    } else if (text.startsWith("data:")) {
-      data.append(value(text, 5));
-    } else if (text.startsWith("id:")) {
-      id = value(text, 3);
+    } else if (startsWith(DATA)) {
+      data = joined(data, value(DATA.length));
+    } else if (startsWith(ID)) {
+      id = new String(value(ID.length), StandardCharsets.UTF_8);
     }
+    length = 0;
+  }
+
+  private boolean startsWith(byte[] prefix) {
+    return length >= prefix.length
+        && Arrays.equals(line, 0, prefix.length, prefix, 0, prefix.length);
   }
 
-  private static String value(String text, int start) {
-    boolean space = text.length() > start && text.charAt(start) == ' ';
-    return text.substring(space ? start + 1 : start);
+  private byte[] value(int start) {
+    boolean space = length > start && line[start] == ' ';
+    return Arrays.copyOfRange(line, space ? start + 1 : start, length);
+  }
+
+  private static byte[] joined(byte[] first, byte[] second) {
+    if (first.length == 0) {
+      return second;
+    }
+    byte[] both = Arrays.copyOf(first, first.length + second.length);
+    System.arraycopy(second, 0, both, first.length, second.length);
+    return both;
   }
 
   private void dispatch() {
-    if (data.length() > 0) {
-      String complete = data.toString();
-      data.setLength(0);
+    if (data.length > 0) {
+      byte[] complete = data;
+      data = NONE;
       handler.onEvent(id, complete);
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/WholeAnswerWriter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/WholeAnswerWriter.java
@@ -7,6 +7,7 @@
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.toucansaddle.daemon.internal.problem.Problem;
 import org.toucansaddle.daemon.internal.request.CallerRequest;
 import org.toucansaddle.daemon.internal.request.ProblemWriter;
@@ -26,8 +27,13 @@
   }
 
   @Override
-  public void part(String json, String partText) {
-    text.append(partText);
+  public void parts(List<AnswerPart> parts) {
+    parts.forEach(part -> text.append(part.text()));
+  }
+
+  @Override
+  public void flush() {
+    // The answer is written as a whole when it ends.
   }
 
   @Override
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AdmitFilter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AdmitFilter.java
@@ -1,9 +1,11 @@
 package org.toucansaddle.daemon.internal.request;
 
+import java.util.OptionalDouble;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.toucansaddle.daemon.internal.problem.Problems;
+import org.toucansaddle.daemon.internal.request.HoldingTimes.Holding;
 import org.toucansaddle.daemon.internal.sharing.PoolKey;
 import org.toucansaddle.daemon.internal.sharing.RouterPool;
 
@@ -54,11 +56,12 @@
     if (waiting >= maxQueued) {
       throw Problems.queueFull(maxQueued, 1);
     }
-    double holding = holdingTimes.meanMillis(request.pool(), request.workClass().getName());
-    double start = waiting * holding / pool.concurrency(account);
+    Holding holding = holdingTimes.of(request.pool(), request.workClass().getName());
+    OptionalDouble slots = pool.slotsInUse(account);
+    double start = slots.isEmpty() ? 0 : ExpectedWait.millis(waiting, slots.getAsDouble(), holding);
     long now = clock.getAsLong();
     refuseIfLate("the first token", now + start, request.firstTokenDeadlineMillis());
-    refuseIfLate("the whole answer", now + start + holding, request.deadlineMillis());
+    refuseIfLate("the whole answer", now + start + holding.meanMillis(), request.deadlineMillis());
     chain.next(request);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AnnouncementHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AnnouncementHandler.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
@@ -83,6 +85,11 @@
     if (!kind.equals("model") && !kind.equals("service")) {
       return Optional.of("'kind' must be 'model' or 'service'");
     }
+    for (String model : loadable(json)) {
+      if (!NAME.matcher(model).matches()) {
+        return Optional.of("'loadable' must be a list of names of models");
+      }
+    }
     return Optional.empty();
   }
 
@@ -108,9 +115,16 @@
         .setRunning(Math.max(0, json.path("running").asInt()))
         .setLeaving(json.path("leaving").asBoolean())
         .setChecksFencing(json.path("checks_fencing").asBoolean())
+        .addAllLoadable(loadable(json))
         .build();
   }
 
+  private static List<String> loadable(JsonNode json) {
+    List<String> models = new ArrayList<>();
+    json.path("loadable").forEach(model -> models.add(model.asText()));
+    return models;
+  }
+
   private static void refuse(HttpServerExchange exchange, String why) {
     String detail =
         "The announcement is not valid: "
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/HoldingTimes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/HoldingTimes.java
@@ -4,25 +4,52 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.toucansaddle.daemon.internal.sharing.PoolKey;
 
-/** Running mean of how long requests of a class hold a slot. Thread-safe. */
+/** Running mean and deviation of how long requests of a class hold a slot. Thread-safe. */
 public final class HoldingTimes {
 
   private static final double WEIGHT_OF_NEW = 0.05;
 
+  /**
+   * How long requests hold a slot. Immutable.
+   *
+   * @param meanMillis mean, in milliseconds
+   * @param variance variance, in square milliseconds
+   */
+  public record Holding(double meanMillis, double variance) {
+
+    /** Nothing is known yet. */
+    static final Holding UNKNOWN = new Holding(0, 0);
+
+    private Holding with(double millis) {
+      double difference = millis - meanMillis;
+      double added = WEIGHT_OF_NEW * difference;
+      return new Holding(meanMillis + added, (1 - WEIGHT_OF_NEW) * (variance + added * difference));
+    }
+
+    /**
+     * Returns the standard deviation of the sum of some requests' times, in milliseconds.
+     *
+     * <p>The mean is itself uncertain, which counts more the longer the sum.
+     */
+    public double deviationOfSumMillis(int requests) {
+      double ofMean = variance * WEIGHT_OF_NEW / (2 - WEIGHT_OF_NEW);
+      return Math.sqrt(requests * variance + (double) requests * requests * ofMean);
+    }
+  }
+
   private record Key(PoolKey pool, String workClass) {}
 
-  private final Map<Key, Double> means = new ConcurrentHashMap<>();
+  private final Map<Key, Holding> byClass = new ConcurrentHashMap<>();
 
   /** Records a request that ended. */
   public void observe(PoolKey pool, String workClass, long millis) {
-    means.merge(
+    byClass.compute(
         new Key(pool, workClass),
-        (double) millis,
-        (mean, value) -> mean + WEIGHT_OF_NEW * (value - mean));
+        (key, before) -> before == null ? new Holding(millis, 0) : before.with(millis));
   }
 
-  /** Returns the mean in milliseconds; 0 before the first request ended. */
-  public double meanMillis(PoolKey pool, String workClass) {
-    return means.getOrDefault(new Key(pool, workClass), 0.0);
+  /** Returns what is known; zeros before the first request ended. */
+  public Holding of(PoolKey pool, String workClass) {
+    return byClass.getOrDefault(new Key(pool, workClass), Holding.UNKNOWN);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
@@ -1,8 +1,13 @@
 package org.toucansaddle.daemon.internal.sharing;
 
+import static java.util.stream.Collectors.toSet;
+
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.toucansaddle.coordination.sharing.Lease;
 import org.toucansaddle.coordination.sharing.PoolDispatcher;
 import org.toucansaddle.coordination.sharing.RouterDemand;
@@ -12,6 +17,7 @@
 import org.toucansaddle.daemon.internal.peer.PeerIdentity;
 import org.toucansaddle.protocol.generated.Announcement;
 import org.toucansaddle.protocol.generated.Demand;
+import org.toucansaddle.protocol.generated.PoolReport;
 import org.toucansaddle.protocol.generated.SlotLease;
 
 /** A pool dispatched by this daemon. Used on the control thread only. */
@@ -20,11 +26,17 @@
   /** A lease and the router that gets it. */
   record AddressedLease(String router, SlotLease message) {}
 
+  private static final long NOT_BACKLOGGED = Long.MAX_VALUE;
+  private static final int MAX_MOVABLE = 2;
+  private static final String MODEL_POOLS = "model/";
+
   private final String pool;
   private final long epoch;
   private final PoolDispatcher dispatcher;
   private final LeaseWire wire;
+  private final Map<String, Announcement> announcements = new TreeMap<>();
   private boolean pollScheduled;
+  private long backloggedSince = NOT_BACKLOGGED;
 
   DispatchedPool(String pool, SharingSettings settings, long epoch, long now) {
     this.pool = pool;
@@ -34,6 +46,7 @@
   }
 
   void announced(Announcement announcement, long heardAt) {
+    announcements.put(announcement.getId(), announcement);
     dispatcher.announced(
         new UpstreamSlots(
             announcement.getId(),
@@ -75,6 +88,31 @@
     pollScheduled = scheduled;
   }
 
+  boolean servesModel() {
+    return pool.startsWith(MODEL_POOLS);
+  }
+
+  /** Returns what the control replicas need to know of the pool. */
+  PoolReport report(long now) {
+    Set<String> usable =
+        dispatcher.usableUpstreams(now).stream().map(UpstreamSlots::id).collect(toSet());
+    announcements.keySet().retainAll(usable);
+    backloggedSince = dispatcher.waiting() == 0 ? NOT_BACKLOGGED : Math.min(backloggedSince, now);
+    PoolReport.Builder report =
+        PoolReport.newBuilder()
+            .setPool(pool)
+            .setUpstreams(usable.size())
+            .setInFlight(dispatcher.inFlight())
+            .setBackloggedMillis((int) Math.max(0, now - backloggedSince));
+    announcements.values().forEach(a -> report.setSlots(report.getSlots() + a.getSlots()));
+    announcements.values().stream()
+        .filter(a -> a.getLoadableCount() > 0)
+        .sorted(Comparator.comparingInt(Announcement::getRunning))
+        .limit(MAX_MOVABLE)
+        .forEach(report::addMovable);
+    return report.build();
+  }
+
   double serviceGap() {
     return dispatcher.serviceGap();
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import org.toucansaddle.coordination.sharing.AccountDemand;
@@ -40,6 +41,7 @@
   private final LongSupplier clock;
   private final Listener listener;
   private final Map<Integer, Integer> reportedWaiting = new HashMap<>();
+  private final SlotsInUse slotsInUse = new SlotsInUse();
   private final ReentrantLock lock = new ReentrantLock();
 
   /**
@@ -71,8 +73,10 @@
     boolean urgent;
     lock.lock();
     try {
+      long now = clock.getAsLong();
       scheduler.enqueue(request);
-      assignments = scheduler.assign(clock.getAsLong());
+      noteUse(request.account(), now);
+      assignments = assign(now);
       urgent = hasDoubled(request.account());
     } finally {
       lock.unlock();
@@ -83,6 +87,18 @@
     }
   }
 
+  private List<SlotAssignment<PooledRequest>> assign(long now) {
+    List<SlotAssignment<PooledRequest>> assignments = scheduler.assign(now);
+    for (SlotAssignment<PooledRequest> assignment : assignments) {
+      noteUse(assignment.request().account(), now);
+    }
+    return assignments;
+  }
+
+  private void noteUse(int account, long now) {
+    slotsInUse.update(account, scheduler.inFlight(account), scheduler.waiting(account) > 0, now);
+  }
+
   private boolean hasDoubled(int account) {
     return scheduler.waiting(account) > 2 * reportedWaiting.getOrDefault(account, 0);
   }
@@ -91,7 +107,9 @@
   public boolean cancel(PooledRequest request) {
     lock.lock();
     try {
-      return scheduler.remove(request);
+      boolean removed = scheduler.remove(request);
+      noteUse(request.account(), clock.getAsLong());
+      return removed;
     } finally {
       lock.unlock();
     }
@@ -104,8 +122,10 @@
     boolean idleWanted;
     lock.lock();
     try {
+      long now = clock.getAsLong();
       wasOver = scheduler.finished(request);
-      assignments = scheduler.assign(clock.getAsLong());
+      assignments = assign(now);
+      noteUse(request.account(), now);
       idleWanted = scheduler.holdsWanted();
     } finally {
       lock.unlock();
@@ -143,7 +163,7 @@
     List<SlotAssignment<PooledRequest>> assignments;
     lock.lock();
     try {
-      assignments = scheduler.assign(clock.getAsLong());
+      assignments = assign(clock.getAsLong());
     } finally {
       lock.unlock();
     }
@@ -158,7 +178,7 @@
     try {
       long now = clock.getAsLong();
       boolean shrank = scheduler.applyLease(lease, now);
-      assignments = scheduler.assign(now);
+      assignments = assign(now);
       preempted = scheduler.preempt();
       urgent = scheduler.releaseWanted() || shrank;
     } finally {
@@ -210,11 +230,16 @@
     }
   }
 
-  /** Returns how many requests of an account may run here at a time, at least 1. */
-  public int concurrency(int account) {
+  /**
+   * Returns how many slots an account uses here on average while its requests wait; nothing before
+   * its first request ran.
+   */
+  public OptionalDouble slotsInUse(int account) {
     lock.lock();
     try {
-      return Math.max(1, Math.max(scheduler.quota(account), scheduler.inFlight(account)));
+      return slotsInUse.isKnown(account)
+          ? OptionalDouble.of(slotsInUse.mean(account, clock.getAsLong()))
+          : OptionalDouble.empty();
     } finally {
       lock.unlock();
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.toucansaddle.coordination.membership.Member;
@@ -21,6 +22,7 @@
 import org.toucansaddle.protocol.generated.AnnouncementBatch;
 import org.toucansaddle.protocol.generated.Demand;
 import org.toucansaddle.protocol.generated.PeerMessage;
+import org.toucansaddle.protocol.generated.PoolReport;
 import org.toucansaddle.protocol.generated.SlotLease;
 
 /**
@@ -36,6 +38,7 @@
   private static final int URGENT_GAP_MILLIS = 20;
   private static final int IDLE_GRACE_MILLIS = 10;
   private static final int ANNOUNCEMENT_BATCH_MILLIS = 600;
+  private static final int REPORT_MILLIS = 2_500;
 
   private final PeerIdentity self;
   private final SharingSettings settings;
@@ -44,14 +47,20 @@
   private final ServiceCounters service;
   private final ScheduledExecutorService control;
   private final LongSupplier clock;
+  private final Consumer<PoolReport> onReport;
   private final Map<PoolKey, RouterPool> pools = new ConcurrentHashMap<>();
   private final Map<String, DemandSender> senders = new TreeMap<>();
   private final Map<String, DispatchedPool> dispatched = new TreeMap<>();
   private final Map<String, AnnouncementRelay> relays = new HashMap<>();
   private final Map<Integer, Announcement> announcementsByHash = new ConcurrentHashMap<>();
   private final Map<String, Announcement> announced = new ConcurrentHashMap<>();
+  private long reportedAt;
 
-  /** Creates a controller; {@code control} must run one task at a time. */
+  /**
+   * Creates a controller; {@code control} must run one task at a time.
+   *
+   * @param onReport takes reports of the pools dispatched here, if this daemon is a control replica
+   */
   public SharingController(
       PeerIdentity self,
       SharingSettings settings,
@@ -59,7 +68,8 @@
       PeerClients clients,
       ServiceCounters service,
       ScheduledExecutorService control,
-      LongSupplier clock) {
+      LongSupplier clock,
+      Consumer<PoolReport> onReport) {
     this.self = self;
     this.settings = settings;
     this.directory = directory;
@@ -67,6 +77,7 @@
     this.service = service;
     this.control = control;
     this.clock = clock;
+    this.onReport = onReport;
   }
 
   /** Returns this router's pool of a key, creating it if needed. Any thread. */
@@ -319,6 +330,29 @@
     }
   }
 
+  /** Tells the control replicas of the pools dispatched here. */
+  private void sendReports(long now) {
+    if (now - reportedAt < REPORT_MILLIS) {
+      return;
+    }
+    reportedAt = now;
+    List<Member> replicas = directory.live().stream().filter(Member::control).toList();
+    for (DispatchedPool pool : dispatched.values()) {
+      if (!pool.servesModel()) {
+        continue;
+      }
+      PoolReport report = pool.report(now);
+      for (Member replica : replicas) {
+        if (replica.name().equals(self.name())) {
+          onReport.accept(report);
+        } else {
+          PeerMessage message = PeerMessage.newBuilder().setPoolReport(report).build();
+          clients.sendSoon(replica.address(), message);
+        }
+      }
+    }
+  }
+
   /** Does what has become due; call it every few tens of milliseconds. */
   public void tick() {
     long now = clock.getAsLong();
@@ -328,6 +362,7 @@
     for (DispatchedPool pool : List.copyOf(dispatched.values())) {
       sendLeases(pool);
     }
+    sendReports(now);
     relays.forEach(
         (address, relay) -> {
           if (relay.oldestAge(now) >= ANNOUNCEMENT_BATCH_MILLIS) {
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpClient.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.toucansaddle.http.internal.UndertowHttpClient;
+import org.xnio.XnioWorker;
 
 /**
  * Sends HTTP requests and streams the answers.
@@ -24,6 +25,16 @@
     return new UndertowHttpClient(settings);
   }
 
+  /**
+   * Creates a client that uses a server's I/O threads.
+   *
+   * <p>A call made on one of these threads stays on it, and so does its answer. The worker's owner
+   * ends the threads.
+   */
+  static HttpClient createOn(XnioWorker worker, HttpClientSettings settings) {
+    return new UndertowHttpClient(settings, worker);
+  }
+
   /** Sends a request and returns its whole answer, or an {@link HttpFailure}. */
   CompletableFuture<HttpReply> send(HttpCall call, Duration timeout);
 
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
@@ -33,7 +33,8 @@
 /**
  * HTTP client over Undertow's client.
  *
- * <p>Each connection carries one exchange at a time and belongs to one I/O thread. Thread-safe.
+ * <p>Each connection carries one exchange at a time and belongs to one I/O thread. A call made on
+ * one of the worker's I/O threads stays on that thread, so its answer arrives there. Thread-safe.
  */
 public final class UndertowHttpClient implements HttpClient {
 
@@ -42,23 +43,40 @@
   private final HttpClientSettings settings;
   private final XnioWorker worker;
   private final ByteBufferPool buffers;
-  private final Map<String, Deque<PooledConnection>> idle = new ConcurrentHashMap<>();
+  private final boolean ownsWorker;
+  private final Map<IdleKey, Deque<PooledConnection>> idle = new ConcurrentHashMap<>();
 
-  /** Starts the I/O threads. */
+  /** Idle connections are kept for the thread that they belong to. */
+  private record IdleKey(String target, XnioIoThread ioThread) {}
+
+  /** Starts a client with its own I/O threads. */
   public UndertowHttpClient(HttpClientSettings settings) {
+    this(settings, createWorker(settings), true);
+  }
+
+  /** Starts a client on the I/O threads of a server, which also ends them. */
+  public UndertowHttpClient(HttpClientSettings settings, XnioWorker worker) {
+    this(settings, worker, false);
+  }
+
+  private UndertowHttpClient(HttpClientSettings settings, XnioWorker worker, boolean ownsWorker) {
     this.settings = settings;
+    this.worker = worker;
+    this.ownsWorker = ownsWorker;
     this.buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
+  }
+
+  private static XnioWorker createWorker(HttpClientSettings settings) {
     try {
-      this.worker =
-          Xnio.getInstance(UndertowHttpClient.class.getClassLoader())
-              .createWorker(
-                  OptionMap.builder()
-                      .set(Options.WORKER_IO_THREADS, settings.ioThreads())
-                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                      .set(Options.THREAD_DAEMON, true)
-                      .set(Options.WORKER_NAME, "http-client")
-                      .getMap());
+      return Xnio.getInstance(UndertowHttpClient.class.getClassLoader())
+          .createWorker(
+              OptionMap.builder()
+                  .set(Options.WORKER_IO_THREADS, settings.ioThreads())
+                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                  .set(Options.THREAD_DAEMON, true)
+                  .set(Options.WORKER_NAME, "http-client")
+                  .getMap());
     } catch (IOException e) {
       throw new IllegalStateException(
           "The HTTP client could not start its I/O threads (" + e.getMessage() + ").", e);
@@ -81,17 +99,32 @@
   @Override
   public HttpExchange stream(HttpCall call, HttpStreamHandler handler) {
     ClientExchangeDriver driver = new ClientExchangeDriver(call, handler, this::release);
-    PooledConnection reused = takeIdle(call.target());
+    XnioIoThread ioThread = ioThread();
+    PooledConnection reused = call.fresh() ? null : takeIdle(call.target(), ioThread);
     if (reused != null) {
-      reused.ioThread().execute(() -> driver.start(reused));
+      run(ioThread, () -> driver.start(reused));
     } else {
-      connect(call, driver);
+      connect(call, driver, ioThread);
     }
     return driver;
   }
 
-  private void connect(HttpCall call, ClientExchangeDriver driver) {
-    XnioIoThread ioThread = worker.getIoThread();
+  /** Returns the calling thread if it is one of the worker's, else any of them. */
+  private XnioIoThread ioThread() {
+    XnioIoThread current = XnioIoThread.currentThread();
+    boolean own = current != null && current.getWorker() == worker;
+    return own ? current : worker.getIoThread();
+  }
+
+  private static void run(XnioIoThread ioThread, Runnable task) {
+    if (ioThread == Thread.currentThread()) {
+      task.run();
+    } else {
+      ioThread.execute(task);
+    }
+  }
+
+  private void connect(HttpCall call, ClientExchangeDriver driver, XnioIoThread ioThread) {
     AtomicBoolean settled = new AtomicBoolean();
     long timeoutMillis = settings.connectTimeout().toMillis();
     ioThread.executeAfter(
@@ -141,8 +174,8 @@
         cause);
   }
 
-  private PooledConnection takeIdle(String target) {
-    Deque<PooledConnection> queue = idle.get(target);
+  private PooledConnection takeIdle(String target, XnioIoThread ioThread) {
+    Deque<PooledConnection> queue = idle.get(new IdleKey(target, ioThread));
     if (queue == null) {
       return null;
     }
@@ -163,13 +196,21 @@
       return;
     }
     connection.markIdle();
-    idle.computeIfAbsent(connection.target(), target -> new ConcurrentLinkedDeque<>())
-        .addFirst(connection);
+    IdleKey key = new IdleKey(connection.target(), connection.ioThread());
+    idle.computeIfAbsent(key, k -> new ConcurrentLinkedDeque<>()).addFirst(connection);
   }
 
   @Override
   public void dropIdle(String target) {
-    Deque<PooledConnection> queue = idle.remove(target);
+    for (IdleKey key : idle.keySet()) {
+      if (key.target().equals(target)) {
+        dropIdle(key);
+      }
+    }
+  }
+
+  private void dropIdle(IdleKey key) {
+    Deque<PooledConnection> queue = idle.remove(key);
     if (queue != null) {
       queue.forEach(PooledConnection::close);
     }
@@ -178,7 +219,9 @@
   @Override
   public void close() {
     idle.keySet().forEach(this::dropIdle);
-    worker.shutdownNow();
+    if (ownsWorker) {
+      worker.shutdownNow();
+    }
     buffers.close();
   }
 }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/UpstreamMain.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/UpstreamMain.java
@@ -54,17 +54,23 @@
   void engine(
       @Option(names = "--count", defaultValue = "1", description = "Number of engines.") int count,
       @Option(names = "--step-millis", defaultValue = "10", description = "Time of a step.")
-          int stepMillis)
+          int stepMillis,
+      @Option(names = "--loadable", split = ",", description = "Models that it can load.")
+          List<String> loadable,
+      @Option(names = "--load-millis", defaultValue = "2000", description = "Time of a load.")
+          int loadMillis,
+      @Option(names = "--checks-fencing", description = "Refuse orders with an old number.")
+          boolean checksFencing)
       throws InterruptedException {
     for (int i = 0; i < count; i++) {
       String name = count == 1 ? id : id + "-" + (i + 1);
-      EngineSettings settings = new EngineSettings(name, port + i, pool, slots, stepMillis, zone);
+      EngineSettings settings =
+          new EngineSettings(name, port + i, pool, slots, stepMillis, zone)
+              .withOrders(loadable == null ? List.of() : loadable, loadMillis, checksFencing);
       Journal journal = new Journal(journalFolder.resolve(name + ".jsonl"));
       StandinEngine engine = new StandinEngine(settings, journal);
       ObjectNode fixed = announcement("model", name, port + i);
-      new Announcer(
-          routers,
-          () -> fixed.deepCopy().put("running", engine.load()).put("leaving", engine.isLeaving()));
+      new Announcer(routers, () -> engine.describe(fixed.deepCopy()));
     }
     new CountDownLatch(1).await();
   }
