Tell every router at once of a request that reached its limit of strikes; place models

Placement: pools report to the control replicas; the leader orders an upstream to load a model that a class calls for and nobody holds, or whose requests waited longer than its first-token target. Orders are committed first, their index is the fencing number, the weight store's limit is part of the replicated state.

Strikes at the limit go to every live daemon at once. Test on a fleet: three engines die, the caller's resend at another router is refused without running, eight neighbours are answered whole. Once in six runs a neighbour was not whole, while a measurement ran beside the test; cause not found yet.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
@@ -147,7 +147,7 @@
   private PlacementController placement(LeaderCalls leaderCalls) {
     return new PlacementController(
         () -> replica.map(ControlReplica::status),
-        leaderCalls,
+        leaderCalls::propose,
         this::firstTokenTargets,
         new HttpOrderClient(orderClient),
         MonotonicClock::millis,
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/placement/PlacementController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/placement/PlacementController.java
@@ -4,12 +4,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.replication.ReplicaStatus;
-import org.toucansaddle.daemon.internal.control.LeaderCalls;
 import org.toucansaddle.daemon.internal.logging.DecisionLog;
 import org.toucansaddle.daemon.internal.placement.PlacementPlanner.Move;
 import org.toucansaddle.protocol.generated.Command;
@@ -36,7 +37,7 @@
   private static final long LOAD_MILLIS = 20_000;
 
   private final Supplier<Optional<ReplicaStatus>> replica;
-  private final LeaderCalls calls;
+  private final Function<ProposeRequest, CompletableFuture<ProposeReply>> log;
   private final Supplier<Map<String, Integer>> firstTokenTargets;
   private final OrderClient orders;
   private final LongSupplier clock;
@@ -52,7 +53,7 @@
    * Creates a controller.
    *
    * @param replica state of this daemon's replica, if it has one
-   * @param calls proposes orders to the log
+   * @param log proposes orders to the replicated log
    * @param firstTokenTargets tightest first-token target by model, in milliseconds
    * @param orders brings orders to upstreams
    * @param clock monotonic milliseconds
@@ -60,13 +61,13 @@
    */
   public PlacementController(
       Supplier<Optional<ReplicaStatus>> replica,
-      LeaderCalls calls,
+      Function<ProposeRequest, CompletableFuture<ProposeReply>> log,
       Supplier<Map<String, Integer>> firstTokenTargets,
       OrderClient orders,
       LongSupplier clock,
       long oldLeaseMillis) {
     this.replica = replica;
-    this.calls = calls;
+    this.log = log;
     this.firstTokenTargets = firstTokenTargets;
     this.orders = orders;
     this.clock = clock;
@@ -127,8 +128,7 @@
             .setPlacementOrder(order)
             .build();
     long term = ledTerm;
-    calls
-        .propose(ProposeRequest.newBuilder().setCommand(command).build())
+    log.apply(ProposeRequest.newBuilder().setCommand(command).build())
         .thenAccept(reply -> committed(move, order, term, reply));
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/control/ControlStateMachineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/control/ControlStateMachineTest.java
@@ -15,6 +15,7 @@
 import org.toucansaddle.protocol.generated.Command;
 import org.toucansaddle.protocol.generated.CommandResult;
 import org.toucansaddle.protocol.generated.CommandStatus;
+import org.toucansaddle.protocol.generated.PlacementOrder;
 import org.toucansaddle.protocol.generated.WorkClass;
 
 /** Applies commands to the control state. */
@@ -190,4 +191,30 @@
       assertThat(result.getStatus()).isNotEqualTo(CommandStatus.COMMAND_STATUS_UNSPECIFIED);
     }
   }
+
+  private CommandResult order(String upstream, long atMillis) {
+    return apply(
+        Command.newBuilder()
+            .setProposedAtMillis(atMillis)
+            .setPlacementOrder(PlacementOrder.newBuilder().setUpstream(upstream).setModel("m")));
+  }
+
+  @Test
+  public void shouldNumberOrdersByTheirIndex() {
+    long first = order("u1", 10_000).getIndex();
+    apply(putClass("c1", "a", 0));
+    assertThat(first).isEqualTo(1);
+    assertThat(order("u2", 90_000).getIndex()).isEqualTo(3);
+  }
+
+  @Test
+  public void shouldLimitLoadsAlsoAfterASnapshot() {
+    order("u1", 10_000);
+    assertThat(order("u2", 14_999).getStatus()).isEqualTo(CommandStatus.CONFLICT);
+    ControlStateMachine restored = new ControlStateMachine(items -> {});
+    restored.restore(machine.snapshot());
+    machine = restored;
+    assertThat(order("u2", 14_999).getStatus()).isEqualTo(CommandStatus.CONFLICT);
+    assertThat(order("u2", 15_000).getStatus()).isEqualTo(CommandStatus.ACCEPTED);
+  }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.http.HttpCall;
+import org.toucansaddle.standins.engine.ExpectedAnswer;
 import org.toucansaddle.standins.engine.StandinEngine;
 import org.toucansaddle.standins.journal.JournalEntry;
 import org.toucansaddle.standins.load.Caller;
@@ -119,6 +120,40 @@
     }
   }
 
+  @Test
+  public void shouldRefuseRequestThatCrashesEnginesAndServeItsNeighbours() {
+    for (int i = 1; i <= 5; i++) {
+      fleet.startEngine("engine-" + i, 4);
+    }
+    fleet.await(() -> fleet.ask(0, "warm up").outcome() == Outcome.WHOLE);
+    LocalFleet.sleep(1_500);
+    List<CompletableFuture<Caller.Result>> neighbours = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      String prompt = "neighbour " + i + " [tokens=150]";
+      String router = fleet.callers(0);
+      neighbours.add(fleet.caller().ask(router, LocalFleet.KEY, "summary", prompt, ""));
+    }
+    LocalFleet.sleep(100);
+    String poison = "poison [crash]";
+    Caller.Result first = fleet.ask(0, poison);
+    assertThat(first.text()).contains("quarantined");
+    int runs = startsOf(poison);
+    assertThat(runs).isEqualTo(3);
+    Caller.Result again = fleet.ask(1, poison);
+    assertThat(again.text()).contains("quarantined");
+    assertThat(again.run()).isEqualTo("not-run");
+    assertThat(startsOf(poison)).isEqualTo(runs);
+    for (CompletableFuture<Caller.Result> neighbour : neighbours) {
+      Caller.Result result = neighbour.join();
+      assertThat(result.outcome()).as(result.text()).isEqualTo(Outcome.WHOLE);
+    }
+  }
+
+  private int startsOf(String prompt) {
+    String hash = Long.toHexString(ExpectedAnswer.hash(prompt));
+    return (int) fleet.journal("start").stream().filter(s -> s.text("prompt").equals(hash)).count();
+  }
+
   @Test
   public void shouldTellNotRunOnlyWhenNothingRan() {
     Caller.Result result = fleet.ask(0, "nobody serves this");
