Heal after a one-way cut; bound the slots of both sides; tests that cut daemons off

Cause 1: a member that nothing reached believed the others dead. They refuted that while it could not hear them; afterwards it repeated the outdated claim, which nobody answered, since it was not about their newest incarnation. It stayed apart for good. Whoever hears an outdated claim now tells the newer one again. MembershipTest.shouldHealAfterNothingReachedAMember failed for 3, 4 and 8 members and passes; on a fleet, requests at routers that obeyed the lost member waited 60 s and were refused.

Cause 2: a dispatcher that nothing reached went on leasing to itself while the others had elected another: 8 requests inside an engine of 4 slots. A side of a partition now caps each upstream at its share of the roster (RosterShare, as DESIGN.md proposes), a router that falls silent is planned for no more, and a new dispatcher that misses somebody waits until the old one noticed. Weighed: a majority that uses everything (overcommits by the minority's part), a minority that stops (a fleet of two would stop with one). Price: a router that dies keeps its part of the slots idle for 10 minutes unless it comes back; 1 of 8 here, nothing at 420 routers.

Cause 3: a new dispatcher threw when a router reported slots of an upstream that had not announced itself there yet; the message was lost.

Cause 4: a connection was opened anew only by the member that suspected first; now by each whose own probe fails. Ruled out as the cause of 1: the unit test passes with and without it.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/membership/SwimMembership.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/membership/SwimMembership.java
@@ -165,10 +165,14 @@
     return candidates.subList(0, Math.min(count, candidates.size()));
   }
 
+  /** The connection is opened anew whatever others say: it may be all that is wrong. */
   private void suspect(String name, long now) {
     Member member = members.get(name);
-    if (member != null && member.state() == State.ALIVE) {
-      transport.reconnect(member.address());
+    if (member == null) {
+      return;
+    }
+    transport.reconnect(member.address());
+    if (member.state() == State.ALIVE) {
       learn(member.withState(State.SUSPECT), now);
     }
   }
@@ -237,6 +241,7 @@
     }
     Member known = members.get(update.name());
     if (known != null && !update.supersedes(known)) {
+      correct(update, known);
       return;
     }
     members.put(update.name(), update);
@@ -249,9 +254,19 @@
     onChange.accept(members());
   }
 
+  /** Whoever believes what is outdated missed the news, so it is told again. */
+  private void correct(Member outdated, Member known) {
+    if (known.supersedes(outdated)) {
+      news.add(known);
+    }
+  }
+
   private void refute(Member update) {
     boolean newer = update.incarnation() > self.incarnation();
     boolean doubted = update.incarnation() == self.incarnation() && update.state() != State.ALIVE;
+    if (update.incarnation() < self.incarnation()) {
+      news.add(self);
+    }
     if ((newer || doubted) && self.state() == State.ALIVE) {
       self = self.withIncarnation(update.incarnation() + 1);
       members.put(self.name(), self);
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
@@ -20,6 +20,8 @@
   private final Map<String, Integer> leased = new HashMap<>();
   private RouterDemand demand;
   private long heardAt;
+  private boolean silent;
+  private int leasedTotal;
   private int leasedAtDemand;
   private final Deque<Lease> unacknowledged = new ArrayDeque<>();
   private long sequence;
@@ -46,14 +48,17 @@
     boolean restarted = demand != null && demand.incarnation() != next.incarnation();
     if (restarted) {
       leased.clear();
+      leasedTotal = 0;
       unacknowledged.clear();
       lastSent = null;
     }
     demand = next;
     heardAt = now;
+    silent = false;
     if (lastSent == null) {
       next.upstreams().forEach((id, usage) -> leased.put(id, usage.total()));
-      leasedAtDemand = leasedTotal();
+      countLeased();
+      leasedAtDemand = leasedTotal;
       return;
     }
     if (next.leaseEpoch() == epoch) {
@@ -62,8 +67,28 @@
     if (unacknowledged.isEmpty()) {
       leased.replaceAll((id, slots) -> Math.min(slots, usage(id).total()));
       leased.values().removeIf(slots -> slots == 0);
+      countLeased();
     }
-    leasedAtDemand = leasedTotal();
+    leasedAtDemand = leasedTotal;
+  }
+
+  /** Plans nothing more for the router, which may be cut off; what it uses still counts. */
+  void fellSilent() {
+    demand = demand.withoutAccounts();
+    leased.clear();
+    leasedTotal = 0;
+    lastSent = null;
+    silent = true;
+  }
+
+  /** Counts nothing for the router any more, since its leases have expired. */
+  void leasesExpired() {
+    demand = demand.withoutUpstreams();
+    unacknowledged.clear();
+  }
+
+  boolean isSilent() {
+    return silent;
   }
 
   private boolean isOlder(RouterDemand next) {
@@ -94,11 +119,8 @@
   }
 
   void setLeased(String upstream, int slots) {
-    if (slots == 0) {
-      leased.remove(upstream);
-    } else {
-      leased.put(upstream, slots);
-    }
+    Integer before = slots == 0 ? leased.remove(upstream) : leased.put(upstream, slots);
+    leasedTotal += slots - (before == null ? 0 : before);
   }
 
   Map<String, Integer> leasedSlots() {
@@ -106,7 +128,11 @@
   }
 
   int leasedTotal() {
-    return leased.values().stream().mapToInt(slots -> slots).sum();
+    return leasedTotal;
+  }
+
+  private void countLeased() {
+    leasedTotal = leased.values().stream().mapToInt(slots -> slots).sum();
   }
 
   /** Returns how many requests waited at the last demand, less the slots granted since. */
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -40,6 +40,8 @@
   private final Map<String, RouterState> routers = new TreeMap<>();
   private final Map<String, Long> departedAt = new HashMap<>();
   private Set<String> liveRouters = Set.of();
+  private Set<String> roster = Set.of();
+  private RosterShare share = new RosterShare(0, 0);
   private SlotPlan plan = SlotPlan.empty();
   private Map<String, Map<Integer, AccountDemand>> plannedDemands = Map.of();
   private Map<String, Integer> targets = Map.of();
@@ -104,6 +106,40 @@
         .forEach(name -> departedAt.putIfAbsent(name, now));
   }
 
+  @Override
+  public void setRoster(Set<String> all) {
+    roster = Set.copyOf(all);
+  }
+
+  /** A new dispatcher counts nobody as missing until all had the time to be heard. */
+  private RosterShare currentShare(long now) {
+    if (now - createdAt <= settings.routerSilenceMillis()) {
+      return new RosterShare(roster.size(), roster.size());
+    }
+    int heard = (int) roster.stream().filter(name -> isHeard(name)).count();
+    return new RosterShare(heard, roster.size());
+  }
+
+  private void judgeSilence(long now) {
+    for (RouterState router : routers.values()) {
+      long silence = now - router.heardAt();
+      if (!router.isSilent() && silence > settings.routerSilenceMillis()) {
+        router.fellSilent();
+        planOutdated = true;
+      }
+      if (silence > settings.routerSilenceMillis() + settings.leaseMillis()) {
+        router.leasesExpired();
+      }
+    }
+  }
+
+  /** A router that never asked for slots of this pool is heard while membership sees it. */
+  private boolean isHeard(String name) {
+    RouterState router = routers.get(name);
+    boolean silent = router != null && router.isSilent();
+    return !silent && liveRouters.contains(name);
+  }
+
   /** Service that a router gave while it was cut off counts if it comes back within this time. */
   private void forgetDeparted(long now) {
     departedAt.forEach(
@@ -117,6 +153,10 @@
 
   @Override
   public List<Lease> poll(long now) {
+    judgeSilence(now);
+    RosterShare next = currentShare(now);
+    planOutdated |= !next.equals(share);
+    share = next;
     boolean due = planOutdated && now - plannedAt >= settings.replanMillis();
     if (due || now - plannedAt >= settings.planMillis()) {
       replan(now);
@@ -188,7 +228,8 @@
     upstreams.values().removeIf(heard -> now - heard.heardAt() > FORGET_UPSTREAM_MILLIS);
     Map<String, UpstreamSlots> usable = usableById(now);
     dropUnusable(usable.keySet());
-    int capacity = usable.values().stream().mapToInt(UpstreamSlots::slots).sum();
+    dropAboveShare(usable.values());
+    int capacity = usable.values().stream().mapToInt(u -> share.of(u.slots())).sum();
     plan = settings.mode() == SharingMode.FLEET ? planByAccount(capacity, now) : SlotPlan.empty();
     targets = targets(capacity);
     wanted = isSlotWanted();
@@ -209,12 +250,12 @@
     if (!mayGrant(now)) {
       return;
     }
-    Map<String, UpstreamSlots> usable = usableById(now);
-    grow(targets, usable);
-    if (settings.mode() == SharingMode.FLEET) {
+    Map<String, Integer> free = freeSlots(usableUpstreams(now));
+    grow(targets, free);
+    if (settings.mode() == SharingMode.FLEET && !free.isEmpty()) {
       Map<String, Integer> wishes = new TreeMap<>();
       routers.values().forEach(r -> wishes.put(r.name(), r.leasedTotal() + r.unservedWaiting()));
-      grow(wishes, usable);
+      grow(wishes, free);
     }
   }
 
@@ -226,6 +267,21 @@
     }
   }
 
+  /** Takes back what this side of a partition may not use any more. */
+  private void dropAboveShare(Collection<UpstreamSlots> usable) {
+    for (UpstreamSlots upstream : usable) {
+      String id = upstream.id();
+      int leased = routers.values().stream().mapToInt(router -> router.leased(id)).sum();
+      for (int over = leased - share.of(upstream.slots()); over > 0; over--) {
+        RouterState most =
+            routers.values().stream()
+                .max(Comparator.comparingInt(router -> router.leased(id)))
+                .orElseThrow();
+        most.setLeased(id, most.leased(id) - 1);
+      }
+    }
+  }
+
   private SlotPlan planByAccount(int capacity, long now) {
     Map<String, Map<Integer, AccountDemand>> demands = new TreeMap<>();
     routers.values().forEach(router -> demands.put(router.name(), router.accounts()));
@@ -312,16 +368,20 @@
     router.setLeased(chosen, router.leased(chosen) - 1);
   }
 
-  /** A new dispatcher grants nothing until every lease of an earlier one is known or expired. */
+  /**
+   * A new dispatcher grants nothing until every lease of an earlier one is known, or has expired
+   * and a dispatcher that was cut off has taken back what is not in its share.
+   */
   private boolean mayGrant(long now) {
     boolean allHeard = routers.keySet().containsAll(liveRouters) && !liveRouters.isEmpty();
-    return allHeard || now - createdAt > settings.leaseMillis();
+    boolean nobodyMissing = liveRouters.containsAll(roster);
+    return (allHeard && nobodyMissing) || now - createdAt > settings.takeOverMillis();
   }
 
-  private void grow(Map<String, Integer> targets, Map<String, UpstreamSlots> usable) {
-    Map<String, Integer> free = freeSlots(usable);
+  /** Grants free slots to routers below their target, one at a time in turn. */
+  private void grow(Map<String, Integer> targets, Map<String, Integer> free) {
     boolean granted = true;
-    while (granted) {
+    while (granted && !free.isEmpty()) {
       granted = false;
       for (RouterState router : routers.values()) {
         if (router.leasedTotal() < targets.getOrDefault(router.name(), 0)) {
@@ -331,14 +391,17 @@
     }
   }
 
-  private Map<String, Integer> freeSlots(Map<String, UpstreamSlots> usable) {
+  /** Returns the upstreams that have free slots, with their number. */
+  private Map<String, Integer> freeSlots(Collection<UpstreamSlots> usable) {
     Map<String, Integer> free = new HashMap<>();
-    for (UpstreamSlots upstream : usable.values()) {
-      int held = 0;
+    for (UpstreamSlots upstream : usable) {
+      int left = share.of(upstream.slots());
       for (RouterState router : routers.values()) {
-        held += router.held(upstream.id());
+        left -= router.held(upstream.id());
+      }
+      if (left > 0) {
+        free.put(upstream.id(), left);
       }
-      free.put(upstream.id(), upstream.slots() - held);
     }
     return free;
   }
@@ -348,7 +411,6 @@
     Comparator<String> mostFree = Comparator.comparingInt(free::get);
     String chosen =
         free.keySet().stream()
-            .filter(id -> free.get(id) > 0)
             .max(mostFree.thenComparing(fewestOwn).thenComparing(id -> id))
             .orElse(null);
     if (chosen == null) {
@@ -356,7 +418,12 @@
     }
     int held = router.held(chosen);
     router.setLeased(chosen, router.leased(chosen) + 1);
-    free.merge(chosen, held - router.held(chosen), Integer::sum);
+    int left = free.get(chosen) + held - router.held(chosen);
+    if (left > 0) {
+      free.put(chosen, left);
+    } else {
+      free.remove(chosen);
+    }
     return true;
   }
 
@@ -365,7 +432,7 @@
   private List<Lease> leasesToSend(long now) {
     List<Lease> leases = new ArrayList<>();
     for (RouterState router : routers.values()) {
-      if (!liveRouters.contains(router.name())) {
+      if (!liveRouters.contains(router.name()) || router.isSilent()) {
         continue;
       }
       Lease next = lease(router, wanted);
@@ -393,19 +460,14 @@
         && routers.values().stream().anyMatch(r -> r.demand().waiting() > 0);
   }
 
+  /** A router may report slots of an upstream that has not announced itself here yet. */
   private Lease lease(RouterState router, boolean wanted) {
     Map<String, UpstreamSlots> named = new HashMap<>();
-    router.leasedSlots().keySet().forEach(id -> named.put(id, upstreams.get(id).slots()));
+    Map<String, Integer> slots = new HashMap<>(router.leasedSlots());
+    slots.keySet().retainAll(upstreams.keySet());
+    slots.keySet().forEach(id -> named.put(id, upstreams.get(id).slots()));
     Map<Integer, Integer> quotas = plan.quotas().getOrDefault(router.name(), Map.of());
-    return new Lease(
-        router.name(),
-        epoch,
-        0,
-        settings.leaseMillis(),
-        wanted,
-        router.leasedSlots(),
-        named,
-        quotas);
+    return new Lease(router.name(), epoch, 0, settings.leaseMillis(), wanted, slots, named, quotas);
   }
 
   private static Lease withSequence(Lease lease, long sequence) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolDispatcher.java
@@ -34,6 +34,12 @@
   /** Sets the routers that are alive; the slots of others are freed when their lease expired. */
   void setLiveRouters(Set<String> routers, long now);
 
+  /**
+   * Tells which routers there are, also those that may be cut off; a router that left by itself is
+   * not one of them.
+   */
+  void setRoster(Set<String> routers);
+
   /** Returns the leases to send now: changed ones, and renewals that are due. */
   List<Lease> poll(long now);
 
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/RouterDemand.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/RouterDemand.java
@@ -31,6 +31,18 @@
     service = Map.copyOf(service);
   }
 
+  /** Returns this demand without any request. */
+  public RouterDemand withoutAccounts() {
+    return new RouterDemand(
+        router, incarnation, sequence, leaseEpoch, leaseSequence, Map.of(), upstreams, service);
+  }
+
+  /** Returns this demand without any slot. */
+  public RouterDemand withoutUpstreams() {
+    return new RouterDemand(
+        router, incarnation, sequence, leaseEpoch, leaseSequence, accounts, Map.of(), service);
+  }
+
   /** Returns how many requests wait. */
   public int waiting() {
     return accounts.values().stream().mapToInt(AccountDemand::waiting).sum();
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharingSettings.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharingSettings.java
@@ -10,6 +10,8 @@
  * @param renewMillis time between renewals of a lease, in milliseconds
  * @param silenceMillis time without an announcement after which an upstream gets no new work, in
  *     milliseconds
+ * @param routerSilenceMillis time without a demand after which a router may be cut off, in
+ *     milliseconds; a router that serves nothing sends demands more often
  * @param horizonSeconds time in which a plan makes up an account's lag, in seconds
  * @param maxLeadTokens largest lag or lead that is remembered, in tokens
  */
@@ -20,12 +22,24 @@
     int leaseMillis,
     int renewMillis,
     int silenceMillis,
+    int routerSilenceMillis,
     double horizonSeconds,
     double maxLeadTokens) {
 
+  private static final int TAKE_BACK_MILLIS = 300;
+
+  /**
+   * Returns how long a new dispatcher waits if it does not know all leases, in milliseconds: until
+   * they expired and a dispatcher that was cut off noticed it.
+   */
+  public int takeOverMillis() {
+    return Math.max(leaseMillis, routerSilenceMillis + TAKE_BACK_MILLIS);
+  }
+
   /** Returns settings for requests that take a few seconds. */
   public static SharingSettings defaults() {
-    return new SharingSettings(SharingMode.FLEET, 1_000, 25, 2_800, 1_250, 2_300, 3, 100_000);
+    return new SharingSettings(
+        SharingMode.FLEET, 1_000, 25, 2_800, 1_250, 2_300, 3_300, 3, 100_000);
   }
 
   /** Returns these settings with another mode. */
@@ -37,6 +51,7 @@
         leaseMillis,
         renewMillis,
         silenceMillis,
+        routerSilenceMillis,
         horizonSeconds,
         maxLeadTokens);
   }
--- /dev/null
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/internal/sharing/RosterShareTest.java
@@ -0,0 +1,63 @@
+package org.toucansaddle.coordination.internal.sharing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Slots of an upstream on the sides of a partition. */
+public class RosterShareTest {
+
+  @DataProvider
+  static Object[][] shares() {
+    return new Object[][] {
+      {8, 8, 16, 16},
+      {7, 8, 16, 14},
+      {1, 8, 16, 2},
+      {3, 4, 4, 3},
+      {1, 4, 4, 1},
+      {2, 4, 4, 2},
+      {419, 420, 16, 16},
+      {1, 420, 16, 0},
+      {0, 0, 16, 16},
+    };
+  }
+
+  @Test(dataProvider = "shares")
+  public void shouldGiveASideItsPart(int heard, int roster, int slots, int expected) {
+    assertThat(new RosterShare(heard, roster).of(slots)).isEqualTo(expected);
+  }
+
+  @Test
+  public void shouldNeverGiveTwoSidesMoreThanThereIs() {
+    for (int roster = 1; roster <= 40; roster++) {
+      for (int heard = 0; heard <= roster; heard++) {
+        for (int slots = 1; slots <= 40; slots++) {
+          int here = new RosterShare(heard, roster).of(slots);
+          int there = new RosterShare(roster - heard, roster).of(slots);
+          assertThat(here + there)
+              .as("%d of %d, %d slots", heard, roster, slots)
+              .isLessThanOrEqualTo(slots);
+        }
+      }
+    }
+  }
+
+  @Test
+  public void shouldNeverGiveThreeSidesMoreThanThereIs() {
+    for (int roster = 3; roster <= 24; roster++) {
+      for (int first = 1; first < roster - 1; first++) {
+        for (int second = 1; second < roster - first; second++) {
+          int third = roster - first - second;
+          for (int slots = 1; slots <= 20; slots++) {
+            int sum =
+                new RosterShare(first, roster).of(slots)
+                    + new RosterShare(second, roster).of(slots)
+                    + new RosterShare(third, roster).of(slots);
+            assertThat(sum).as("%d %d %d", first, second, third).isLessThanOrEqualTo(slots);
+          }
+        }
+      }
+    }
+  }
+}
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/membership/MembershipTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/membership/MembershipTest.java
@@ -27,6 +27,7 @@
   private Set<String> cut;
   private Set<String> silentPairs;
   private Set<String> reconnected;
+  private String unreachable;
   private SplittableRandom random;
   private long now;
   private int sent;
@@ -38,6 +39,7 @@
     cut = Set.of();
     silentPairs = new HashSet<>();
     reconnected = new HashSet<>();
+    unreachable = "";
     random = new SplittableRandom(11);
     now = 0;
     sent = 0;
@@ -83,7 +85,8 @@
     boolean lost = cut.contains(message.from()) != cut.contains(message.to());
     boolean silent = silentPairs.contains(message.from() + ">" + message.to());
     Membership to = members.get(message.to());
-    if (to != null && !lost && !silent) {
+    boolean dropped = message.to().equals(unreachable);
+    if (to != null && !lost && !silent && !dropped) {
       to.receive(message.from(), message.probe(), now);
     }
   }
@@ -173,4 +176,32 @@
     double perMemberAndPeriod = sent / (double) size / 10;
     assertThat(perMemberAndPeriod).isBetween(1.5, 2.5);
   }
+
+  @Test
+  public void shouldReopenEverySilentConnectionWithinOneRoundOfProbes() {
+    start(6);
+    for (int i = 2; i <= 6; i++) {
+      silentPairs.add("m" + i + ">m1");
+    }
+    int roundAndTwoPeriods = 5 + 2;
+    run((long) roundAndTwoPeriods * MembershipSettings.defaults().periodMillis());
+    assertThat(silentPairs).isEmpty();
+    run(SETTLE_MILLIS);
+    members.keySet().forEach(name -> assertThat(seenAlive(name)).as(name).hasSize(6));
+  }
+
+  @DataProvider
+  static Object[][] smallFleets() {
+    return new Object[][] {{3}, {4}, {8}};
+  }
+
+  @Test(dataProvider = "smallFleets")
+  public void shouldHealAfterNothingReachedAMember(int size) {
+    start(size);
+    unreachable = "m1";
+    run(4 * SETTLE_MILLIS);
+    unreachable = "";
+    run(SETTLE_MILLIS);
+    members.keySet().forEach(name -> assertThat(seenAlive(name)).as(name).hasSize(size));
+  }
 }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/SlotSharingTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/sharing/SlotSharingTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -100,4 +102,55 @@
     assertThat(simulation.longestWait(9))
         .isLessThanOrEqualTo(longestRequestMillis + reactionMillis);
   }
+
+  private static RouterDemand demandOf(String router, long sequence, int used) {
+    return new RouterDemand(
+        router,
+        1,
+        sequence,
+        0,
+        0,
+        Map.of(1, new AccountDemand(8, used)),
+        Map.of("u1", new SlotUsage(used, 0)),
+        Map.of());
+  }
+
+  private static RouterDemand demandUnder(Lease lease, String router, long sequence) {
+    int slots = lease == null ? 0 : lease.slots().getOrDefault("u1", 0);
+    return new RouterDemand(
+        router,
+        1,
+        sequence,
+        lease == null ? 0 : lease.epoch(),
+        lease == null ? 0 : lease.sequence(),
+        Map.of(1, new AccountDemand(8, slots)),
+        Map.of("u1", new SlotUsage(slots, 0)),
+        Map.of());
+  }
+
+  @Test
+  public void shouldNotLeaseAnUpstreamThatHasNotAnnouncedItselfHere() {
+    PoolDispatcher dispatcher = PoolDispatcher.create(SharingSettings.defaults(), 2, 0);
+    dispatcher.setLiveRouters(Set.of("r1", "r2"), 0);
+    dispatcher.poll(0);
+    dispatcher.demanded(demandOf("r1", 1, 3), 1);
+    assertThat(dispatcher.poll(2)).allMatch(lease -> lease.slots().isEmpty());
+  }
+
+  @Test
+  public void shouldTakeBackWhatIsNotInItsShareWhenRoutersFallSilent() {
+    PoolDispatcher dispatcher = PoolDispatcher.create(SharingSettings.defaults(), 1, 0);
+    Set<String> routers = Set.of("r1", "r2", "r3", "r4");
+    dispatcher.setLiveRouters(routers, 0);
+    dispatcher.setRoster(routers);
+    Map<String, Lease> leases = new HashMap<>();
+    for (long now = 0; now <= 12_000; now += 100) {
+      dispatcher.announced(new UpstreamSlots("u1", 1, "127.0.0.1:1", "z", 4, false), now);
+      for (String router : now < 4_000 ? routers : Set.of("r1")) {
+        dispatcher.demanded(demandUnder(leases.get(router), router, now + 1), now);
+      }
+      dispatcher.poll(now).forEach(lease -> leases.put(lease.router(), lease));
+    }
+    assertThat(leases.get("r1").slots()).isEqualTo(Map.of("u1", 1));
+  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
@@ -75,7 +75,8 @@
   ControlPlane(DaemonSettings settings, StrikeTable strikes, ScheduledExecutorService timers)
       throws IOException {
     String name = settings.identity().name();
-    this.self = new PeerIdentity(name, settings.listen().peers(), System.currentTimeMillis());
+    this.self =
+        new PeerIdentity(name, settings.listen().advertisedPeers(), System.currentTimeMillis());
     FleetProof proof = new FleetProof(settings.identity().fleet(), settings.peers().secret());
     PeerTls tls = new PeerTls(settings.peers().tls());
     this.clients = new PeerClients(self, proof, tls, peerThreads);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelAttempt.java
@@ -65,8 +65,13 @@
     this.listener = listener;
   }
 
-  /** Sends the request, unless the attempt was given up before. */
-  void send(HttpClient client, String path, String body) {
+  /**
+   * Sends the request, unless the attempt was given up before.
+   *
+   * @param retry whether an earlier attempt failed; then a new connection is used, because a reused
+   *     one to an upstream that died breaks just like one whose upstream dies of this request
+   */
+  void send(HttpClient client, String path, String body, boolean retry) {
     if (ended.get()) {
       return;
     }
@@ -74,7 +79,7 @@
         HttpCall.post(upstream.address(), path, body)
             .withHeader("X-Attempt-Id", id)
             .withHeader("X-Resume-Offset", Integer.toString(nextOffset));
-    HttpExchange started = client.stream(call, this);
+    HttpExchange started = client.stream(retry ? call.withFreshConnection() : call, this);
     exchange = started;
     if (ended.get()) {
       started.cancel();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -114,11 +114,12 @@
   private void send(ModelAttempt attempt) {
     String path = request.exchange().getRequestPath();
     String body = upstreamBody();
+    boolean retry = failures() > 0;
     XnioIoThread thread = request.exchange().getIoThread();
     if (thread == Thread.currentThread()) {
-      attempt.send(context.client(), path, body);
+      attempt.send(context.client(), path, body, retry);
     } else {
-      thread.execute(() -> attempt.send(context.client(), path, body));
+      thread.execute(() -> attempt.send(context.client(), path, body, retry));
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/settings/SettingsReader.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/settings/SettingsReader.java
@@ -63,8 +63,13 @@
   }
 
   private DaemonSettings.Listen listen() {
-    return new DaemonSettings.Listen(
-        address("listen.callers"), address("listen.admin"), address("listen.peers"));
+    String callers = address("listen.callers");
+    String admin = address("listen.admin");
+    String peers = address("listen.peers");
+    String advertised = "listen.advertised_peers";
+    known.add(advertised);
+    boolean same = node(advertised).isMissingNode();
+    return new DaemonSettings.Listen(callers, admin, peers, same ? peers : address(advertised));
   }
 
   private String address(String key) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
@@ -64,8 +64,9 @@
     dispatcher.demanded(decoded, now);
   }
 
-  void setLive(Set<String> routers, long now) {
-    dispatcher.setLiveRouters(routers, now);
+  void setMembers(Set<String> live, Set<String> roster, long now) {
+    dispatcher.setLiveRouters(live, now);
+    dispatcher.setRoster(roster);
   }
 
   List<AddressedLease> poll(long now) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
@@ -34,11 +34,12 @@
 public final class SharingController {
 
   private static final int WAITING_DEMAND_MILLIS = 1_000;
-  private static final int IDLE_DEMAND_MILLIS = 2_500;
+  private static final int IDLE_DEMAND_MILLIS = 2_000;
   private static final int URGENT_GAP_MILLIS = 20;
   private static final int IDLE_GRACE_MILLIS = 10;
   private static final int ANNOUNCEMENT_BATCH_MILLIS = 600;
   private static final int REPORT_MILLIS = 2_500;
+  private static final long ROSTER_MILLIS = 600_000;
 
   private final PeerIdentity self;
   private final SharingSettings settings;
@@ -54,6 +55,7 @@
   private final Map<String, AnnouncementRelay> relays = new HashMap<>();
   private final Map<Integer, Announcement> announcementsByHash = new ConcurrentHashMap<>();
   private final Map<String, Announcement> announced = new ConcurrentHashMap<>();
+  private final Map<String, Long> deadSince = new HashMap<>();
   private long reportedAt;
 
   /**
@@ -302,10 +304,33 @@
     DispatchedPool created =
         new DispatchedPool(pool, settings, System.currentTimeMillis(), clock.getAsLong());
     dispatched.put(pool, created);
-    created.setLive(liveNames(), clock.getAsLong());
+    created.setMembers(liveNames(), roster(), clock.getAsLong());
     return created;
   }
 
+  /** Members that may serve, but that this daemon may be cut off from. */
+  private Set<String> roster() {
+    long now = clock.getAsLong();
+    return directory.members().stream()
+        .filter(member -> member.state() != Member.State.LEFT)
+        .filter(member -> now - deadSince.getOrDefault(member.name(), now) <= ROSTER_MILLIS)
+        .map(Member::name)
+        .collect(Collectors.toSet());
+  }
+
+  private void followRoster(long now) {
+    for (Member member : directory.members()) {
+      if (member.state() == Member.State.DEAD) {
+        deadSince.putIfAbsent(member.name(), now);
+      } else {
+        deadSince.remove(member.name());
+      }
+    }
+    Set<String> live = liveNames();
+    Set<String> roster = roster();
+    dispatched.values().forEach(pool -> pool.setMembers(live, roster, now));
+  }
+
   private Set<String> liveNames() {
     return directory.live().stream().map(Member::name).collect(Collectors.toSet());
   }
@@ -336,6 +361,7 @@
       return;
     }
     reportedAt = now;
+    followRoster(now);
     List<Member> replicas = directory.live().stream().filter(Member::control).toList();
     for (DispatchedPool pool : dispatched.values()) {
       if (!pool.servesModel()) {
@@ -382,7 +408,7 @@
   public void membersChanged() {
     long now = clock.getAsLong();
     dispatched.keySet().removeIf(pool -> !isDispatcher(pool));
-    dispatched.values().forEach(pool -> pool.setLive(liveNames(), now));
+    followRoster(now);
     Set<String> addresses =
         directory.live().stream().map(Member::address).collect(Collectors.toSet());
     relays.keySet().retainAll(addresses);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/settings/DaemonSettings.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/settings/DaemonSettings.java
@@ -48,8 +48,10 @@
    * @param callers for callers, announcements of upstreams and the platform's balancer
    * @param admin for operators
    * @param peers for other daemons
+   * @param advertisedPeers where other daemons reach {@code peers}; the same unless something
+   *     translates addresses in between
    */
-  public record Listen(String callers, String admin, String peers) {}
+  public record Listen(String callers, String admin, String peers, String advertisedPeers) {}
 
   /**
    * How daemons reach and trust each other.
@@ -104,7 +106,7 @@
    * @param maxBodyBytes longest body of a request, in bytes
    * @param maxQueuedPerAccount most waiting requests of an account in a pool
    * @param stallMillis longest silence of an upstream in mid-answer, in milliseconds
-   * @param ioThreads number of I/O threads for callers and as many for upstreams
+   * @param ioThreads number of I/O threads, shared by callers and upstreams
    */
   public record Limits(int maxBodyBytes, int maxQueuedPerAccount, int stallMillis, int ioThreads) {}
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/relay/ModelAttemptTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/relay/ModelAttemptTest.java
@@ -4,15 +4,22 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.coordination.sharing.UpstreamSlots;
+import org.toucansaddle.http.HttpCall;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpExchange;
 import org.toucansaddle.http.HttpFailure;
+import org.toucansaddle.http.HttpReply;
+import org.toucansaddle.http.HttpStreamHandler;
 
 /** What an attempt makes of an upstream's answer. */
 public class ModelAttemptTest {
@@ -153,4 +160,48 @@
       }
     }
   }
+
+  @DataProvider
+  static Object[][] retries() {
+    return new Object[][] {{false}, {true}};
+  }
+
+  @Test(dataProvider = "retries")
+  public void shouldRetryOnAConnectionThatCarriedNothing(boolean retry) {
+    RecordingClient client = new RecordingClient();
+    attempt(0).send(client, "/v1/completions", "{}", retry);
+    assertThat(client.calls).hasSize(1);
+    assertThat(client.calls.get(0).fresh()).isEqualTo(retry);
+  }
+
+  @Test
+  public void shouldSendNothingAfterItWasGivenUp() {
+    RecordingClient client = new RecordingClient();
+    ModelAttempt attempt = attempt(0);
+    attempt.cancel(AttemptOutcome.CANCELLED);
+    attempt.send(client, "/v1/completions", "{}", false);
+    assertThat(client.calls).isEmpty();
+  }
+
+  /** Keeps what it is asked to send. */
+  private static final class RecordingClient implements HttpClient {
+    private final List<HttpCall> calls = new ArrayList<>();
+
+    @Override
+    public CompletableFuture<HttpReply> send(HttpCall call, Duration timeout) {
+      throw new UnsupportedOperationException("an attempt streams");
+    }
+
+    @Override
+    public HttpExchange stream(HttpCall call, HttpStreamHandler handler) {
+      calls.add(call);
+      return () -> {};
+    }
+
+    @Override
+    public void dropIdle(String target) {}
+
+    @Override
+    public void close() {}
+  }
 }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/engine/StandinEngine.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/engine/StandinEngine.java
@@ -217,6 +217,8 @@
   private synchronized void sample() {
     ObjectNode entry = Journal.entry("sample").put("engine", settings.id());
     entry.put("slots", settings.slots()).put("running", running.size());
+    long live = running.stream().filter(request -> !request.isGone()).count();
+    entry.put("inside", live + arrived.size());
     ObjectNode service = entry.putObject("service");
     tokensByUser.forEach(service::put);
     Map<String, Integer> users = new HashMap<>();
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
@@ -16,6 +16,7 @@
               "fairness", new Entry(new FairnessExperiment(), 20),
               "faults", new Entry(new FaultsExperiment(), 42),
               "overload", new Entry(new OverloadExperiment(), 7),
+              "slopes", new Entry(new SlopesExperiment(), 4),
               "utilisation", new Entry(new UtilisationExperiment(), 14)));
 
   private Experiments() {}
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SharingScenario.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SharingScenario.java
@@ -63,7 +63,6 @@
 
   static FleetSpec spec(String mode) {
     return FleetSpec.of(ROUTERS)
-        .withLogLevel("debug")
         .withSharingMode(mode)
         .withUpstreams(
             List.of(
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalFleet.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalFleet.java
@@ -47,6 +47,9 @@
   private final List<String> callers = new ArrayList<>();
   private final List<String> admins = new ArrayList<>();
   private final List<String> peers = new ArrayList<>();
+  private final List<String> advertised = new ArrayList<>();
+  private final List<CutRelay> relays = new ArrayList<>();
+  private String moreSettings = "";
   private final List<Daemon> daemons = new ArrayList<>();
   private final List<AutoCloseable> upstreams = new ArrayList<>();
   private final Map<String, Integer> enginePorts = new HashMap<>();
@@ -58,18 +61,45 @@
   }
 
   static LocalFleet start(int routers) throws IOException {
+    return start(routers, "");
+  }
+
+  /** Starts daemons that reach each other through relays, which can cut them off. */
+  static LocalFleet startWithRelays(int routers) throws IOException {
     LocalFleet fleet = new LocalFleet(Files.createTempDirectory("local-fleet"));
+    fleet.addAddresses(routers);
+    for (int i = 0; i < routers; i++) {
+      fleet.relays.add(new CutRelay(fleet.peers.get(i)));
+      fleet.advertised.set(i, fleet.relays.get(i).address());
+    }
+    fleet.startDaemons(routers);
+    return fleet;
+  }
+
+  /** Starts daemons with more settings in TOML. */
+  static LocalFleet start(int routers, String moreSettings) throws IOException {
+    LocalFleet fleet = new LocalFleet(Files.createTempDirectory("local-fleet"));
+    fleet.moreSettings = moreSettings;
+    fleet.addAddresses(routers);
+    fleet.startDaemons(routers);
+    return fleet;
+  }
+
+  private void addAddresses(int routers) {
     for (int i = 0; i < routers; i++) {
-      fleet.callers.add("127.0.0.1:" + fleet.ports.next());
-      fleet.admins.add("127.0.0.1:" + fleet.ports.next());
-      fleet.peers.add("127.0.0.1:" + fleet.ports.next());
+      callers.add("127.0.0.1:" + ports.next());
+      admins.add("127.0.0.1:" + ports.next());
+      peers.add("127.0.0.1:" + ports.next());
     }
-    Files.writeString(fleet.folder.resolve("token"), TOKEN);
+    advertised.addAll(peers.subList(advertised.size(), peers.size()));
+  }
+
+  private void startDaemons(int routers) throws IOException {
+    Files.writeString(folder.resolve("token"), TOKEN);
     for (int i = 0; i < routers; i++) {
-      fleet.daemons.add(fleet.startDaemon(i));
+      daemons.add(startDaemon(i));
     }
-    fleet.await(() -> fleet.daemons.stream().allMatch(Daemon::isReady));
-    return fleet;
+    await(() -> daemons.stream().allMatch(Daemon::isReady));
   }
 
   private Daemon startDaemon(int index) throws IOException {
@@ -87,6 +117,7 @@
         callers = "%s"
         admin = "%s"
         peers = "%s"
+        advertised_peers = "%s"
         [peers]
         seeds = [%s]
         secret = "secret-for-tests"
@@ -97,15 +128,26 @@
         token_digest = "%s"
         [limits]
         stall_millis = 600
+        %s
         """
         .formatted(
             name,
             callers.get(index),
             admins.get(index),
             peers.get(index),
-            peers.stream().map(p -> "\"" + p + "\"").collect(Collectors.joining(", ")),
+            advertised.get(index),
+            advertised.stream().map(p -> "\"" + p + "\"").collect(Collectors.joining(", ")),
             folder.resolve("data-" + name),
-            digest(TOKEN));
+            digest(TOKEN),
+            moreSettings);
+  }
+
+  /** Starts one more daemon, with other settings, without waiting for it. */
+  Daemon startAnother(String otherSettings) throws IOException {
+    moreSettings = otherSettings;
+    addAddresses(1);
+    daemons.add(startDaemon(peers.size() - 1));
+    return daemons.get(daemons.size() - 1);
   }
 
   void await(BooleanSupplier condition) {
@@ -221,6 +263,11 @@
     return daemons.get(router);
   }
 
+  /** Returns the relay through which the others reach a daemon. */
+  CutRelay relay(int router) {
+    return relays.get(router);
+  }
+
   HttpClient client() {
     return client;
   }
@@ -265,6 +312,7 @@
       upstream.close();
     }
     daemons.forEach(Daemon::close);
+    relays.forEach(CutRelay::close);
     client.close();
   }
 }
