Grant a router no more slots than it has requests while others wait

Targets count now only as far as the router has requests; what is left goes to whoever waits, and is spread evenly only if nobody does.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
@@ -138,6 +138,11 @@
     leasedTotal = leased.values().stream().mapToInt(slots -> slots).sum();
   }
 
+  /** Returns how many slots the router could use, as last heard. */
+  int wantedSlots() {
+    return demand.accounts().values().stream().mapToInt(AccountDemand::total).sum();
+  }
+
   /** Returns how many requests waited at the last demand, less the slots granted since. */
   int unservedWaiting() {
     return Math.max(0, demand.waiting() - Math.max(0, leasedTotal() - leasedAtDemand));
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotDispatcher.java
@@ -248,7 +248,10 @@
     return usable;
   }
 
-  /** Grants what is free as planned, and what the plan leaves to whoever waits. */
+  /**
+   * Grants what is free as planned, then to whoever waits, and spreads it only if nobody does: a
+   * slot without a request would come back at once.
+   */
   private void grantFreeSlots(long now) {
     slotsChanged = false;
     wanted |= isSlotWanted();
@@ -256,14 +259,31 @@
       return;
     }
     SlotGrants grants = new SlotGrants(routers.values(), usableUpstreams(now), share);
-    grants.grow(targets);
-    if (settings.mode() == SharingMode.FLEET && grants.anyFree()) {
-      Map<String, Integer> wishes = new TreeMap<>();
-      routers.values().forEach(r -> wishes.put(r.name(), r.leasedTotal() + r.unservedWaiting()));
-      grants.grow(wishes);
+    if (settings.mode() == SharingMode.FLEET) {
+      grants.grow(usefulTargets());
+      grants.grow(wishes());
+    }
+    if (!wanted) {
+      grants.grow(targets);
     }
   }
 
+  /** What the plan gives each router, as far as it has requests for it now. */
+  private Map<String, Integer> usefulTargets() {
+    Map<String, Integer> useful = new TreeMap<>();
+    for (RouterState router : routers.values()) {
+      int target = targets.getOrDefault(router.name(), 0);
+      useful.put(router.name(), Math.min(target, router.wantedSlots()));
+    }
+    return useful;
+  }
+
+  private Map<String, Integer> wishes() {
+    Map<String, Integer> wishes = new TreeMap<>();
+    routers.values().forEach(r -> wishes.put(r.name(), r.leasedTotal() + r.unservedWaiting()));
+    return wishes;
+  }
+
   private void dropUnusable(Set<String> usable) {
     for (RouterState router : routers.values()) {
       List.copyOf(router.leasedSlots().keySet()).stream()
