--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/placement/PlacementController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/placement/PlacementController.java
@@ -26,7 +26,8 @@
  * <p>Invariants: an order is sent only after it was committed, with its index in the log as fencing
  * number; it is sent only while this replica's lease is valid. To an upstream that does not check
  * fencing numbers nothing is sent until every order that an earlier leader may have sent has
- * arrived or timed out. Used on the control thread only; {@link #onReport} and {@link #tick}.
+ * arrived or timed out. Called on the control thread only; the log's and the upstreams' answers
+ * arrive on other threads and change no state.
  */
 public final class PlacementController {
 
