--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/membership/SwimMembership.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/membership/SwimMembership.java
@@ -44,6 +44,7 @@
   private final Consumer<Collection<Member>> onChange;
   private final Map<String, Member> members = new TreeMap<>();
   private final Map<String, Long> suspectedAt = new HashMap<>();
+  private final Map<String, Long> goneAt = new HashMap<>();
   private final Map<Long, Probe> probes = new HashMap<>();
   private final List<String> rotation = new ArrayList<>();
   private final UpdateQueue news = new UpdateQueue();
@@ -78,6 +79,7 @@
     }
     nextProbeAt = now + settings.periodMillis();
     periods++;
+    forgetGone(now);
     joinUnknownSeeds();
     probeNext(now);
     if (periods % PERIODS_PER_DEAD_PROBE == 0) {
@@ -85,6 +87,20 @@
     }
   }
 
+  private void forgetGone(long now) {
+    List<String> forgotten =
+        goneAt.entrySet().stream()
+            .filter(gone -> now - gone.getValue() > settings.forgetMillis())
+            .map(Map.Entry::getKey)
+            .toList();
+    if (forgotten.isEmpty()) {
+      return;
+    }
+    forgotten.forEach(members::remove);
+    forgotten.forEach(goneAt::remove);
+    onChange.accept(members());
+  }
+
   private void joinUnknownSeeds() {
     for (String seed : seeds) {
       boolean known = members.values().stream().anyMatch(m -> m.address().equals(seed));
@@ -250,6 +266,11 @@
     } else {
       suspectedAt.remove(update.name());
     }
+    if (update.isLive()) {
+      goneAt.remove(update.name());
+    } else {
+      goneAt.putIfAbsent(update.name(), now);
+    }
     news.add(update);
     onChange.accept(members());
   }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/membership/MembershipTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/membership/MembershipTest.java
@@ -28,6 +28,7 @@
   private Set<String> silentPairs;
   private Set<String> reconnected;
   private String unreachable;
+  private MembershipSettings settings;
   private SplittableRandom random;
   private long now;
   private int sent;
@@ -40,6 +41,7 @@
     silentPairs = new HashSet<>();
     reconnected = new HashSet<>();
     unreachable = "";
+    settings = MembershipSettings.defaults();
     random = new SplittableRandom(11);
     now = 0;
     sent = 0;
@@ -64,12 +66,7 @@
     members.put(
         name,
         Membership.create(
-            MembershipSettings.defaults(),
-            self,
-            List.of("m1", "m2"),
-            transport,
-            random.split(),
-            all -> {}));
+            settings, self, List.of("m1", "m2"), transport, random.split(), all -> {}));
   }
 
   private void run(long millis) {
@@ -204,4 +201,18 @@
     run(SETTLE_MILLIS);
     members.keySet().forEach(name -> assertThat(seenAlive(name)).as(name).hasSize(size));
   }
+
+  @Test
+  public void shouldForgetAMemberThatIsGoneForLong() {
+    settings = MembershipSettings.defaults().withForgetMillis(SETTLE_MILLIS);
+    start(4);
+    members.remove("m3");
+    run(3L * SETTLE_MILLIS);
+    for (Membership member : members.values()) {
+      assertThat(member.members()).extracting(Member::name).doesNotContain("m3");
+    }
+    join("m3", 9);
+    run(SETTLE_MILLIS);
+    members.keySet().forEach(name -> assertThat(seenAlive(name)).hasSize(4));
+  }
 }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SlopesExperiment.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SlopesExperiment.java
@@ -73,7 +73,7 @@
             .withUpstreams(
                 List.of(
                     new UpstreamGroup(
-                        "engine", "engine", POOL, size.upstreams(), SLOTS, STEP_MILLIS)));
+                        "engine", "slope-engine", POOL, size.upstreams(), SLOTS, STEP_MILLIS)));
     try (Fleet fleet = Fleet.start(run.folder().resolve(size.name()), spec);
         OpenLoopLoad load = new OpenLoopLoad(run.seed())) {
       fleet.awaitReady();
