Notice a silent router sooner, so that a dead dispatcher is replaced in time

Routers without work now report each 1.5 s instead of 2 s, 2.4 s of silence count as missing, and a successor waits 2.8 s, the validity of a lease. Weighed: granting the majority's share at once; a dispatcher that was cut off may then still use more than its own for a second.

Dead method removed; the prefix of model pools stands in one place.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotScheduler.java
@@ -321,11 +321,6 @@
     return inFlight.getOrDefault(account, 0);
   }
 
-  @Override
-  public int quota(int account) {
-    return quotas.getOrDefault(account, Math.max(QUOTA_WITHOUT_PLAN, inFlight(account)));
-  }
-
   @Override
   public Map<Integer, AccountDemand> accounts() {
     Map<Integer, AccountDemand> demands = new TreeMap<>();
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/PoolScheduler.java
@@ -88,9 +88,6 @@
   /** Returns the number of running requests of an account. */
   int inFlight(int account);
 
-  /** Returns an account's quota at this router, or its running requests if it has none. */
-  int quota(int account);
-
   /** Returns demand by account number. */
   Map<Integer, AccountDemand> accounts();
 
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharingSettings.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharingSettings.java
@@ -39,7 +39,7 @@
   /** Returns settings for requests that take a few seconds. */
   public static SharingSettings defaults() {
     return new SharingSettings(
-        SharingMode.FLEET, 1_000, 25, 2_800, 1_250, 2_300, 3_300, 3, 100_000);
+        SharingMode.FLEET, 1_000, 25, 2_800, 1_250, 2_300, 2_400, 3, 100_000);
   }
 
   /** Returns these settings with another mode. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
@@ -32,6 +32,7 @@
 import org.toucansaddle.daemon.internal.peer.PeerTls;
 import org.toucansaddle.daemon.internal.placement.HttpOrderClient;
 import org.toucansaddle.daemon.internal.placement.PlacementController;
+import org.toucansaddle.daemon.internal.sharing.PoolKey;
 import org.toucansaddle.daemon.internal.sharing.ServiceCounters;
 import org.toucansaddle.daemon.internal.sharing.SharingController;
 import org.toucansaddle.daemon.settings.DaemonSettings;
@@ -53,7 +54,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
   private static final int TICK_MILLIS = 100;
   private static final int REPLICA_SET_MILLIS = 300;
-  private static final String MODEL_POOLS = "model/";
 
   private final ConfigurationHolder holder = new ConfigurationHolder();
   private final FleetDirectory directory = new FleetDirectory();
@@ -168,9 +168,7 @@
   }
 
   private void onPoolReport(PoolReport report) {
-    if (report.getPool().startsWith(MODEL_POOLS)) {
-      placement.onReport(report.getPool().substring(MODEL_POOLS.length()), report);
-    }
+    PoolKey.modelName(report.getPool()).ifPresent(model -> placement.onReport(model, report));
   }
 
   private MembershipController membership(DaemonSettings settings, StrikeTable strikes) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/DispatchedPool.java
@@ -28,7 +28,6 @@
 
   private static final long NOT_BACKLOGGED = Long.MAX_VALUE;
   private static final int MAX_MOVABLE = 2;
-  private static final String MODEL_POOLS = "model/";
 
   private final String pool;
   private final long epoch;
@@ -90,7 +89,7 @@
   }
 
   boolean servesModel() {
-    return pool.startsWith(MODEL_POOLS);
+    return PoolKey.modelName(pool).isPresent();
   }
 
   /** Returns what the control replicas need to know of the pool. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/PoolKey.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/PoolKey.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.sharing;
 
+import java.util.Optional;
 import org.toucansaddle.protocol.generated.UpstreamKind;
 
 /**
@@ -10,8 +11,18 @@
  */
 public record PoolKey(UpstreamKind kind, String name) {
 
+  private static final String MODEL_PREFIX = "model/";
+  private static final String SERVICE_PREFIX = "service/";
+
   /** Returns the key as text, unique over kinds. */
   public String text() {
-    return (kind == UpstreamKind.MODEL ? "model/" : "service/") + name;
+    return (kind == UpstreamKind.MODEL ? MODEL_PREFIX : SERVICE_PREFIX) + name;
+  }
+
+  /** Returns the name of the model in a key's text, if the key is one of a model. */
+  public static Optional<String> modelName(String text) {
+    return text.startsWith(MODEL_PREFIX)
+        ? Optional.of(text.substring(MODEL_PREFIX.length()))
+        : Optional.empty();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/SharingController.java
@@ -34,7 +34,7 @@
 public final class SharingController {
 
   private static final int WAITING_DEMAND_MILLIS = 1_000;
-  private static final int IDLE_DEMAND_MILLIS = 2_000;
+  private static final int IDLE_DEMAND_MILLIS = 1_500;
   private static final int URGENT_GAP_MILLIS = 20;
   private static final int IDLE_GRACE_MILLIS = 10;
   private static final int ANNOUNCEMENT_BATCH_MILLIS = 600;
