Let both experiments use one piece for what control costs

The figures' names and the largest heap stood in ControlTrafficExperiment and again in SlopesExperiment, which also copied four numbers out of ControlCost; both now call ControlCost. Names and values of the figures are unchanged.

--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ControlCost.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ControlCost.java
@@ -37,6 +37,23 @@
     return new ControlCost(rates, cores);
   }
 
+  /** Returns the largest heap that a daemon of a fleet retains; it bounds what control retains. */
+  static double heapMax(Fleet fleet) {
+    return fleet.routers().stream()
+        .mapToDouble(r -> ProcessCounters.retainedHeapBytes(fleet.process(r.name()).pid()))
+        .max()
+        .orElse(0);
+  }
+
+  /** Adds the maxima and means to an experiment's figures. */
+  void put(Figures figures, String prefix) {
+    figures
+        .put(prefix + "control_bytes_per_s_max", bytesMax())
+        .put(prefix + "control_bytes_per_s_mean", bytesMean())
+        .put(prefix + "control_cpu_ratio_max", coresMax())
+        .put(prefix + "control_cpu_ratio_mean", coresMean());
+  }
+
   double bytesMax() {
     return bytesPerSecond.stream().mapToDouble(b -> b).max().orElse(0);
   }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ControlTrafficExperiment.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ControlTrafficExperiment.java
@@ -1,7 +1,6 @@
 package org.toucansaddle.standins.experiment;
 
 import org.toucansaddle.standins.fleet.Fleet;
-import org.toucansaddle.standins.fleet.RouterAddresses;
 
 /** Measures what coordination costs each daemon, at rest and under the load of fairness. */
 final class ControlTrafficExperiment implements Experiment {
@@ -35,7 +34,7 @@
             fleet.printMetrics("toucansaddle_peer_");
             put(figures, "", ControlCost.measure(fleet, WINDOW_SECONDS));
             fleet.printMetrics("toucansaddle_peer_");
-            figures.put("control_heap_bytes_max", heapMax(fleet));
+            figures.put("control_heap_bytes_max", ControlCost.heapMax(fleet));
           }
         });
     return figures;
@@ -43,20 +42,6 @@
 
   private static void put(Figures figures, String prefix, ControlCost cost) {
     System.out.println(prefix + "bytes/s by daemon " + cost.bytesPerSecond());
-    figures
-        .put(prefix + "control_bytes_per_s_max", cost.bytesMax())
-        .put(prefix + "control_bytes_per_s_mean", cost.bytesMean())
-        .put(prefix + "control_cpu_ratio_max", cost.coresMax())
-        .put(prefix + "control_cpu_ratio_mean", cost.coresMean());
-  }
-
-  /** The whole heap of a daemon bounds what control retains of it. */
-  private static double heapMax(Fleet fleet) {
-    double largest = 0;
-    for (RouterAddresses router : fleet.routers()) {
-      long pid = fleet.process(router.name()).pid();
-      largest = Math.max(largest, ProcessCounters.retainedHeapBytes(pid));
-    }
-    return largest;
+    cost.put(figures, prefix);
   }
 }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SlopesExperiment.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/SlopesExperiment.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.standins.experiment;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.toucansaddle.standins.fleet.Fleet;
@@ -31,14 +30,14 @@
   private record Size(String name, int routers, int accounts, int upstreams, int perSecond) {}
 
   /** What coordination costs at a size. */
-  private record Cost(
-      double bytesMax, double bytesMean, double coresMax, double coresMean, double heapMax) {}
+  private record Cost(ControlCost control, double heapMax) {}
 
   @Override
   public Figures run(ExperimentRun run) {
     Figures figures = new Figures();
     Cost base = measure(run, BASE);
-    put(figures, base);
+    base.control().put(figures, "");
+    figures.put("control_heap_bytes_max", base.heapMax());
     slope(run, figures, base, new Size("router", 8, 8, 8, 60), 4);
     slope(run, figures, base, new Size("account", 4, 16, 8, 60), 8);
     slope(run, figures, base, new Size("upstream", 4, 8, 16, 60), 8);
@@ -46,24 +45,21 @@
     return figures;
   }
 
-  private static void put(Figures figures, Cost cost) {
-    figures
-        .put("control_bytes_per_s_max", cost.bytesMax())
-        .put("control_bytes_per_s_mean", cost.bytesMean())
-        .put("control_cpu_ratio_max", cost.coresMax())
-        .put("control_cpu_ratio_mean", cost.coresMean())
-        .put("control_heap_bytes_max", cost.heapMax());
-  }
-
   private static void slope(ExperimentRun run, Figures figures, Cost base, Size size, int added) {
     Cost cost = measure(run, size);
     System.out.println(size + " " + cost);
     String per = "_per_" + size.name();
     figures
-        .put("bytes_per_s_max" + per, (cost.bytesMax() - base.bytesMax()) / added)
-        .put("bytes_per_s_mean" + per, (cost.bytesMean() - base.bytesMean()) / added)
-        .put("cpu_ratio_max" + per, (cost.coresMax() - base.coresMax()) / added)
-        .put("cpu_ratio_mean" + per, (cost.coresMean() - base.coresMean()) / added)
+        .put(
+            "bytes_per_s_max" + per,
+            (cost.control().bytesMax() - base.control().bytesMax()) / added)
+        .put(
+            "bytes_per_s_mean" + per,
+            (cost.control().bytesMean() - base.control().bytesMean()) / added)
+        .put("cpu_ratio_max" + per, (cost.control().coresMax() - base.control().coresMax()) / added)
+        .put(
+            "cpu_ratio_mean" + per,
+            (cost.control().coresMean() - base.control().coresMean()) / added)
         .put("heap_bytes_max" + per, (cost.heapMax() - base.heapMax()) / added);
   }
 
@@ -97,16 +93,7 @@
       SharingScenario.sleep(1_000);
       ControlCost cost = ControlCost.measure(fleet, run.seconds());
       System.out.println(size.name() + " " + outcome.join());
-      return new Cost(
-          cost.bytesMax(), cost.bytesMean(), cost.coresMax(), cost.coresMean(), heapMax(fleet));
-    }
-  }
-
-  private static double heapMax(Fleet fleet) {
-    List<Double> heaps = new ArrayList<>();
-    for (RouterAddresses router : fleet.routers()) {
-      heaps.add((double) ProcessCounters.retainedHeapBytes(fleet.process(router.name()).pid()));
+      return new Cost(cost, ControlCost.heapMax(fleet));
     }
-    return heaps.stream().mapToDouble(h -> h).max().orElse(0);
   }
 }
