Build no new demand at each poll for a router whose leases have expired

A router that stays silent was emptied again at every poll of the dispatcher, each time with a new copy of its demand. It is left alone once nothing of it counts. Behaviour is the same; 38 tests of sharing pass, the whole suite was not run.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
@@ -86,6 +86,9 @@
 
   /** Counts nothing for the router any more, since its leases have expired. */
   void leasesExpired() {
+    if (demand.upstreams().isEmpty() && unacknowledged.isEmpty()) {
+      return;
+    }
     demand = demand.withoutUpstreams();
     unacknowledged.clear();
   }
