--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledConnection.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledConnection.java
@@ -2,6 +2,7 @@
 
 import io.undertow.client.ClientConnection;
 import java.time.Duration;
+import java.util.concurrent.RejectedExecutionException;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
@@ -44,6 +45,11 @@
   }
 
   void close() {
-    ioThread.execute(() -> IoUtils.safeClose(connection));
+    try {
+      ioThread.execute(() -> IoUtils.safeClose(connection));
+    } catch (RejectedExecutionException e) {
+      // The thread has ended, so nothing else uses the connection any more.
+      IoUtils.safeClose(connection);
+    }
   }
 }
