--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -201,6 +201,7 @@
     long begun = System.nanoTime();
     LOG.info("stop: unready, {} requests under way", handler.underWay());
     sleep(UNREADY_MILLIS);
+    handler.refuseNew();
     long endAt = begun + Duration.ofMillis(settings.graceMillis() - LAST_MILLIS).toNanos();
     while (handler.underWay() > 0 && System.nanoTime() - endAt < 0) {
       sleep(DRAIN_STEP_MILLIS);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -14,6 +14,7 @@
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.DigestStrike;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
@@ -95,10 +96,28 @@
     return sums;
   }
 
+  private Map<String, AccountUse> accountsOfOthers(Follower except) {
+    Map<String, AccountUse> sums = new HashMap<>();
+    for (Follower other : followers) {
+      if (other != except) {
+        other.accounts.forEach(use -> sums.merge(use.getAccount(), use, FollowServer::add));
+      }
+    }
+    return sums;
+  }
+
+  private static AccountUse add(AccountUse a, AccountUse b) {
+    return a.toBuilder()
+        .setAsked(a.getAsked() + b.getAsked())
+        .setAdmitted(a.getAdmitted() + b.getAdmitted())
+        .build();
+  }
+
   private static UpstreamWork add(UpstreamWork a, UpstreamWork b) {
     return a.toBuilder()
         .setRequests(a.getRequests() + b.getRequests())
         .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
+        .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
         .build();
   }
 
@@ -108,6 +127,7 @@
     private volatile String router = "?";
     private volatile long heardAt = clock.getAsLong();
     private volatile List<UpstreamWork> work = List.of();
+    private volatile List<AccountUse> accounts = List.of();
     private long sentChange;
     private long sentVersion;
     private boolean sentAny;
@@ -121,6 +141,7 @@
     public void onNext(FollowerReport report) {
       heardAt = clock.getAsLong();
       work = report.getWorkList();
+      accounts = report.getAccountsList();
       boolean struck = strikes.size() < MAX_STRIKES && strikes.addAll(report.getStrikesList());
       if (report.getFirst()) {
         router = report.getRouter();
@@ -167,7 +188,8 @@
               .addAllControlAddresses(controlAddresses.get())
               .setRouters(followers.size())
               .addAllStrikes(strikes)
-              .addAllWork(workOfOthers(this).values());
+              .addAllWork(workOfOthers(this).values())
+              .addAllAccounts(accountsOfOthers(this).values());
       send(update, document.get());
     }
 
@@ -180,7 +202,7 @@
         sentVersion = current.version();
       }
       if (!sentAny) {
-        update.addAllControlAddresses(controlAddresses.get()).setRouters(followers.size());
+        update.addAllControlAddresses(controlAddresses.get());
       }
       update.setComplete(!sentAny);
       long change = registry.lastChange();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerWatch.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerWatch.java
@@ -27,6 +27,8 @@
       return;
     }
     ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
+    // The channel of a request body took over the notifications; this gives them back.
+    channel.setConduit(connection.getOriginalSourceConduit());
     channel.setReadListener(ready -> read(exchange, connection, ready, onGone));
     channel.resumeReads();
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -2,13 +2,17 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.util.SameThreadExecutor;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
+import org.xnio.IoUtils;
 
 /**
  * Takes callers' requests: finds the route and the client account, reads the body, relays.
@@ -19,8 +23,13 @@
 
   private static final Logger LOG = LoggerFactory.getLogger("decision.relay");
 
+  /** Time after which a caller that is sent away may come back: at once, to another router. */
+  private static final long STOPPING_MILLIS = 50;
+
   private final RelayContext context;
   private final AtomicInteger underWay = new AtomicInteger();
+  private final Set<ServerConnection> idle = ConcurrentHashMap.newKeySet();
+  private volatile boolean refusing;
 
   /** Creates a handler. */
   public GatewayHandler(RelayContext context) {
@@ -32,13 +41,36 @@
     return underWay.get();
   }
 
+  /**
+   * Refuses requests from now on and closes connections that carry none.
+   *
+   * <p>A caller whose request crosses the close knows that it was not read.
+   */
+  public void refuseNew() {
+    refusing = true;
+    idle.forEach(connection -> connection.getIoThread().execute(() -> closeIfIdle(connection)));
+  }
+
+  private void closeIfIdle(ServerConnection connection) {
+    if (idle.remove(connection)) {
+      IoUtils.safeClose(connection);
+    }
+  }
+
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     long begunAt = context.now();
     underWay.incrementAndGet();
+    ServerConnection connection = exchange.getConnection();
+    if (!idle.remove(connection)) {
+      connection.addCloseListener(idle::remove);
+    }
     exchange.addExchangeCompleteListener(
         (ended, next) -> {
           underWay.decrementAndGet();
+          if (connection.isOpen()) {
+            idle.add(connection);
+          }
           next.proceed();
         });
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> route(exchange, begunAt));
@@ -46,6 +78,10 @@
 
   private void route(HttpServerExchange exchange, long begunAt) {
     RequestHead head = context.codec().read(exchange);
+    if (refusing) {
+      refuse(exchange, head, Refusal.notRun("stopping", "This router stops.", STOPPING_MILLIS));
+      return;
+    }
     Optional<RoutingView> view = context.state().view();
     if (view.isEmpty()) {
       refuse(exchange, head, Refusal.uninformed());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -23,11 +24,11 @@
   /** Requests that an engine may have beyond its slots, for each slot. */
   private static final double MAX_ENGINE_LOAD = 1.1;
 
-  /** Upstreams that keep one prefix: the first in rendezvous order, and one more for hot ones. */
-  private static final int HOMES = 2;
+  /** Part of the target that a prompt may wait where its prefix was read before. */
+  private static final double WAIT_FOR_PREFIX = 0.7;
 
-  /** Tokens that an engine reads in a millisecond while it also generates, if nothing is known. */
-  private static final double DEFAULT_TOKENS_PER_MILLI = 25;
+  /** Part of an engine's memory that requests may fill; the rest keeps shared prefixes. */
+  private static final double MEMORY_USED = 0.85;
 
   /** What a zone boundary costs, in milliseconds of waiting. */
   private static final double OTHER_ZONE_MILLIS = 4;
@@ -44,29 +45,44 @@
    *
    * @param upstream the upstream
    * @param waitMillis expected time until it begins to answer, in milliseconds
+   * @param toRead prompt tokens that it has to read
    * @param reason why it was chosen
    */
-  public record Choice(Upstream upstream, double waitMillis, Reason reason) {}
+  public record Choice(Upstream upstream, double waitMillis, int toRead, Reason reason) {}
 
   /** Why an upstream was chosen. */
   public enum Reason {
     /** It reads the shared prefix of the prompt for all routers. */
     PREFIX,
+    /** It takes the prefix when those before it in line have too much to read. */
+    NEXT_FOR_PREFIX,
     /** It starts soonest. */
     LEAST_WAIT,
     /** It has the least under way for its slots. */
     LEAST_LOAD
   }
 
+  /**
+   * What engines of a service can do. Immutable.
+   *
+   * @param tokensPerMilli prompt tokens that one reads in a millisecond
+   * @param memoryTokens tokens that one keeps in memory; 0 if not known
+   */
+  public record EngineLimits(double tokensPerMilli, long memoryTokens) {}
+
   /**
    * Chooses an upstream.
    *
    * @param usable upstreams that take requests
-   * @param tokensPerMilli tokens that one engine reads in a millisecond; 0 if not known
+   * @param targetMillis time to the first token that operators aim for, in milliseconds
    * @return nothing if all have as much as they may
    */
   public Optional<Choice> choose(
-      Collection<Upstream> usable, RequestHead head, double tokensPerMilli, Set<String> tried) {
+      Collection<Upstream> usable,
+      RequestHead head,
+      int targetMillis,
+      EngineLimits limits,
+      Set<String> tried) {
     List<Upstream> open = new ArrayList<>();
     for (Upstream upstream : usable) {
       if (!tried.contains(upstream.id())) {
@@ -74,8 +90,7 @@
       }
     }
     if (head.promptTokens() > 0) {
-      double rate = tokensPerMilli > 0 ? tokensPerMilli : DEFAULT_TOKENS_PER_MILLI;
-      return chooseEngine(open, head, rate);
+      return chooseEngine(open, head, targetMillis, limits);
     }
     return chooseLeastLoaded(open);
   }
@@ -93,26 +108,42 @@
     if (best == null || bestLoad > 1 + MAX_QUEUED_PER_SLOT) {
       return Optional.empty();
     }
-    return Optional.of(new Choice(best, 0, Reason.LEAST_LOAD));
+    return Optional.of(new Choice(best, 0, 0, Reason.LEAST_LOAD));
   }
 
-  private Optional<Choice> chooseEngine(List<Upstream> open, RequestHead head, double rate) {
+  private Optional<Choice> chooseEngine(
+      List<Upstream> open, RequestHead head, int targetMillis, EngineLimits limits) {
+    double rate = limits.tokensPerMilli();
     String prefix = head.sharedPrefix();
-    List<Upstream> homes = homes(open, prefix);
-    Choice best = null;
-    for (Upstream upstream : open) {
-      if (load(upstream) > MAX_ENGINE_LOAD) {
+    Choice soonest = null;
+    boolean first = true;
+    for (Upstream upstream : inLine(open, prefix)) {
+      if (load(upstream) > MAX_ENGINE_LOAD || !hasMemory(upstream, head, limits)) {
+        first = false;
         continue;
       }
-      boolean home = homes.contains(upstream);
-      int toRead = head.promptTokens() - (home ? head.sharedTokens() : 0);
-      double millis = (upstream.pendingTokens() + toRead) / rate;
-      if (best == null || millis + zoneMillis(upstream) < best.waitMillis()) {
-        Reason reason = home ? Reason.PREFIX : Reason.LEAST_WAIT;
-        best = new Choice(upstream, millis + zoneMillis(upstream), reason);
+      int toRead = head.promptTokens() - (first ? head.sharedTokens() : 0);
+      double ahead = Math.max(0, upstream.pendingTokens()) / rate;
+      double millis = ahead + toRead / rate;
+      if (!prefix.isEmpty() && ahead < WAIT_FOR_PREFIX * targetMillis) {
+        Reason reason = first ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
+        return Optional.of(new Choice(upstream, millis, toRead, reason));
+      }
+      first = false;
+      double compared = millis + zoneMillis(upstream);
+      if (soonest == null || compared < soonest.waitMillis()) {
+        soonest = new Choice(upstream, compared, toRead, Reason.LEAST_WAIT);
       }
     }
-    return Optional.ofNullable(best);
+    return Optional.ofNullable(soonest);
+  }
+
+  /** An engine that runs out of memory stops its newest request and reads it anew. */
+  private static boolean hasMemory(Upstream upstream, RequestHead head, EngineLimits limits) {
+    long after = upstream.memoryTokens() + head.promptTokens() + head.maxOutputTokens();
+    return limits.memoryTokens() == 0
+        || upstream.requests() == 0
+        || after < MEMORY_USED * limits.memoryTokens();
   }
 
   private double zoneMillis(Upstream upstream) {
@@ -127,15 +158,15 @@
     return upstream.requests() / (double) Math.max(1, upstream.report().slots());
   }
 
-  private static List<Upstream> homes(List<Upstream> open, String prefix) {
+  /** Returns the upstreams in an order that all routers agree on, another one for each prefix. */
+  private static List<Upstream> inLine(List<Upstream> open, String prefix) {
     if (prefix.isEmpty()) {
-      return List.of();
+      return open;
     }
     List<Upstream> ordered = new ArrayList<>(open);
     ordered.sort(
-        java.util.Comparator.comparingLong((Upstream u) -> score(prefix, u))
-            .thenComparing(Upstream::id));
-    return ordered.subList(0, Math.min(HOMES, ordered.size()));
+        Comparator.comparingLong((Upstream u) -> score(prefix, u)).thenComparing(Upstream::id));
+    return ordered;
   }
 
   private static long score(String prefix, Upstream upstream) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -21,6 +21,7 @@
   private final ByteBufferPool buffers;
   private final BooleanSupplier closing;
   private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+  private final Map<String, EngineSpeed> speeds = new ConcurrentHashMap<>();
   private final Map<XnioIoThread, UpstreamConnections> connections = new ConcurrentHashMap<>();
 
   /**
@@ -84,6 +85,10 @@
                 clock));
   }
 
+  EngineSpeed speed(String service) {
+    return speeds.computeIfAbsent(service, name -> new EngineSpeed());
+  }
+
   UpstreamConnections connections(XnioIoThread ioThread) {
     return connections.computeIfAbsent(ioThread, t -> new UpstreamConnections(t, buffers));
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -19,6 +19,7 @@
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.gateway.WeightedService;
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.Choice;
+import org.toucansaddle.daemon.internal.gateway.relay.Placement.EngineLimits;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnections.Connection;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -44,6 +45,23 @@
   /** Part of a route's target that a prompt may be expected to wait. */
   private static final double MAX_WAIT_OF_TARGET = 0.9;
 
+  /** Part of a route's target up to which engines are kept busy by accounts above their share. */
+  private static final double SPARE_OF_TARGET = 0.25;
+
+  /** Time in which an account's share becomes free again: a quarter of its window. */
+  private static final long ABOVE_SHARE_MILLIS = 1_000;
+
+  /** Part of that time which counts as nothing before a prompt. */
+  private static final double NOTHING_AHEAD = 0.3;
+
+  /** Part of the time left that a caller who came back may be expected to wait. */
+  private static final double MAX_WAIT_OF_TIME = 0.4;
+
+  /** Prompt tokens that engines read for each token they serve, while nothing was learned. */
+  private static final double READ_OF_SERVED = 2;
+
+  private static final double DEFAULT_TOKENS_PER_MILLI = 25;
+
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long BUSY_RETRY_AFTER_MILLIS = 400;
 
@@ -73,6 +91,7 @@
   private XnioExecutor.Key deadlineTimer;
   private int attempts;
   private boolean earlierMayHaveRun;
+  private boolean aboveShare;
   private double expectedWaitMillis;
   private long firstByteAt;
   private String lastUpstream = "";
@@ -156,6 +175,9 @@
   void start() {
     CallerWatch.start(exchange, this::callerGone);
     context.budget(service).request();
+    if (!account.isEmpty() && head.promptTokens() > 0) {
+      context.state().shares().asked(account, head.shareTokens());
+    }
     deadlineTimer =
         exchange
             .getIoThread()
@@ -177,7 +199,9 @@
       }
     }
     Optional<Choice> choice =
-        context.placement().choose(usable, head, tokensPerMilli(usable.size()), tried);
+        context
+            .placement()
+            .choose(usable, head, route.targetMillis(), limits(usable.size()), tried);
     if (choice.isEmpty()) {
       boolean busy = tried.isEmpty() && !usable.isEmpty();
       refuse(
@@ -187,17 +211,65 @@
       return;
     }
     expectedWaitMillis = choice.get().waitMillis();
-    double mostMillis = route.targetMillis() * MAX_WAIT_OF_TARGET;
-    if (phase == Phase.STARTING && attempts == 0 && expectedWaitMillis > mostMillis) {
-      long back = Math.round(Math.max(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis - mostMillis));
-      refuse(Refusal.notRun("target-cannot-be-met", "All upstreams have long queues.", back));
-      return;
+    if (phase == Phase.STARTING && attempts == 0) {
+      Optional<Refusal> refusal = admit(choice.get());
+      if (refusal.isPresent()) {
+        refuse(refusal.get());
+        return;
+      }
     }
     send(choice.get(), otherwise);
   }
 
+  /** Returns why a request is not sent now, or counts it as admitted. */
+  private Optional<Refusal> admit(Choice choice) {
+    double aheadMillis = choice.waitMillis() - choice.toRead() / tokensPerMilli(1);
+    boolean shared = !account.isEmpty() && head.promptTokens() > 0;
+    if (shared && aheadMillis > SPARE_OF_TARGET * route.targetMillis()) {
+      double capacity = view.tokensPerSecond();
+      aboveShare = context.state().shares().isAboveShare(account, head.shareTokens(), capacity);
+    }
+    if (aboveShare) {
+      long back = ABOVE_SHARE_MILLIS + ThreadLocalRandom.current().nextLong(ABOVE_SHARE_MILLIS);
+      return Optional.of(
+          Refusal.notRun("above-share", "The client account has had its share.", back));
+    }
+    if (!isWorthwhile(choice, aheadMillis)) {
+      long back = Math.round(Math.max(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis / 2));
+      return Optional.of(
+          Refusal.notRun("target-cannot-be-met", "All upstreams have long queues.", back));
+    }
+    if (shared) {
+      context.state().shares().admitted(account, head.shareTokens());
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Returns whether a request should be sent now: it meets its target, or coming back would not
+   * help since nothing stands before it or its caller has waited already.
+   */
+  private boolean isWorthwhile(Choice choice, double aheadMillis) {
+    double limit = route.targetMillis() * MAX_WAIT_OF_TARGET;
+    if (choice.waitMillis() <= limit || aheadMillis < limit * NOTHING_AHEAD) {
+      return true;
+    }
+    return head.hasWaited(route) && choice.waitMillis() < leftMillis() * MAX_WAIT_OF_TIME;
+  }
+
+  private EngineLimits limits(int engines) {
+    long memory =
+        view.service(service)
+            .flatMap(ServiceDefinition::engine)
+            .map(ServiceDefinition.EngineCapacity::memoryTokens)
+            .orElse(0L);
+    return new EngineLimits(tokensPerMilli(engines), memory);
+  }
+
   private double tokensPerMilli(int engines) {
-    return view.tokensPerSecond() / 1_000.0 / Math.max(1, engines);
+    double served = view.tokensPerSecond() / 1_000.0 / Math.max(1, engines);
+    double guess = served > 0 ? READ_OF_SERVED * served : DEFAULT_TOKENS_PER_MILLI;
+    return context.speed(service).tokensPerMilli(guess);
   }
 
   private void send(Choice choice, Refusal otherwise) {
@@ -206,7 +278,7 @@
     lastUpstream = upstream.id();
     String address = upstream.report().address();
     UpstreamConnections connections = context.connections(exchange.getIoThread());
-    Attempt attempt = new Attempt(upstream);
+    Attempt attempt = new Attempt(choice);
     current = attempt;
     long age = TimeUnit.NANOSECONDS.toMillis(context.now() - upstream.heardAtNanos());
     Connection idle = connections.takeIdle(address);
@@ -318,21 +390,29 @@
     private UpstreamAttempt exchangeWithUpstream;
     private XnioExecutor.Key stallTimer;
     private long lastByteAt;
+    private final int toRead;
+    private final int memory;
+    private final long tokensAhead;
+    private long sentAt;
     private boolean promptCounted;
     private boolean counted;
     private boolean relaying;
 
-    Attempt(Upstream upstream) {
-      this.upstream = upstream;
+    Attempt(Choice choice) {
+      this.upstream = choice.upstream();
+      this.toRead = choice.toRead();
       this.counted = true;
       this.promptCounted = true;
-      upstream.begun(head.promptTokens());
+      this.memory = toRead + head.maxOutputTokens();
+      upstream.begun(toRead, memory);
+      this.tokensAhead = upstream.pendingTokens();
     }
 
     void begin(Connection connection) {
       attempts++;
       phase = phase == Phase.STARTING ? Phase.WAITING : phase;
-      lastByteAt = context.now();
+      sentAt = context.now();
+      lastByteAt = sentAt;
       exchangeWithUpstream = new UpstreamAttempt(connection, body, this);
       watchStall();
       exchangeWithUpstream.start(request());
@@ -395,7 +475,7 @@
       promptRead();
       if (counted) {
         counted = false;
-        upstream.ended();
+        upstream.ended(memory);
       }
       if (stallTimer != null) {
         stallTimer.remove();
@@ -405,7 +485,7 @@
     private void promptRead() {
       if (promptCounted) {
         promptCounted = false;
-        upstream.promptRead(head.promptTokens());
+        upstream.promptRead(toRead);
       }
     }
 
@@ -459,7 +539,8 @@
       context.metrics().attempted(outcome);
       RelayLog.attemptFailed(RelayedCall.this, upstream.id(), outcome, why);
       Refusal otherwise = Refusal.lost("The upstream's answer was lost: " + why + ".");
-      again(otherwise, route.isRepeatable());
+      boolean untouched = phase != Phase.ANSWERING || events != null;
+      again(otherwise, route.isRepeatable() && untouched);
     }
 
     private boolean mayRepeat() {
@@ -509,6 +590,10 @@
         return false;
       }
       lastByteAt = context.now();
+      if (promptCounted && toRead > 0) {
+        long millis = TimeUnit.NANOSECONDS.toMillis(lastByteAt - sentAt);
+        context.speed(service).observed(tokensAhead, millis);
+      }
       promptRead();
       if (firstByteAt == 0) {
         firstByteAt = lastByteAt;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
@@ -25,6 +25,9 @@
     int maxOutputTokens,
     List<PromptPart> parts) {
 
+  /** Part of a route's timeout; a caller that allows less has used up the rest before. */
+  private static final double WAITED_BELOW = 0.97;
+
   /**
    * Part of a prompt that other requests may share. Immutable.
    *
@@ -45,6 +48,16 @@
         : route.timeoutMillis();
   }
 
+  /** Returns what the request counts for in its account's share: tokens made count twice. */
+  public long shareTokens() {
+    return promptTokens + 2L * maxOutputTokens;
+  }
+
+  /** Returns whether the caller has waited before, most likely after a refusal. */
+  public boolean hasWaited(Route route) {
+    return deadlineMillis > 0 && deadlineMillis < WAITED_BELOW * route.timeoutMillis();
+  }
+
   /** Returns the tokens of all parts but the last, which other requests may share. */
   public int sharedTokens() {
     int tokens = 0;
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -0,0 +1,164 @@
+package org.toucansaddle.daemon.internal.gateway.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.toucansaddle.protocol.generated.AccountUse;
+
+/**
+ * Max-min shares of client accounts in the tokens that all engines serve, without I/O.
+ *
+ * <p>Counts what each account asked for and was admitted with within a sliding window, here and, as
+ * last told, at the other routers. An account is above its share when it was admitted with more
+ * than the level at which the engines' capacity is used up by giving everyone the lesser of that
+ * level and what they asked for. Thread-safe.
+ */
+public final class AccountShares {
+
+  /** Window of sharing; the operators' quota window is as long. */
+  private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  private static final int BUCKETS = 8;
+  private static final long BUCKET_NANOS = WINDOW_NANOS / BUCKETS;
+  private static final double WINDOW_SECONDS = WINDOW_NANOS / 1e9;
+
+  /** Age at which a level is computed anew. */
+  private static final long LEVEL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private final LongSupplier clock;
+  private final Map<String, Use> own = new HashMap<>();
+  private Map<String, AccountUse> others = Map.of();
+  private double level = Double.MAX_VALUE;
+  private double levelCapacity;
+  private long levelAt;
+  private boolean levelKnown;
+
+  /** Creates shares without use; {@code clock} gives nanoseconds. */
+  public AccountShares(LongSupplier clock) {
+    this.clock = clock;
+  }
+
+  /** What one account asked for and got here, by parts of the window. */
+  private static final class Use {
+    private final long[] asked = new long[BUCKETS];
+    private final long[] admitted = new long[BUCKETS];
+    private long newest;
+
+    void advance(long bucket) {
+      long steps = Math.min(BUCKETS, Math.max(0, bucket - newest));
+      for (long i = 1; i <= steps; i++) {
+        int slot = (int) Math.floorMod(bucket - steps + i, (long) BUCKETS);
+        asked[slot] = 0;
+        admitted[slot] = 0;
+      }
+      newest = Math.max(newest, bucket);
+    }
+
+    void add(long[] to, long tokens) {
+      to[(int) Math.floorMod(newest, (long) BUCKETS)] += tokens;
+    }
+
+    long asked() {
+      return Arrays.stream(asked).sum();
+    }
+
+    long admitted() {
+      return Arrays.stream(admitted).sum();
+    }
+  }
+
+  private Use use(String account) {
+    Use use = own.computeIfAbsent(account, name -> new Use());
+    use.advance(Math.floorDiv(clock.getAsLong(), BUCKET_NANOS));
+    return use;
+  }
+
+  /** Counts tokens that a request asks for. */
+  public synchronized void asked(String account, long tokens) {
+    Use use = use(account);
+    use.add(use.asked, tokens);
+  }
+
+  /** Counts tokens of a request that was admitted. */
+  public synchronized void admitted(String account, long tokens) {
+    Use use = use(account);
+    use.add(use.admitted, tokens);
+  }
+
+  /** Replaces what is known of the other routers. */
+  public synchronized void othersAre(List<AccountUse> uses) {
+    Map<String, AccountUse> next = new HashMap<>();
+    uses.forEach(use -> next.put(use.getAccount(), use));
+    others = next;
+  }
+
+  /** Returns what accounts asked for and got here within the window. */
+  public synchronized List<AccountUse> own() {
+    List<AccountUse> uses = new ArrayList<>();
+    own.keySet()
+        .forEach(
+            account -> {
+              Use use = use(account);
+              if (use.asked() > 0) {
+                uses.add(
+                    AccountUse.newBuilder()
+                        .setAccount(account)
+                        .setAsked(use.asked())
+                        .setAdmitted(use.admitted())
+                        .build());
+              }
+            });
+    return uses;
+  }
+
+  /**
+   * Returns whether a request would take its account above its share.
+   *
+   * @param tokens tokens of the request
+   * @param tokensPerSecond capacity of all engines; 0 if not known, so that nobody is above
+   */
+  public synchronized boolean isAboveShare(String account, long tokens, double tokensPerSecond) {
+    if (tokensPerSecond <= 0) {
+      return false;
+    }
+    long admitted = use(account).admitted() + othersUse(account).getAdmitted();
+    return admitted + tokens / 2 > level(tokensPerSecond * WINDOW_SECONDS);
+  }
+
+  private AccountUse othersUse(String account) {
+    return others.getOrDefault(account, AccountUse.getDefaultInstance());
+  }
+
+  private double level(double capacity) {
+    long now = clock.getAsLong();
+    if (!levelKnown || levelCapacity != capacity || now - levelAt > LEVEL_NANOS) {
+      Map<String, Double> asked = new HashMap<>();
+      own.keySet().forEach(account -> asked.put(account, (double) use(account).asked()));
+      others.forEach((account, use) -> asked.merge(account, (double) use.getAsked(), Double::sum));
+      level = level(asked.values().stream().mapToDouble(d -> d).toArray(), capacity);
+      levelCapacity = capacity;
+      levelAt = now;
+      levelKnown = true;
+    }
+    return level;
+  }
+
+  /** Returns the level at which the lesser of it and each demand add up to the capacity. */
+  static double level(double[] asked, double capacity) {
+    double[] sorted = asked.clone();
+    Arrays.sort(sorted);
+    double left = capacity;
+    for (int i = 0; i < sorted.length; i++) {
+      double even = left / (sorted.length - i);
+      if (sorted[i] >= even) {
+        return even;
+      }
+      left -= sorted[i];
+    }
+    return Double.MAX_VALUE;
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -70,8 +70,9 @@
     if (update.getControlAddressesCount() > 0) {
       toldBy.put(source, Set.copyOf(update.getControlAddressesList()));
     }
-    if (source.equals(primary())) {
+    if (update.getRouters() > 0 && source.equals(primary())) {
       state.workOfOthers(update.getWorkList());
+      state.shares().othersAre(update.getAccountsList());
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -34,6 +34,7 @@
   private final LongSupplier clock;
   private final long silenceNanos;
   private final UpstreamTable upstreams = new UpstreamTable();
+  private final AccountShares shares;
   private final AtomicReference<Optional<RoutingView>> view =
       new AtomicReference<>(Optional.empty());
   private final Map<String, Long> toldAt = new ConcurrentHashMap<>();
@@ -51,6 +52,7 @@
     this.format = format;
     this.silenceNanos = TimeUnit.MILLISECONDS.toNanos(silenceMillis);
     this.clock = clock;
+    this.shares = new AccountShares(clock);
   }
 
   /** Returns the configuration in force, once there is one that a quorum confirmed. */
@@ -68,6 +70,11 @@
     return upstreams;
   }
 
+  /** Returns the shares of client accounts. */
+  public AccountShares shares() {
+    return shares;
+  }
+
   /** Returns the number of routers, as last told; at least 1. */
   public int routers() {
     return routers;
@@ -148,7 +155,7 @@
     works.forEach(work -> byId.put(work.getUpstream(), work));
     for (Upstream upstream : upstreams.all()) {
       UpstreamWork work = byId.getOrDefault(upstream.id(), UpstreamWork.getDefaultInstance());
-      upstream.othersAre(work.getRequests(), work.getPendingTokens());
+      upstream.othersAre(work.getRequests(), work.getPendingTokens(), work.getMemoryTokens());
     }
   }
 
@@ -159,14 +166,16 @@
 
   /** Returns what this router tells control daemons. */
   public FollowerReport.Builder report() {
-    FollowerReport.Builder report = FollowerReport.newBuilder().setDocumentVersion(version());
+    FollowerReport.Builder report =
+        FollowerReport.newBuilder().setDocumentVersion(version()).addAllAccounts(shares.own());
     for (Upstream upstream : upstreams.all()) {
       if (upstream.ownRequests() > 0) {
         report.addWork(
             UpstreamWork.newBuilder()
                 .setUpstream(upstream.id())
                 .setRequests(upstream.ownRequests())
-                .setPendingTokens((int) Math.max(0, upstream.ownPendingTokens())));
+                .setPendingTokens((int) Math.max(0, upstream.ownPendingTokens()))
+                .setMemoryTokens((int) Math.max(0, upstream.ownMemoryTokens())));
       }
     }
     return report;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -25,9 +25,11 @@
   private volatile long pausedUntilNanos;
   private volatile int otherRequests;
   private volatile int otherPendingTokens;
+  private volatile int otherMemoryTokens;
   private final AtomicInteger failures = new AtomicInteger();
   private final AtomicInteger ownRequests = new AtomicInteger();
   private final AtomicLong ownPendingTokens = new AtomicLong();
+  private final AtomicLong ownMemoryTokens = new AtomicLong();
 
   Upstream(UpstreamReport report, long heardAtNanos) {
     this.id = report.id();
@@ -92,10 +94,11 @@
     return failures.get();
   }
 
-  /** Notes a request sent there, with prompt tokens to read. */
-  public void begun(int tokens) {
+  /** Notes a request sent there, with prompt tokens to read and tokens to keep in memory. */
+  public void begun(int tokens, int memoryTokens) {
     ownRequests.incrementAndGet();
     ownPendingTokens.addAndGet(tokens);
+    ownMemoryTokens.addAndGet(memoryTokens);
   }
 
   /** Notes that the prompt of a request was read. */
@@ -103,15 +106,17 @@
     ownPendingTokens.addAndGet(-tokens);
   }
 
-  /** Notes that a request ended. */
-  public void ended() {
+  /** Notes that a request ended, which kept tokens in memory. */
+  public void ended(int memoryTokens) {
     ownRequests.decrementAndGet();
+    ownMemoryTokens.addAndGet(-memoryTokens);
   }
 
   /** Sets what other routers have under way there. */
-  void othersAre(int requests, int pendingTokens) {
+  void othersAre(int requests, int pendingTokens, int memoryTokens) {
     otherRequests = requests;
     otherPendingTokens = pendingTokens;
+    otherMemoryTokens = memoryTokens;
   }
 
   /** Returns the requests of this router under way there. */
@@ -124,6 +129,16 @@
     return ownPendingTokens.get();
   }
 
+  /** Returns the tokens that this router's requests occupy in its memory. */
+  public long ownMemoryTokens() {
+    return ownMemoryTokens.get();
+  }
+
+  /** Returns the tokens that all routers' requests occupy in its memory, others' as last told. */
+  public long memoryTokens() {
+    return ownMemoryTokens.get() + otherMemoryTokens;
+  }
+
   /** Returns the requests of all routers under way there, others' as last told. */
   public int requests() {
     return ownRequests.get() + otherRequests;
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistryTest.java
@@ -0,0 +1,55 @@
+package org.toucansaddle.daemon.internal.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.Test;
+import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+
+/** Tests of {@link UpstreamRegistry}. */
+public class UpstreamRegistryTest {
+
+  private final AtomicLong clock = new AtomicLong(1);
+  private final UpstreamRegistry registry = new UpstreamRegistry(clock::get);
+
+  private static UpstreamReport report(String id, State state, long startedAt, long sequence) {
+    return new UpstreamReport(id, "desk", "10.0.0.1:80", "z", 6, state, startedAt, sequence);
+  }
+
+  @Test
+  public void shouldTellOfChangesThatMatterToRequests() {
+    assertThat(registry.accept(report("a", State.READY, 10, 1))).isTrue();
+    assertThat(registry.accept(report("a", State.READY, 10, 2))).isFalse();
+    assertThat(registry.accept(report("a", State.DRAINING, 10, 3))).isTrue();
+    assertThat(registry.accept(report("a", State.READY, 20, 1))).isTrue();
+  }
+
+  @Test
+  public void shouldKeepAFarewellAgainstReportsThatWereDelayed() {
+    registry.accept(report("b", State.READY, 10, 1));
+    registry.leave("b", 5_000);
+    registry.accept(report("b", State.READY, 10, 2));
+
+    assertThat(registry.find("b").orElseThrow().state()).isEqualTo(State.GONE);
+  }
+
+  @Test
+  public void shouldKeepAFarewellOfAnUpstreamThatReportedElsewhere() {
+    registry.leave("c", 5_000);
+    registry.accept(report("c", State.READY, 4_000, 7));
+    assertThat(registry.find("c").orElseThrow().state()).isEqualTo(State.GONE);
+
+    registry.accept(report("c", State.READY, 6_000, 1));
+    assertThat(registry.find("c").orElseThrow().state()).isEqualTo(State.READY);
+  }
+
+  @Test
+  public void shouldListWhatChangedAfterAChange() {
+    registry.accept(report("d", State.READY, 10, 1));
+    long seen = registry.lastChange();
+    registry.accept(report("e", State.READY, 10, 1));
+
+    assertThat(registry.changedAfter(seen)).extracting(e -> e.report().id()).containsExactly("e");
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
@@ -0,0 +1,71 @@
+package org.toucansaddle.daemon.internal.gateway.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link EventSplitter}. */
+public class EventSplitterTest {
+
+  private EventSplitter splitter;
+
+  @BeforeMethod
+  public void createSplitter() {
+    splitter = new EventSplitter();
+  }
+
+  private static String event(int id) {
+    return "id: " + id + "\ndata: text " + id + "\n\n";
+  }
+
+  private String accept(String text) {
+    ByteBuffer out = splitter.accept(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    return StandardCharsets.UTF_8.decode(out).toString();
+  }
+
+  @Test
+  public void shouldKeepBackAnEventThatWasNotEnded() {
+    assertThat(accept(event(1) + "id: 2\nda")).isEqualTo(event(1));
+    assertThat(splitter.lastId()).isEqualTo(1);
+    assertThat(accept("ta: text 2\n\n")).isEqualTo(event(2));
+  }
+
+  @Test
+  public void shouldRepeatNothingAfterAStreamWentOnElsewhere() {
+    accept(event(1) + event(2) + "id: 3\nda");
+    splitter.dropPartial();
+    assertThat(accept(event(2) + event(3))).isEqualTo(event(3));
+    assertThat(splitter.hasGap()).isFalse();
+  }
+
+  @Test
+  public void shouldNoticeAMissingEvent() {
+    accept(event(1));
+    accept(event(3));
+    assertThat(splitter.hasGap()).isTrue();
+  }
+
+  @Test
+  public void shouldPassOnTheSameBytesHoweverTheyArrive() {
+    StringBuilder all = new StringBuilder();
+    for (int id = 1; id <= 40; id++) {
+      all.append(event(id));
+    }
+    for (long seed = 1; seed <= 50; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      EventSplitter other = new EventSplitter();
+      StringBuilder out = new StringBuilder();
+      for (int from = 0; from < all.length(); ) {
+        int to = Math.min(all.length(), from + 1 + random.nextInt(60));
+        byte[] piece = all.substring(from, to).getBytes(StandardCharsets.UTF_8);
+        out.append(StandardCharsets.UTF_8.decode(other.accept(ByteBuffer.wrap(piece))));
+        from = to;
+      }
+      assertThat(out.toString()).as("seed %d", seed).isEqualTo(all.toString());
+    }
+  }
+}
