Test a gateway as callers, upstreams and operators use it

Found by it: two more disks may only be lost once the first two were repaired, which nothing told; a control daemon now tells how many voters hold all. Equal upstreams got requests in a fixed order.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/ControlGateway.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/ControlGateway.java
@@ -52,6 +52,12 @@
   /** Notes that an upstream leaves, and tells all routers at once. */
   void leave(String upstream);
 
+  /**
+   * Returns the number of voters that hold all that is committed and answer; 0 if this daemon does
+   * not lead. Less than half of them may lose their disks at once.
+   */
+  int wholeVoters();
+
   /** Uses other seeds from now on. */
   void useSeeds(List<String> seeds);
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -104,6 +104,8 @@
     this.server = peers.serve(self, List.of(linkDefinition(links), definition()));
     peers.every(REPAIR_MILLIS, replicaSet::step);
     peers.every(BEAT_MILLIS, followers::beat);
+    metrics.gauge(
+        "toucansaddle_gateway_whole_voters", "Voters that hold all.", replicaSet::wholeVoters);
     metrics.gauge("toucansaddle_gateway_followers", "Routers that follow.", followers::size);
     metrics.gauge(
         "toucansaddle_gateway_configuration", "Version applied.", () -> applied.version());
@@ -195,6 +197,11 @@
     followers.push();
   }
 
+  @Override
+  public int wholeVoters() {
+    return replicaSet.wholeVoters();
+  }
+
   @Override
   public void useSeeds(List<String> seeds) {
     peers.useSeeds(seeds);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/SeededReplicaSet.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/SeededReplicaSet.java
@@ -96,6 +96,23 @@
     return new ArrayList<>(all);
   }
 
+  /**
+   * Returns the number of voters that hold all that is committed and answer; 0 if this daemon does
+   * not lead.
+   */
+  public int wholeVoters() {
+    ReplicaStatus status = replica.status();
+    if (status.role() != Role.LEADER || !status.membersCommitted()) {
+      return 0;
+    }
+    long others =
+        status.members().voters().stream()
+            .filter(status.responsive()::contains)
+            .filter(id -> status.matchIndexes().getOrDefault(id, 0L) >= status.commitIndex())
+            .count();
+    return 1 + (int) others;
+  }
+
   private String self() {
     return replica.self().name();
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 
 /**
@@ -30,6 +31,9 @@
   /** Part of an engine's memory that requests may fill; the rest keeps shared prefixes. */
   private static final double MEMORY_USED = 0.85;
 
+  /** What a zone boundary costs, as a part of a slot: it decides only between equals. */
+  private static final double OTHER_ZONE_LOAD = 0.01;
+
   /** What a zone boundary costs, in milliseconds of waiting. */
   private static final double OTHER_ZONE_MILLIS = 4;
 
@@ -98,8 +102,10 @@
   private Optional<Choice> chooseLeastLoaded(List<Upstream> open) {
     Upstream best = null;
     double bestLoad = Double.MAX_VALUE;
-    for (Upstream upstream : open) {
-      double load = load(upstream) + (isNear(upstream) ? 0 : 0.01);
+    int start = open.isEmpty() ? 0 : ThreadLocalRandom.current().nextInt(open.size());
+    for (int i = 0; i < open.size(); i++) {
+      Upstream upstream = open.get((start + i) % open.size());
+      double load = load(upstream) + (isNear(upstream) ? 0 : OTHER_ZONE_LOAD);
       if (load < bestLoad) {
         best = upstream;
         bestLoad = load;
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -0,0 +1,272 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import org.toucansaddle.daemon.gateway.ControlGateway.PutOutcome;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.toucansaddle.http.HttpCall;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.http.HttpReply;
+import org.xnio.IoUtils;
+
+/** Tests of a gateway as callers, upstreams and operators use it. */
+public class GatewayUsageTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
+  private final List<String> seen = new CopyOnWriteArrayList<>();
+  private final CountDownLatch held = new CountDownLatch(1);
+  private final CountDownLatch left = new CountDownLatch(1);
+  private LocalGateway gateway;
+  private Undertow first;
+  private Undertow second;
+
+  @BeforeClass
+  public void startGateway() throws Exception {
+    gateway = new LocalGateway();
+    first = startUpstream("u1");
+    second = startUpstream("u2");
+    gateway.open();
+    gateway.report(3, "u1", address(first), State.READY, 1);
+    gateway.report(4, "u2", address(second), State.READY, 1);
+    LocalGateway.await(() -> seenFrom("u1") && seenFrom("u2"));
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopGateway() throws Exception {
+    client.close();
+    first.stop();
+    second.stop();
+    gateway.close();
+  }
+
+  private boolean seenFrom(String upstream) {
+    post(0, "/once/warm", "x");
+    post(1, "/once/warm", "x");
+    return seen.stream().anyMatch(line -> line.startsWith(upstream));
+  }
+
+  private static String address(Undertow server) {
+    InetSocketAddress bound = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    return "127.0.0.1:" + bound.getPort();
+  }
+
+  private Undertow startUpstream(String id) {
+    Undertow server =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setIoThreads(1)
+            .setWorkerThreads(2)
+            .setHandler(exchange -> answer(id, exchange))
+            .build();
+    server.start();
+    return server;
+  }
+
+  private void answer(String id, HttpServerExchange exchange) throws Exception {
+    String path = exchange.getRequestURI();
+    seen.add(id + " " + path + " " + header(exchange, "X-Client-Account"));
+    exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
+    exchange
+        .getResponseHeaders()
+        .put(new HttpString("X-Request-Id"), header(exchange, "X-Request-Id"));
+    if (path.endsWith("/hold")) {
+      exchange.dispatch(() -> hold(exchange));
+    } else if (path.endsWith("/break")) {
+      exchange.dispatch(() -> breakOff(exchange));
+    } else if (path.endsWith("/unsealed")) {
+      exchange.getResponseHeaders().remove("X-Answer-Seal");
+      exchange.getResponseSender().send("not mine");
+    } else {
+      exchange
+          .getRequestReceiver()
+          .receiveFullString(
+              (e, body) ->
+                  e.getResponseSender()
+                      .send(body + header(e, "X-Api-Key") + header(e, "X-Expect-Upstream")));
+    }
+  }
+
+  /** Answers for as long as anybody listens. */
+  private void hold(HttpServerExchange exchange) {
+    held.countDown();
+    exchange.startBlocking();
+    try {
+      for (int id = 1; id < 200; id++) {
+        String event = "id: " + id + "\ndata: x\n\n";
+        exchange.getOutputStream().write(event.getBytes(StandardCharsets.UTF_8));
+        exchange.getOutputStream().flush();
+        Thread.sleep(50);
+      }
+    } catch (IOException e) {
+      left.countDown();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void breakOff(HttpServerExchange exchange) {
+    exchange.startBlocking();
+    try {
+      exchange.getOutputStream().write("data: half".getBytes(StandardCharsets.UTF_8));
+      exchange.getOutputStream().flush();
+      Thread.sleep(100);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+    IoUtils.safeClose(exchange.getConnection());
+  }
+
+  private static String header(HttpServerExchange exchange, String name) {
+    String value = exchange.getRequestHeaders().getFirst(name);
+    return value == null ? "-" : value;
+  }
+
+  private static HttpCall call(int router, LocalGateway gateway, String path, String body) {
+    return HttpCall.post(gateway.callers(router), path, body)
+        .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
+        .withHeader("X-Request-Id", "r" + path.hashCode())
+        .withHeader("X-Api-Key", LocalGateway.KEY);
+  }
+
+  private HttpReply post(int router, String path, String body) {
+    return client.send(call(router, gateway, path, body), TIMEOUT).join();
+  }
+
+  @Test
+  public void shouldRelayARequestAndTellTheUpstreamTheAccountButNotTheKey() {
+    HttpReply reply = post(0, "/once/a%20b?q=1", "hello");
+
+    assertThat(reply.status()).isEqualTo(200);
+    assertThat(reply.text()).matches("hello-u[12]");
+    assertThat(reply.header("X-Answer-Seal")).contains("seal");
+    assertThat(seen).anyMatch(line -> line.endsWith(" /once/a%20b captain"));
+  }
+
+  @Test
+  public void shouldRefuseUnknownKeysAndRoutes() {
+    HttpCall wrongKey = call(0, gateway, "/once/x", "").withHeader("X-Api-Key", "stolen");
+    HttpReply refused = client.send(wrongKey, TIMEOUT).join();
+    assertThat(refused.status()).isEqualTo(401);
+    assertThat(refused.text()).contains("\"type\":\"unknown-key\"");
+    assertThat(post(1, "/nowhere/x", "").status()).isEqualTo(404);
+  }
+
+  @Test
+  public void shouldNotPassOnASuccessThatTheUpstreamDidNotSeal() {
+    HttpReply reply = post(0, "/once/unsealed", "");
+    assertThat(reply.status()).isEqualTo(502);
+    assertThat(reply.text()).contains("\"run\":\"unknown\"");
+  }
+
+  /** The channel of a body once took the notifications, and 336 of 347 runs went on. */
+  @Test
+  public void shouldTellTheUpstreamWhenTheCallerOfARequestWithABodyLeaves() throws Exception {
+    String[] parts = gateway.callers(0).split(":");
+    try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+      OutputStream out = socket.getOutputStream();
+      String head =
+          "POST /stream/hold HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Api-Key: "
+              + LocalGateway.KEY
+              + "\r\nContent-Length: 4\r\n\r\nbody";
+      out.write(head.getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+      assertThat(held.await(5, TimeUnit.SECONDS)).isTrue();
+    }
+    assertThat(left.await(2, TimeUnit.SECONDS)).isTrue();
+  }
+
+  @Test
+  public void shouldNeverLetAnAnswerThatBrokeOffLookComplete() throws Exception {
+    String[] parts = gateway.callers(0).split(":");
+    for (String kind : List.of("once", "again")) {
+      try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+        String head =
+            "GET /"
+                + kind
+                + "/break HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r2\r\nX-Api-Key: "
+                + LocalGateway.KEY
+                + "\r\n\r\n";
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+        String answer = readAll(socket.getInputStream());
+        assertThat(answer).startsWith("HTTP/1.1 200").contains("data: half");
+        assertThat(answer).as("the last chunk is missing").doesNotEndWith("0\r\n\r\n");
+        assertThat(answer.indexOf("data: half")).isEqualTo(answer.lastIndexOf("data: half"));
+      }
+    }
+  }
+
+  private static String readAll(InputStream in) throws IOException {
+    StringBuilder text = new StringBuilder();
+    try {
+      for (int c = in.read(); c >= 0; c = in.read()) {
+        text.append((char) c);
+      }
+    } catch (IOException e) {
+      // A reset is as good an end as a close: either shows that the answer is not whole.
+      text.append("<reset>");
+    }
+    return text.toString();
+  }
+
+  @Test(dependsOnMethods = "shouldRelayARequestAndTellTheUpstreamTheAccountButNotTheKey")
+  public void shouldSendNothingToAnUpstreamThatDrains() throws Exception {
+    gateway.report(0, "u1", address(first), State.DRAINING, 2);
+    Thread.sleep(500);
+    seen.clear();
+    for (int i = 0; i < 20; i++) {
+      assertThat(post(i % 2, "/once/drained", "x").status()).isEqualTo(200);
+    }
+    assertThat(seen).allMatch(line -> line.startsWith("u2"));
+    gateway.report(1, "u1", address(first), State.READY, 3);
+  }
+
+  @Test(dependsOnMethods = "shouldSendNothingToAnUpstreamThatDrains")
+  public void shouldKeepADocumentWhenTwoDisksAreLostAtOnce() throws Exception {
+    LocalGateway.await(gateway::isWhole);
+    assertThat(gateway.put(2, 11)).isEqualTo(PutOutcome.ACCEPTED);
+    gateway.wipe(0, 1);
+    LocalGateway.await(() -> reads(0, 11) && reads(1, 11) && reads(4, 11));
+    LocalGateway.await(gateway::isWhole);
+    LocalGateway.await(() -> accepts(1, 12));
+    gateway.wipe(2, 3);
+    LocalGateway.await(() -> reads(2, 12) && reads(3, 12));
+    assertThat(post(0, "/once/after", "x").status()).isEqualTo(200);
+  }
+
+  private boolean reads(int control, long version) {
+    try {
+      return gateway.read(control) == version;
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private boolean accepts(int control, long version) {
+    try {
+      return gateway.put(control, version) == PutOutcome.ACCEPTED;
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
