Go on from a woken router's last lease; bound engines' work; stop requests that upstreams die of

Ruled out: slots believed in use after the freeze (the scheduler frees them), an older dispatcher's epoch (routers drop it when they turn). Gateway: admission counted prompts only while engines also decode; a learned factor corrects the expected wait, and accounts above their share are served only while the engines' work is below what they can do. Requests that three upstreams died of are refused by all routers. Connections between control daemons that went silent are replaced.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/RouterState.java
@@ -56,6 +56,10 @@
     demand = next;
     heardAt = now;
     silent = false;
+    if (next.leaseEpoch() == epoch) {
+      // A router that was forgotten goes on from the last lease it applied.
+      sequence = Math.max(sequence, next.leaseSequence());
+    }
     if (lastSent == null) {
       next.upstreams().forEach((id, usage) -> leased.put(id, usage.total()));
       countLeased();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -46,9 +46,9 @@
   private static final int REPAIR_MILLIS = 100;
 
   /** A leader is replaced within half of the time in which changes must be acknowledged. */
-  private static final int HEARTBEAT_MILLIS = 200;
+  private static final int HEARTBEAT_MILLIS = 150;
 
-  private static final int ELECTION_MILLIS = 800;
+  private static final int ELECTION_MILLIS = 600;
 
   /** Documents are whole configurations, so few of them fill a disk. */
   private static final int SNAPSHOT_ENTRIES = 64;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -15,7 +15,6 @@
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.protocol.generated.AccountUse;
-import org.toucansaddle.protocol.generated.DigestStrike;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
@@ -35,14 +34,12 @@
   /** Silence of a router after which its stream is given up: five of its reports. */
   private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
-  private static final int MAX_STRIKES = 1_000;
-
   private final Supplier<StoredDocument> document;
   private final UpstreamRegistry registry;
   private final Supplier<List<String>> controlAddresses;
   private final LongSupplier clock;
   private final Set<Follower> followers = ConcurrentHashMap.newKeySet();
-  private final Set<DigestStrike> strikes = ConcurrentHashMap.newKeySet();
+  private final StrikeBoard strikes;
 
   /** Creates a server without followers; {@code clock} gives nanoseconds. */
   public FollowServer(
@@ -54,6 +51,7 @@
     this.registry = registry;
     this.controlAddresses = controlAddresses;
     this.clock = clock;
+    this.strikes = new StrikeBoard(clock);
   }
 
   /** Takes a router's stream and returns the receiver of its reports. */
@@ -110,6 +108,7 @@
     return a.toBuilder()
         .setAsked(a.getAsked() + b.getAsked())
         .setAdmitted(a.getAdmitted() + b.getAdmitted())
+        .setWork(a.getWork() + b.getWork())
         .build();
   }
 
@@ -129,6 +128,7 @@
     private volatile List<UpstreamWork> work = List.of();
     private volatile List<AccountUse> accounts = List.of();
     private long sentChange;
+    private long sentStrike;
     private long sentVersion;
     private boolean sentAny;
     private boolean ended;
@@ -142,7 +142,7 @@
       heardAt = clock.getAsLong();
       work = report.getWorkList();
       accounts = report.getAccountsList();
-      boolean struck = strikes.size() < MAX_STRIKES && strikes.addAll(report.getStrikesList());
+      boolean struck = strikes.accept(report.getStrikesList());
       if (report.getFirst()) {
         router = report.getRouter();
         synchronized (this) {
@@ -153,7 +153,7 @@
         push();
       }
       if (struck) {
-        beat();
+        FollowServer.this.push();
       }
     }
 
@@ -176,7 +176,10 @@
     /** Sends what changed, if anything did. */
     synchronized void push() {
       StoredDocument current = document.get();
-      boolean changed = current.version() > sentVersion || registry.lastChange() > sentChange;
+      boolean changed =
+          current.version() > sentVersion
+              || registry.lastChange() > sentChange
+              || strikes.last() > sentStrike;
       if (changed || !sentAny) {
         send(FleetUpdate.newBuilder(), current);
       }
@@ -187,7 +190,6 @@
           FleetUpdate.newBuilder()
               .addAllControlAddresses(controlAddresses.get())
               .setRouters(followers.size())
-              .addAllStrikes(strikes)
               .addAllWork(workOfOthers(this).values())
               .addAllAccounts(accountsOfOthers(this).values());
       send(update, document.get());
@@ -208,6 +210,9 @@
       long change = registry.lastChange();
       registry.changedAfter(sentChange).forEach(entry -> update.addUpstreams(encode(entry)));
       sentChange = change;
+      long strike = strikes.last();
+      update.addAllStrikes(strikes.after(sentStrike));
+      sentStrike = strike;
       sentAny = true;
       updates.onNext(update.build());
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/SeededReplicaSet.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/SeededReplicaSet.java
@@ -49,6 +49,9 @@
   /** Silence of every leader after which a member asks whether it still is one. */
   private static final long LEADERLESS_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
+  /** Pause between two checks of the connections to the other control daemons. */
+  private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
   /** An answer and when it came. */
   private record Heard(JoinReply reply, long atNanos) {}
 
@@ -64,6 +67,7 @@
   private final Set<String> known = ConcurrentHashMap.newKeySet();
   private final Map<ReplicaId, Long> heardFrom = new ConcurrentHashMap<>();
   private long leaderSeenAt;
+  private long checkedAt;
 
   /** Creates a controller; {@code clock} gives nanoseconds. */
   public SeededReplicaSet(
@@ -147,6 +151,10 @@
     if (status.leader().isPresent()) {
       leaderSeenAt = now;
     }
+    if (now - checkedAt > CHECK_NANOS) {
+      checkedAt = now;
+      checkConnections(status);
+    }
     boolean member = status.members().contains(replica.self());
     if (!member || now - leaderSeenAt > LEADERLESS_NANOS) {
       askOthers(status);
@@ -161,13 +169,33 @@
     }
   }
 
+  private JoinRequest request(ReplicaStatus status) {
+    return JoinRequest.newBuilder()
+        .setSender(ReplicaMessages.encode(replica.self()))
+        .setSenderInitialized(isInitialized(status))
+        .setSenderFirstStart(firstStart)
+        .build();
+  }
+
+  /** A connection may have gone silent; what is sent on it then is lost without an error. */
+  private void checkConnections(ReplicaStatus status) {
+    JoinRequest request = request(status);
+    for (String address : addresses()) {
+      if (!address.equals(self())) {
+        clients
+            .call(address, GatewayMethods.JOIN, request, PROBE_TIMEOUT)
+            .whenComplete(
+                (reply, failure) -> {
+                  if (failure != null) {
+                    clients.reconnect(address);
+                  }
+                });
+      }
+    }
+  }
+
   private void askOthers(ReplicaStatus status) {
-    JoinRequest request =
-        JoinRequest.newBuilder()
-            .setSender(ReplicaMessages.encode(replica.self()))
-            .setSenderInitialized(isInitialized(status))
-            .setSenderFirstStart(firstStart)
-            .build();
+    JoinRequest request = request(status);
     Set<String> targets = new TreeSet<>(seeds.get());
     targets.addAll(known);
     targets.remove(self());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EngineSpeed.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EngineSpeed.java
@@ -1,41 +1,45 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 /**
- * Learns how many prompt tokens an engine of one service reads in a millisecond.
+ * Learns how long engines of one service take until the first token of an answer.
  *
- * <p>Thread-safe; a lost update costs one sample.
+ * <p>The expected time is that of reading what stands before the token at a nominal speed, times a
+ * factor that follows what was seen: it takes in what else the engines do. Thread-safe; a lost
+ * update costs one sample.
  */
 public final class EngineSpeed {
 
-  /** Shorter prompts tell more of the way there than of the engine. */
-  private static final int LEAST_TOKENS = 3_000;
+  /** Time of an answer that has nothing to read, in milliseconds. */
+  private static final double LEAST_MILLIS = 20;
 
   /** Weight of one sample. */
   private static final double SAMPLE_WEIGHT = 0.05;
 
-  private static final double SLOWEST = 2;
-  private static final double FASTEST = 1_000;
+  private static final double LEAST_FACTOR = 0.2;
+  private static final double MOST_FACTOR = 8;
 
-  private volatile double learned;
+  private volatile double factor = 1;
 
   /**
    * Takes a sample.
    *
    * @param tokens tokens that stood before the first token of an answer
+   * @param tokensPerMilli nominal speed
    * @param millis time until that token, in milliseconds
    */
-  public void observed(long tokens, long millis) {
-    if (tokens < LEAST_TOKENS || millis <= 0) {
-      return;
-    }
-    double sample = Math.max(SLOWEST, Math.min(FASTEST, tokens / (double) millis));
-    double before = learned;
-    learned = before == 0 ? sample : before + SAMPLE_WEIGHT * (sample - before);
+  public void observed(long tokens, double tokensPerMilli, long millis) {
+    double sample = millis / nominalMillis(tokens, tokensPerMilli);
+    double bounded = Math.max(LEAST_FACTOR, Math.min(MOST_FACTOR, sample));
+    double before = factor;
+    factor = before + SAMPLE_WEIGHT * (bounded - before);
   }
 
-  /** Returns the speed, or {@code otherwise} while nothing was learned. */
-  public double tokensPerMilli(double otherwise) {
-    double current = learned;
-    return current == 0 ? otherwise : current;
+  /** Returns the expected time until a token that tokens stand before, in milliseconds. */
+  public double expectedMillis(long tokens, double tokensPerMilli) {
+    return factor * nominalMillis(tokens, tokensPerMilli);
+  }
+
+  private static double nominalMillis(long tokens, double tokensPerMilli) {
+    return LEAST_MILLIS + Math.max(0, tokens) / tokensPerMilli;
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -44,6 +44,7 @@
   private final HttpString notExecuted;
   private final HttpString tokens;
   private final HttpString prefix;
+  private final HttpString lengthHint;
   private final Set<HttpString> notPassedOn;
 
   /** Creates a codec for a set of names. */
@@ -58,6 +59,7 @@
     this.notExecuted = new HttpString(names.notExecuted());
     this.tokens = new HttpString(names.tokens());
     this.prefix = new HttpString(names.prefix());
+    this.lengthHint = new HttpString(names.lengthHint());
     Set<HttpString> withheld = new HashSet<>(ONE_CONNECTION);
     withheld.add(credential);
     withheld.add(account);
@@ -84,6 +86,7 @@
         first(headers, credential),
         comma < 0 ? 0 : number(sizes.substring(0, comma), MAX_TOKENS),
         comma < 0 ? 0 : number(sizes.substring(comma + 1), MAX_TOKENS),
+        number(first(headers, lengthHint), MAX_TOKENS),
         parts(first(headers, prefix)));
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
@@ -48,11 +48,14 @@
    * An upstream that was chosen. Immutable.
    *
    * @param upstream the upstream
+   * @param aheadMillis expected time until it begins to answer a prompt of no length, in
+   *     milliseconds
    * @param waitMillis expected time until it begins to answer, in milliseconds
    * @param toRead prompt tokens that it has to read
    * @param reason why it was chosen
    */
-  public record Choice(Upstream upstream, double waitMillis, int toRead, Reason reason) {}
+  public record Choice(
+      Upstream upstream, double aheadMillis, double waitMillis, int toRead, Reason reason) {}
 
   /** Why an upstream was chosen. */
   public enum Reason {
@@ -69,10 +72,16 @@
   /**
    * What engines of a service can do. Immutable.
    *
-   * @param tokensPerMilli prompt tokens that one reads in a millisecond
+   * @param speed how long they take until a first token
+   * @param tokensPerMilli nominal speed of reading, in tokens a millisecond
    * @param memoryTokens tokens that one keeps in memory; 0 if not known
    */
-  public record EngineLimits(double tokensPerMilli, long memoryTokens) {}
+  public record EngineLimits(EngineSpeed speed, double tokensPerMilli, long memoryTokens) {
+
+    double millis(long tokens) {
+      return speed.expectedMillis(tokens, tokensPerMilli);
+    }
+  }
 
   /**
    * Chooses an upstream.
@@ -114,12 +123,11 @@
     if (best == null || bestLoad > 1 + MAX_QUEUED_PER_SLOT) {
       return Optional.empty();
     }
-    return Optional.of(new Choice(best, 0, 0, Reason.LEAST_LOAD));
+    return Optional.of(new Choice(best, 0, 0, 0, Reason.LEAST_LOAD));
   }
 
   private Optional<Choice> chooseEngine(
       List<Upstream> open, RequestHead head, int targetMillis, EngineLimits limits) {
-    double rate = limits.tokensPerMilli();
     String prefix = head.sharedPrefix();
     Choice soonest = null;
     boolean first = true;
@@ -129,16 +137,16 @@
         continue;
       }
       int toRead = head.promptTokens() - (first ? head.sharedTokens() : 0);
-      double ahead = Math.max(0, upstream.pendingTokens()) / rate;
-      double millis = ahead + toRead / rate;
+      double ahead = limits.millis(upstream.pendingTokens());
+      double millis = limits.millis(upstream.pendingTokens() + toRead);
       if (!prefix.isEmpty() && ahead < WAIT_FOR_PREFIX * targetMillis) {
         Reason reason = first ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
-        return Optional.of(new Choice(upstream, millis, toRead, reason));
+        return Optional.of(new Choice(upstream, ahead, millis, toRead, reason));
       }
       first = false;
       double compared = millis + zoneMillis(upstream);
       if (soonest == null || compared < soonest.waitMillis()) {
-        soonest = new Choice(upstream, compared, toRead, Reason.LEAST_WAIT);
+        soonest = new Choice(upstream, ahead, compared, toRead, Reason.LEAST_WAIT);
       }
     }
     return Optional.ofNullable(soonest);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
@@ -21,6 +22,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.Choice;
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.EngineLimits;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnections.Connection;
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.daemon.internal.problem.RunState;
@@ -46,18 +48,18 @@
   private static final double MAX_WAIT_OF_TARGET = 0.9;
 
   /** Part of a route's target up to which engines are kept busy by accounts above their share. */
-  private static final double SPARE_OF_TARGET = 0.25;
+  private static final double SPARE_OF_TARGET = 0.5;
 
   /** Time in which an account's share becomes free again: a quarter of its window. */
   private static final long ABOVE_SHARE_MILLIS = 1_000;
 
   /** Part of that time which counts as nothing before a prompt. */
-  private static final double NOTHING_AHEAD = 0.3;
+  private static final double NOTHING_AHEAD = 0.4;
 
   /** Part of the time left that a caller who came back may be expected to wait. */
   private static final double MAX_WAIT_OF_TIME = 0.4;
 
-  /** Prompt tokens that engines read for each token they serve, while nothing was learned. */
+  /** Prompt tokens that an engine reads in the time in which it serves one. */
   private static final double READ_OF_SERVED = 2;
 
   private static final double DEFAULT_TOKENS_PER_MILLI = 25;
@@ -80,6 +82,7 @@
   private final String account;
   private final String service;
   private final byte[] body;
+  private final long digest;
   private final long begunAt;
   private final long deadlineAt;
   private final Set<String> tried = new HashSet<>();
@@ -91,7 +94,7 @@
   private XnioExecutor.Key deadlineTimer;
   private int attempts;
   private boolean earlierMayHaveRun;
-  private boolean aboveShare;
+  private double nominalSpeed;
   private double expectedWaitMillis;
   private long firstByteAt;
   private String lastUpstream = "";
@@ -115,6 +118,14 @@
     this.begunAt = begunAt;
     this.deadlineAt = begunAt + TimeUnit.MILLISECONDS.toNanos(head.budgetMillis(route));
     this.service = pickService(route);
+    this.digest =
+        Hashing.komihash5_0()
+            .hashStream()
+            .putString(head.host())
+            .putString(head.path())
+            .putString(account)
+            .putByteArray(body)
+            .getAsLong();
     this.answer = new CallerAnswer(exchange, this::resume, this::callerGone);
     this.events = route.isStream() && route.resumable() ? new EventSplitter() : null;
   }
@@ -173,6 +184,10 @@
 
   /** Sends the request to an upstream, or refuses it. */
   void start() {
+    if (context.state().crashes().isQuarantined(digest)) {
+      refuse(Refusal.notRun("quarantined", "Several upstreams died of this request.", 0));
+      return;
+    }
     CallerWatch.start(exchange, this::callerGone);
     context.budget(service).request();
     if (!account.isEmpty() && head.promptTokens() > 0) {
@@ -198,10 +213,10 @@
         usable.add(upstream);
       }
     }
+    EngineLimits limits = limits(usable.size());
+    nominalSpeed = limits.tokensPerMilli();
     Optional<Choice> choice =
-        context
-            .placement()
-            .choose(usable, head, route.targetMillis(), limits(usable.size()), tried);
+        context.placement().choose(usable, head, route.targetMillis(), limits, tried);
     if (choice.isEmpty()) {
       boolean busy = tried.isEmpty() && !usable.isEmpty();
       refuse(
@@ -223,35 +238,40 @@
 
   /** Returns why a request is not sent now, or counts it as admitted. */
   private Optional<Refusal> admit(Choice choice) {
-    double aheadMillis = choice.waitMillis() - choice.toRead() / tokensPerMilli(1);
     boolean shared = !account.isEmpty() && head.promptTokens() > 0;
-    if (shared && aheadMillis > SPARE_OF_TARGET * route.targetMillis()) {
-      double capacity = view.tokensPerSecond();
-      aboveShare = context.state().shares().isAboveShare(account, head.shareTokens(), capacity);
-    }
-    if (aboveShare) {
+    if (shared && isAboveShare(choice)) {
       long back = ABOVE_SHARE_MILLIS + ThreadLocalRandom.current().nextLong(ABOVE_SHARE_MILLIS);
       return Optional.of(
           Refusal.notRun("above-share", "The client account has had its share.", back));
     }
-    if (!isWorthwhile(choice, aheadMillis)) {
+    if (!isWorthwhile(choice)) {
       long back = Math.round(Math.max(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis / 2));
       return Optional.of(
           Refusal.notRun("target-cannot-be-met", "All upstreams have long queues.", back));
     }
     if (shared) {
-      context.state().shares().admitted(account, head.shareTokens());
+      long work = head.workTokens(choice.toRead());
+      context.state().shares().admitted(account, head.shareTokens(), work);
     }
     return Optional.empty();
   }
 
+  /** Accounts may have more than their share while the engines have less to do than they can. */
+  private boolean isAboveShare(Choice choice) {
+    AccountShares shares = context.state().shares();
+    double capacity = view.tokensPerSecond();
+    boolean busy =
+        shares.isBusy(capacity) || choice.aheadMillis() > SPARE_OF_TARGET * route.targetMillis();
+    return busy && shares.isAboveShare(account, head.shareTokens(), capacity);
+  }
+
   /**
    * Returns whether a request should be sent now: it meets its target, or coming back would not
    * help since nothing stands before it or its caller has waited already.
    */
-  private boolean isWorthwhile(Choice choice, double aheadMillis) {
+  private boolean isWorthwhile(Choice choice) {
     double limit = route.targetMillis() * MAX_WAIT_OF_TARGET;
-    if (choice.waitMillis() <= limit || aheadMillis < limit * NOTHING_AHEAD) {
+    if (choice.waitMillis() <= limit || choice.aheadMillis() < limit * NOTHING_AHEAD) {
       return true;
     }
     return head.hasWaited(route) && choice.waitMillis() < leftMillis() * MAX_WAIT_OF_TIME;
@@ -263,13 +283,12 @@
             .flatMap(ServiceDefinition::engine)
             .map(ServiceDefinition.EngineCapacity::memoryTokens)
             .orElse(0L);
-    return new EngineLimits(tokensPerMilli(engines), memory);
+    return new EngineLimits(context.speed(service), tokensPerMilli(engines), memory);
   }
 
   private double tokensPerMilli(int engines) {
     double served = view.tokensPerSecond() / 1_000.0 / Math.max(1, engines);
-    double guess = served > 0 ? READ_OF_SERVED * served : DEFAULT_TOKENS_PER_MILLI;
-    return context.speed(service).tokensPerMilli(guess);
+    return served > 0 ? READ_OF_SERVED * served : DEFAULT_TOKENS_PER_MILLI;
   }
 
   private void send(Choice choice, Refusal otherwise) {
@@ -403,7 +422,7 @@
       this.toRead = choice.toRead();
       this.counted = true;
       this.promptCounted = true;
-      this.memory = toRead + head.maxOutputTokens();
+      this.memory = toRead + head.expectedOutputTokens();
       upstream.begun(toRead, memory);
       this.tokensAhead = upstream.pendingTokens();
     }
@@ -437,7 +456,7 @@
 
     /** A stream that may go on elsewhere does so when its upstream falls silent. */
     private void watchStall() {
-      if (!route.isRepeatable() || !route.isStream()) {
+      if (events == null) {
         return;
       }
       stallTimer =
@@ -457,7 +476,8 @@
         return;
       }
       exchangeWithUpstream.cancel();
-      onBroken("silent for " + silent + " ms");
+      events.dropPartial();
+      lost("silent", "silent for " + silent + " ms");
     }
 
     boolean isSent() {
@@ -551,8 +571,11 @@
 
     private void again(Refusal otherwise, boolean allowed) {
       current = null;
-      boolean budgeted =
-          allowed && attempts < route.maxAttempts() && context.budget(service).tryRepeat();
+      boolean mayGoOn =
+          allowed
+              && attempts < route.maxAttempts()
+              && !context.state().crashes().isQuarantined(digest);
+      boolean budgeted = mayGoOn && context.budget(service).tryRepeat();
       if (budgeted) {
         tryUpstream(otherwise);
       } else {
@@ -592,7 +615,7 @@
       lastByteAt = context.now();
       if (promptCounted && toRead > 0) {
         long millis = TimeUnit.NANOSECONDS.toMillis(lastByteAt - sentAt);
-        context.speed(service).observed(tokensAhead, millis);
+        context.speed(service).observed(tokensAhead, nominalSpeed, millis);
       }
       promptRead();
       if (firstByteAt == 0) {
@@ -620,6 +643,7 @@
       release();
       current = null;
       context.metrics().attempted("whole");
+      context.state().crashes().clear(digest);
       if (events != null && events.hasPartial()) {
         answer.write(ByteBuffer.wrap(events.takePartial()));
       }
@@ -638,6 +662,7 @@
       if (!relaying) {
         upstream.unreachable(context.now());
       }
+      context.state().crashes().strike(digest, upstream.id());
       lost("broken", why);
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
@@ -13,6 +13,7 @@
  * @param credential the caller's key; empty if there is none
  * @param promptTokens tokens of the prompt; 0 if it has none
  * @param maxOutputTokens most tokens of the answer; 0 if it is not generated
+ * @param lengthHint output tokens that the caller expects; 0 if it did not say
  * @param parts parts of the prompt in order
  */
 public record RequestHead(
@@ -23,6 +24,7 @@
     String credential,
     int promptTokens,
     int maxOutputTokens,
+    int lengthHint,
     List<PromptPart> parts) {
 
   /** Part of a route's timeout; a caller that allows less has used up the rest before. */
@@ -50,7 +52,17 @@
 
   /** Returns what the request counts for in its account's share: tokens made count twice. */
   public long shareTokens() {
-    return promptTokens + 2L * maxOutputTokens;
+    return workTokens(promptTokens);
+  }
+
+  /** Returns what an engine has to do that reads some of the prompt: tokens made count twice. */
+  public long workTokens(int read) {
+    return read + 2L * expectedOutputTokens();
+  }
+
+  /** Returns the output tokens to reckon with. */
+  public int expectedOutputTokens() {
+    return lengthHint > 0 ? Math.min(lengthHint, maxOutputTokens) : maxOutputTokens;
   }
 
   /** Returns whether the caller has waited before, most likely after a refusal. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -46,6 +46,7 @@
   private static final class Use {
     private final long[] asked = new long[BUCKETS];
     private final long[] admitted = new long[BUCKETS];
+    private final long[] work = new long[BUCKETS];
     private long newest;
 
     void advance(long bucket) {
@@ -54,6 +55,7 @@
         int slot = (int) Math.floorMod(bucket - steps + i, (long) BUCKETS);
         asked[slot] = 0;
         admitted[slot] = 0;
+        work[slot] = 0;
       }
       newest = Math.max(newest, bucket);
     }
@@ -69,6 +71,10 @@
     long admitted() {
       return Arrays.stream(admitted).sum();
     }
+
+    long work() {
+      return Arrays.stream(work).sum();
+    }
   }
 
   private Use use(String account) {
@@ -83,10 +89,25 @@
     use.add(use.asked, tokens);
   }
 
-  /** Counts tokens of a request that was admitted. */
-  public synchronized void admitted(String account, long tokens) {
+  /**
+   * Counts a request that was admitted.
+   *
+   * @param tokens its tokens in the account's share
+   * @param work what engines have to do for it, in tokens
+   */
+  public synchronized void admitted(String account, long tokens, long work) {
     Use use = use(account);
     use.add(use.admitted, tokens);
+    use.add(use.work, work);
+  }
+
+  /** Returns whether the engines have as much to do as they can. */
+  public synchronized boolean isBusy(double tokensPerSecond) {
+    long work = others.values().stream().mapToLong(AccountUse::getWork).sum();
+    for (String account : own.keySet()) {
+      work += use(account).work();
+    }
+    return tokensPerSecond > 0 && work > tokensPerSecond * WINDOW_SECONDS;
   }
 
   /** Replaces what is known of the other routers. */
@@ -109,6 +130,7 @@
                         .setAccount(account)
                         .setAsked(use.asked())
                         .setAdmitted(use.admitted())
+                        .setWork(use.work())
                         .build());
               }
             });
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -35,6 +35,7 @@
   private final long silenceNanos;
   private final UpstreamTable upstreams = new UpstreamTable();
   private final AccountShares shares;
+  private final CrashRecord crashes;
   private final AtomicReference<Optional<RoutingView>> view =
       new AtomicReference<>(Optional.empty());
   private final Map<String, Long> toldAt = new ConcurrentHashMap<>();
@@ -53,6 +54,7 @@
     this.silenceNanos = TimeUnit.MILLISECONDS.toNanos(silenceMillis);
     this.clock = clock;
     this.shares = new AccountShares(clock);
+    this.crashes = new CrashRecord(clock);
   }
 
   /** Returns the configuration in force, once there is one that a quorum confirmed. */
@@ -75,6 +77,11 @@
     return shares;
   }
 
+  /** Returns which upstreams died of which requests. */
+  public CrashRecord crashes() {
+    return crashes;
+  }
+
   /** Returns the number of routers, as last told; at least 1. */
   public int routers() {
     return routers;
@@ -140,6 +147,7 @@
             source);
       }
     }
+    crashes.merge(update.getStrikesList());
     if (update.getComplete()) {
       upstreamsCompleteAt = now;
     }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/PlacementTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/PlacementTest.java
@@ -25,7 +25,7 @@
 
   private static final int TARGET_MILLIS = 1_000;
   private static final long MEMORY_TOKENS = 540_000;
-  private static final EngineLimits LIMITS = new EngineLimits(50, MEMORY_TOKENS);
+  private static final EngineLimits LIMITS = new EngineLimits(new EngineSpeed(), 50, MEMORY_TOKENS);
   private static final int ENGINES = 13;
 
   private final Placement placement = new Placement("z0");
@@ -49,11 +49,11 @@
   private static RequestHead prompt(String session, int sharedTokens, int ownTokens) {
     List<PromptPart> parts =
         List.of(new PromptPart(session, sharedTokens), new PromptPart("own", ownTokens));
-    return new RequestHead("r", "h", "/", 0, "", sharedTokens + ownTokens, 60, parts);
+    return new RequestHead("r", "h", "/", 0, "", sharedTokens + ownTokens, 60, 0, parts);
   }
 
   private static RequestHead call() {
-    return new RequestHead("r", "h", "/", 0, "", 0, 0, List.of());
+    return new RequestHead("r", "h", "/", 0, "", 0, 0, 0, List.of());
   }
 
   private Optional<Choice> choose(List<Upstream> from, RequestHead head) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -31,7 +31,7 @@
     shares.asked(account, REQUEST);
     boolean admitted = !shares.isAboveShare(account, REQUEST, CAPACITY);
     if (admitted) {
-      shares.admitted(account, REQUEST);
+      shares.admitted(account, REQUEST, REQUEST / 2);
     }
     return admitted;
   }
@@ -90,6 +90,13 @@
     assertThat(shares.isAboveShare("small", REQUEST, CAPACITY)).isFalse();
   }
 
+  @Test
+  public void shouldTellWhenTheEnginesHaveAsMuchToDoAsTheyCan() {
+    run(60, 20, 10);
+    assertThat(shares.isBusy(CAPACITY)).as("work of 45 requests a second").isFalse();
+    assertThat(shares.isBusy(CAPACITY / 3)).isTrue();
+  }
+
   @Test
   public void shouldForgetWhatIsOlderThanTheWindow() {
     run(900, 20);
