Let use fade instead of counting it in a window; typed answers for long heads; name a refusal's inputs

Change: use fades with a time constant of 2 s; refusals that are judged late, or that waited in vain, name waiting requests, slots and lateness; heads up to 2 MB are read and answered with 431 and a body. Ruled out: a shorter window, whose gossip delay of up to 0.8 s would be a large part of it.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/Addresses.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/Addresses.java
@@ -8,7 +8,10 @@
 final class Addresses {
 
   private static final int NO_REQUEST_TIMEOUT_MILLIS = 60_000;
-  private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+  /** Longer heads than callers may send are read, so that they get a typed answer. */
+  private static final int MAX_HEADER_BYTES = 2 << 20;
+
   private static final int MAX_HEADERS = 100;
 
   private Addresses() {}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
+import org.toucansaddle.daemon.internal.request.HeadSize;
 import org.xnio.IoUtils;
 
 /**
@@ -97,6 +98,11 @@
       refuse(exchange, head, Refusal.unknownKey());
       return;
     }
+    int maxHeadBytes = view.get().document().limits().maxHeaderBytes();
+    if (HeadSize.of(exchange) > maxHeadBytes) {
+      refuse(exchange, head, Refusal.headTooLong(maxHeadBytes));
+      return;
+    }
     int maxBytes = view.get().document().limits().maxBodyBytes();
     if (exchange.getRequestContentLength() > maxBytes) {
       refuse(exchange, head, Refusal.bodyTooLong(maxBytes));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Refusal.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Refusal.java
@@ -32,6 +32,11 @@
     return new Refusal(413, "body-too-long", RunState.NOT_RUN, detail, 0);
   }
 
+  static Refusal headTooLong(int maxBytes) {
+    String detail = "The header fields are longer than " + maxBytes + " bytes.";
+    return new Refusal(431, "head-too-long", RunState.NOT_RUN, detail, 0);
+  }
+
   static Refusal unreadableBody() {
     String detail = "The body did not arrive in full. Send the request again.";
     return new Refusal(400, "body-unreadable", RunState.NOT_RUN, detail, 0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -19,12 +19,16 @@
  */
 public final class AccountShares {
 
-  /** Window of sharing; the operators' quota window is as long. */
-  private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
+  /**
+   * Time after which use counts a third: half of the operators' quota window, so that what was used
+   * a whole window ago hardly counts. A window with edges would let the load come back in waves.
+   */
+  private static final double MEMORY_SECONDS = 2;
 
-  private static final int BUCKETS = 8;
-  private static final long BUCKET_NANOS = WINDOW_NANOS / BUCKETS;
-  private static final double WINDOW_SECONDS = WINDOW_NANOS / 1e9;
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  /** Use below which an account is not told of, in tokens. */
+  private static final double LEAST_TOLD = 10;
 
   /** Age at which a level is computed anew. */
   private static final long LEVEL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -42,51 +46,31 @@
     this.clock = clock;
   }
 
-  /** What one account asked for and got here, by parts of the window. */
+  /** What one account asked for and got here; fades with time. */
   private static final class Use {
-    private final long[] asked = new long[BUCKETS];
-    private final long[] admitted = new long[BUCKETS];
-    private final long[] work = new long[BUCKETS];
-    private long newest;
-
-    void advance(long bucket) {
-      long steps = Math.min(BUCKETS, Math.max(0, bucket - newest));
-      for (long i = 1; i <= steps; i++) {
-        int slot = (int) Math.floorMod(bucket - steps + i, (long) BUCKETS);
-        asked[slot] = 0;
-        admitted[slot] = 0;
-        work[slot] = 0;
-      }
-      newest = Math.max(newest, bucket);
-    }
-
-    void add(long[] to, long tokens) {
-      to[(int) Math.floorMod(newest, (long) BUCKETS)] += tokens;
-    }
-
-    long asked() {
-      return Arrays.stream(asked).sum();
-    }
-
-    long admitted() {
-      return Arrays.stream(admitted).sum();
-    }
-
-    long work() {
-      return Arrays.stream(work).sum();
+    private double asked;
+    private double admitted;
+    private double work;
+    private long at;
+
+    void fade(long now) {
+      double kept = Math.exp(-(now - at) / (NANOS_PER_SECOND * MEMORY_SECONDS));
+      asked *= kept;
+      admitted *= kept;
+      work *= kept;
+      at = now;
     }
   }
 
   private Use use(String account) {
     Use use = own.computeIfAbsent(account, name -> new Use());
-    use.advance(Math.floorDiv(clock.getAsLong(), BUCKET_NANOS));
+    use.fade(clock.getAsLong());
     return use;
   }
 
   /** Counts tokens that a request asks for. */
   public synchronized void asked(String account, long tokens) {
-    Use use = use(account);
-    use.add(use.asked, tokens);
+    use(account).asked += tokens;
   }
 
   /**
@@ -97,17 +81,17 @@
    */
   public synchronized void admitted(String account, long tokens, long work) {
     Use use = use(account);
-    use.add(use.admitted, tokens);
-    use.add(use.work, work);
+    use.admitted += tokens;
+    use.work += work;
   }
 
   /** Returns whether the engines have as much to do as they can. */
   public synchronized boolean isBusy(double tokensPerSecond) {
-    long work = others.values().stream().mapToLong(AccountUse::getWork).sum();
+    double work = others.values().stream().mapToLong(AccountUse::getWork).sum();
     for (String account : own.keySet()) {
-      work += use(account).work();
+      work += use(account).work;
     }
-    return tokensPerSecond > 0 && work > tokensPerSecond * WINDOW_SECONDS;
+    return tokensPerSecond > 0 && work > tokensPerSecond * MEMORY_SECONDS;
   }
 
   /** Replaces what is known of the other routers. */
@@ -117,20 +101,20 @@
     others = next;
   }
 
-  /** Returns what accounts asked for and got here within the window. */
+  /** Returns what accounts asked for and got here lately. */
   public synchronized List<AccountUse> own() {
     List<AccountUse> uses = new ArrayList<>();
     own.keySet()
         .forEach(
             account -> {
               Use use = use(account);
-              if (use.asked() > 0) {
+              if (use.asked > LEAST_TOLD) {
                 uses.add(
                     AccountUse.newBuilder()
                         .setAccount(account)
-                        .setAsked(use.asked())
-                        .setAdmitted(use.admitted())
-                        .setWork(use.work())
+                        .setAsked((long) use.asked)
+                        .setAdmitted((long) use.admitted)
+                        .setWork((long) use.work)
                         .build());
               }
             });
@@ -147,8 +131,8 @@
     if (tokensPerSecond <= 0) {
       return false;
     }
-    long admitted = use(account).admitted() + othersUse(account).getAdmitted();
-    return admitted + tokens / 2 > level(tokensPerSecond * WINDOW_SECONDS);
+    double admitted = use(account).admitted + othersUse(account).getAdmitted();
+    return admitted + tokens / 2 > level(tokensPerSecond * MEMORY_SECONDS);
   }
 
   private AccountUse othersUse(String account) {
@@ -159,7 +143,7 @@
     long now = clock.getAsLong();
     if (!levelKnown || levelCapacity != capacity || now - levelAt > LEVEL_NANOS) {
       Map<String, Double> asked = new HashMap<>();
-      own.keySet().forEach(account -> asked.put(account, (double) use(account).asked()));
+      own.keySet().forEach(account -> asked.put(account, use(account).asked));
       others.forEach((account, use) -> asked.merge(account, (double) use.getAsked(), Double::sum));
       level = level(asked.values().stream().mapToDouble(d -> d).toArray(), capacity);
       levelCapacity = capacity;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/DecisionLog.java
@@ -2,11 +2,14 @@
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
+import java.util.Map;
+import java.util.OptionalDouble;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.sharing.Lease;
 import org.toucansaddle.coordination.sharing.RouterDemand;
 import org.toucansaddle.coordination.sharing.SlotAssignment.Reason;
+import org.toucansaddle.coordination.sharing.SlotUsage;
 import org.toucansaddle.daemon.internal.problem.Problem;
 import org.toucansaddle.daemon.internal.request.CallerRequest;
 import org.toucansaddle.protocol.generated.PlacementOrder;
@@ -84,6 +87,28 @@
         kv("retry_after", problem.retryAfterSeconds().orElse(0)));
   }
 
+  /** A request was judged too late; names what decided it. */
+  public static void judgedLate(
+      CallerRequest request, String what, int waiting, OptionalDouble slots, double late) {
+    ROUTING.info(
+        "judged late {} {} {} {} {} {}",
+        kv("request", request.id()),
+        kv("pool", request.pool().text()),
+        kv("target", what),
+        kv("waiting_before", waiting),
+        kv("mean_slots", slots.isEmpty() ? "none yet" : slots.getAsDouble()),
+        kv("late_ms", Math.round(late)));
+  }
+
+  /** A request waited for a slot until its target passed; names what the router holds. */
+  public static void waitedInVain(CallerRequest request, Map<String, SlotUsage> slots) {
+    ROUTING.info(
+        "waited in vain {} {} {}",
+        kv("request", request.id()),
+        kv("pool", request.pool().text()),
+        kv("slots", slots));
+  }
+
   /** A router told a dispatcher what it needs; logged for debugging only. */
   public static void demanded(String pool, RouterDemand demand) {
     PLACEMENT.debug(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/problem/Problems.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/problem/Problems.java
@@ -87,6 +87,14 @@
             + " bytes. Shorten it, or raise limits.max_body_bytes at every daemon.");
   }
 
+  /** The request line and header fields are longer than the limit. */
+  public static ProblemException headTooLong(long max) {
+    return notRun(
+        431,
+        "head-too-long",
+        "The header fields are longer than " + max + " bytes. Send fewer or shorter ones.");
+  }
+
   /** The body is not the expected JSON. */
   public static ProblemException badJson(String why) {
     return notRun(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -358,6 +358,7 @@
     boolean late = now >= request.deadlineMillis();
     boolean noFirstToken = parts() == 0 && now >= request.firstTokenDeadlineMillis();
     if ((late || noFirstToken) && pool.cancel(this)) {
+      DecisionLog.waitedInVain(request, pool.slots());
       fail(
           runState() == RunState.NOT_RUN
               ? Problems.tooLate(late ? "the whole answer" : "the first token", 1).problem()
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AdmitFilter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/AdmitFilter.java
@@ -4,6 +4,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.toucansaddle.daemon.internal.logging.DecisionLog;
 import org.toucansaddle.daemon.internal.problem.Problems;
 import org.toucansaddle.daemon.internal.request.HoldingTimes.Holding;
 import org.toucansaddle.daemon.internal.sharing.PoolKey;
@@ -60,15 +61,14 @@
     OptionalDouble slots = pool.slotsInUse(account);
     double start = slots.isEmpty() ? 0 : ExpectedWait.millis(waiting, slots.getAsDouble(), holding);
     long now = clock.getAsLong();
-    refuseIfLate("the first token", now + start, request.firstTokenDeadlineMillis());
-    refuseIfLate("the whole answer", now + start + holding.meanMillis(), request.deadlineMillis());
-    chain.next(request);
-  }
-
-  private static void refuseIfLate(String what, double expected, long deadline) {
-    if (expected > deadline) {
-      double late = expected - deadline;
+    double toFirst = now + start - request.firstTokenDeadlineMillis();
+    double toWhole = now + start + holding.meanMillis() - request.deadlineMillis();
+    if (toFirst > 0 || toWhole > 0) {
+      String what = toFirst > 0 ? "the first token" : "the whole answer";
+      double late = toFirst > 0 ? toFirst : toWhole;
+      DecisionLog.judgedLate(request, what, waiting, slots, late);
       throw Problems.tooLate(what, (int) Math.ceil(late / MILLIS_PER_SECOND));
     }
+    chain.next(request);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/IdentifyFilter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/IdentifyFilter.java
@@ -9,6 +9,9 @@
 /** Finds the client account by the bearer key's digest. Thread-safe. */
 public final class IdentifyFilter implements RequestFilter {
 
+  /** Longest request line and header fields, in bytes; the usual limit of HTTP servers. */
+  private static final int MAX_HEAD_BYTES = 16 * 1024;
+
   private static final String SCHEME = "Bearer ";
 
   private final ConfigurationHolder holder;
@@ -20,6 +23,9 @@
 
   @Override
   public void filter(CallerRequest request, FilterChain chain) {
+    if (HeadSize.of(request.exchange()) > MAX_HEAD_BYTES) {
+      throw Problems.headTooLong(MAX_HEAD_BYTES);
+    }
     if (!holder.isConfirmed()) {
       throw Problems.notReady();
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/sharing/RouterPool.java
@@ -245,6 +245,11 @@
     }
   }
 
+  /** Returns the slots that this router uses or holds, by upstream. */
+  public Map<String, SlotUsage> slots() {
+    return view().upstreams();
+  }
+
   DemandView view() {
     lock.lock();
     try {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CallerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CallerUsageTest.java
@@ -50,6 +50,15 @@
     assertThat(fleet.ask(router, "hello " + router).outcome()).isEqualTo(Outcome.WHOLE);
   }
 
+  /** It once got a 400 with an empty body. */
+  @Test
+  public void shouldAnswerAHeaderOfAMegabyteWithATypedError() {
+    HttpCall call = post("/v1/completions", "{}").withHeader("X-Long", "x".repeat(1 << 20));
+    HttpReply reply = send(call);
+    assertThat(reply.status()).isEqualTo(431);
+    assertThat(reply.text()).contains("head-too-long");
+  }
+
   private HttpReply send(HttpCall call) {
     return fleet.client().send(call, TIMEOUT).join();
   }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -172,6 +172,14 @@
     assertThat(post(1, "/nowhere/x", "").status()).isEqualTo(404);
   }
 
+  @Test
+  public void shouldAnswerALongHeadOrBodyWithATypedError() {
+    HttpCall longHead = call(0, gateway, "/once/x", "").withHeader("X-Long", "x".repeat(40_000));
+    assertThat(client.send(longHead, TIMEOUT).join().text()).contains("head-too-long");
+    HttpReply longBody = post(0, "/once/x", "x".repeat(5 << 20));
+    assertThat(longBody.status()).isEqualTo(413);
+  }
+
   @Test
   public void shouldNotPassOnASuccessThatTheUpstreamDidNotSeal() {
     HttpReply reply = post(0, "/once/unsealed", "");
