Share what kept prefixes save; serve callers who come back first; say what decided a refusal

Engines that keep prefixes serve more tokens than they work, and that surplus went to whoever came first while the engines were not busy. Change: the level of shares is that of the tokens served for the work, with a headroom that follows the engines' utilisation slowly, so that all accounts have the same of it. Callers who were sent away once go before new ones of their account. A prompt goes to its prefix if that meets 0.8 of the target with its own reading, not only what stands before it. Refusals tell level, use and age of both.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Placement.java
@@ -25,8 +25,8 @@
   /** Requests that an engine may have beyond its slots, for each slot. */
   private static final double MAX_ENGINE_LOAD = 1.1;
 
-  /** Part of the target that a prompt may wait where its prefix was read before. */
-  private static final double WAIT_FOR_PREFIX = 0.7;
+  /** Part of the target in which a prompt should be answered where its prefix was read before. */
+  private static final double WAIT_FOR_PREFIX = 0.8;
 
   /** Part of an engine's memory that requests may fill; the rest keeps shared prefixes. */
   private static final double MEMORY_USED = 0.85;
@@ -139,7 +139,7 @@
       int toRead = head.promptTokens() - (first ? head.sharedTokens() : 0);
       double ahead = limits.millis(upstream.pendingTokens());
       double millis = limits.millis(upstream.pendingTokens() + toRead);
-      if (!prefix.isEmpty() && ahead < WAIT_FOR_PREFIX * targetMillis) {
+      if (!prefix.isEmpty() && millis < WAIT_FOR_PREFIX * targetMillis) {
         Reason reason = first ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
         return Optional.of(new Choice(upstream, ahead, millis, toRead, reason));
       }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Refusal.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Refusal.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Judgement;
 import org.toucansaddle.daemon.internal.problem.RunState;
 
 /**
@@ -42,6 +43,13 @@
     return new Refusal(400, "body-unreadable", RunState.NOT_RUN, detail, 0);
   }
 
+  static Refusal aboveShare(Judgement found, long retryAfterMillis) {
+    String detail =
+        "The client account got %.0f tokens lately of a share of %.0f, other routers told %d ms ago."
+            .formatted(found.admitted(), found.level(), found.othersAgeMillis());
+    return notRun("above-share", detail, retryAfterMillis);
+  }
+
   static Refusal notRun(String type, String detail, long retryAfterMillis) {
     return new Refusal(503, type, RunState.NOT_RUN, detail, retryAfterMillis);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -10,20 +10,6 @@
 
   private RelayLog() {}
 
-  static void attempted(RelayedCall call, Placement.Choice choice, boolean reused, long ageMillis) {
-    LOG.debug(
-        "attempt request={} upstream={} reason={} wait_ms={} under_way={} pending_tokens={}"
-            + " reused={} heard_ms_ago={}",
-        call.head().requestId(),
-        choice.upstream().id(),
-        choice.reason(),
-        Math.round(choice.waitMillis()),
-        choice.upstream().requests(),
-        choice.upstream().pendingTokens(),
-        reused,
-        ageMillis);
-  }
-
   static void attemptFailed(RelayedCall call, String upstream, String outcome, String why) {
     LOG.info(
         "attempt_failed request={} upstream={} attempt={} outcome={} why=\"{}\"",
@@ -37,7 +23,7 @@
   static void ended(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} status={} outcome={} upstream={}"
-            + " attempts={} first_ms={} total_ms={} prompt={} wait_ms={} detail=\"{}\"",
+            + " reason={} heard_ms_ago={} attempts={} first_ms={} total_ms={} prompt={} wait_ms={} detail=\"{}\"",
         call.head().requestId(),
         call.route() == null ? "" : call.route().name(),
         call.account(),
@@ -45,6 +31,8 @@
         status,
         outcome,
         call.lastUpstream(),
+        call.reason(),
+        call.upstreamAgeMillis(),
         call.attempts(),
         call.firstByteMillis(),
         call.ageMillis(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -22,7 +22,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.Choice;
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.EngineLimits;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnections.Connection;
-import org.toucansaddle.daemon.internal.gateway.routing.AccountShares;
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Judgement;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.daemon.internal.problem.RunState;
@@ -47,8 +47,11 @@
   /** Part of a route's target that a prompt may be expected to wait. */
   private static final double MAX_WAIT_OF_TARGET = 0.9;
 
-  /** Part of a route's target up to which engines are kept busy by accounts above their share. */
-  private static final double SPARE_OF_TARGET = 0.5;
+  /** Utilisation of the engines below which shares do not matter. */
+  private static final double SPARE_UTILISATION = 0.8;
+
+  /** Part of a route's target that may stand before a prompt while shares do not matter. */
+  private static final double SPARE_OF_TARGET = 0.3;
 
   /** Time in which an account's share becomes free again: a quarter of its window. */
   private static final long ABOVE_SHARE_MILLIS = 1_000;
@@ -98,6 +101,8 @@
   private double expectedWaitMillis;
   private long firstByteAt;
   private String lastUpstream = "";
+  private String reason = "";
+  private long upstreamAgeMillis = -1;
 
   RelayedCall(
       RelayContext context,
@@ -166,6 +171,14 @@
     return lastUpstream;
   }
 
+  String reason() {
+    return reason;
+  }
+
+  long upstreamAgeMillis() {
+    return upstreamAgeMillis;
+  }
+
   double expectedWaitMillis() {
     return expectedWaitMillis;
   }
@@ -239,10 +252,16 @@
   /** Returns why a request is not sent now, or counts it as admitted. */
   private Optional<Refusal> admit(Choice choice) {
     boolean shared = !account.isEmpty() && head.promptTokens() > 0;
-    if (shared && isAboveShare(choice)) {
-      long back = ABOVE_SHARE_MILLIS + ThreadLocalRandom.current().nextLong(ABOVE_SHARE_MILLIS);
-      return Optional.of(
-          Refusal.notRun("above-share", "The client account has had its share.", back));
+    if (shared && !isSpare(choice)) {
+      Judgement found =
+          context
+              .state()
+              .shares()
+              .judge(account, head.shareTokens(), view.tokensPerSecond(), head.hasWaited(route));
+      if (found.above()) {
+        long back = ABOVE_SHARE_MILLIS + ThreadLocalRandom.current().nextLong(ABOVE_SHARE_MILLIS);
+        return Optional.of(Refusal.aboveShare(found, back));
+      }
     }
     if (!isWorthwhile(choice)) {
       long back = Math.round(Math.max(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis / 2));
@@ -256,13 +275,10 @@
     return Optional.empty();
   }
 
-  /** Accounts may have more than their share while the engines have less to do than they can. */
-  private boolean isAboveShare(Choice choice) {
-    AccountShares shares = context.state().shares();
-    double capacity = view.tokensPerSecond();
-    boolean busy =
-        shares.isBusy(capacity) || choice.aheadMillis() > SPARE_OF_TARGET * route.targetMillis();
-    return busy && shares.isAboveShare(account, head.shareTokens(), capacity);
+  /** Nobody waits, whatever their share, while the engines have capacity. */
+  private boolean isSpare(Choice choice) {
+    return context.state().shares().utilisation(view.tokensPerSecond()) < SPARE_UTILISATION
+        && choice.aheadMillis() < SPARE_OF_TARGET * route.targetMillis();
   }
 
   /**
@@ -299,9 +315,9 @@
     UpstreamConnections connections = context.connections(exchange.getIoThread());
     Attempt attempt = new Attempt(choice);
     current = attempt;
-    long age = TimeUnit.NANOSECONDS.toMillis(context.now() - upstream.heardAtNanos());
+    upstreamAgeMillis = TimeUnit.NANOSECONDS.toMillis(context.now() - upstream.heardAtNanos());
+    reason = choice.reason().name();
     Connection idle = connections.takeIdle(address);
-    RelayLog.attempted(this, choice, idle != null, age);
     if (idle != null) {
       attempt.begin(idle);
       return;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -27,6 +27,21 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** Part of an account's share that requests use which were not sent away before. */
+  private static final double NEW_PART = 0.9;
+
+  /** Part of an account's share up to which those are served that come back. */
+  private static final double WAITED_PART = 1.2;
+
+  /** Most of a share that is served while the engines have less work than they can do. */
+  private static final double MOST_HEADROOM = 1.5;
+
+  /** Change of the headroom at each new level; slow, so that all accounts have the same of it. */
+  private static final double HEADROOM_STEP = 0.01;
+
+  /** Bound of the tokens counted for each token of work, against a wrong start. */
+  private static final double MOST_TOKENS_FOR_WORK = 3;
+
   /** Use below which an account is not told of, in tokens. */
   private static final double LEAST_TOLD = 10;
 
@@ -36,6 +51,8 @@
   private final LongSupplier clock;
   private final Map<String, Use> own = new HashMap<>();
   private Map<String, AccountUse> others = Map.of();
+  private long othersAt;
+  private double headroom = 1;
   private double level = Double.MAX_VALUE;
   private double levelCapacity;
   private long levelAt;
@@ -85,13 +102,31 @@
     use.work += work;
   }
 
-  /** Returns whether the engines have as much to do as they can. */
-  public synchronized boolean isBusy(double tokensPerSecond) {
+  /**
+   * Returns the part of their capacity that the engines were given work for lately.
+   *
+   * @param tokensPerSecond capacity of all engines; 0 if not known
+   */
+  public synchronized double utilisation(double tokensPerSecond) {
+    return tokensPerSecond > 0 ? work() / (tokensPerSecond * MEMORY_SECONDS) : 0;
+  }
+
+  private double work() {
     double work = others.values().stream().mapToLong(AccountUse::getWork).sum();
     for (String account : own.keySet()) {
       work += use(account).work;
     }
-    return tokensPerSecond > 0 && work > tokensPerSecond * MEMORY_SECONDS;
+    return work;
+  }
+
+  /** Tokens of prompts that engines kept cost no work, so more of them are served. */
+  private double tokensForWork() {
+    double admitted = others.values().stream().mapToLong(AccountUse::getAdmitted).sum();
+    for (String account : own.keySet()) {
+      admitted += use(account).admitted;
+    }
+    double work = work();
+    return work <= 0 ? 1 : Math.max(1, Math.min(MOST_TOKENS_FOR_WORK, admitted / work));
   }
 
   /** Replaces what is known of the other routers. */
@@ -99,6 +134,7 @@
     Map<String, AccountUse> next = new HashMap<>();
     uses.forEach(use -> next.put(use.getAccount(), use));
     others = next;
+    othersAt = clock.getAsLong();
   }
 
   /** Returns what accounts asked for and got here lately. */
@@ -122,17 +158,33 @@
   }
 
   /**
-   * Returns whether a request would take its account above its share.
+   * What was found about a request. Immutable.
+   *
+   * @param above whether it would take its account above its share
+   * @param admitted tokens that the account got lately, at all routers
+   * @param level share of the account, in tokens
+   * @param othersAgeMillis age of what is known of the other routers; -1 if nothing is
+   */
+  public record Judgement(boolean above, double admitted, double level, long othersAgeMillis) {}
+
+  /**
+   * Judges whether a request would take its account above its share.
    *
    * @param tokens tokens of the request
    * @param tokensPerSecond capacity of all engines; 0 if not known, so that nobody is above
+   * @param waited whether its caller was sent away before; those go before new ones of their
+   *     account, since they do not come a third time
    */
-  public synchronized boolean isAboveShare(String account, long tokens, double tokensPerSecond) {
+  public synchronized Judgement judge(
+      String account, long tokens, double tokensPerSecond, boolean waited) {
+    long age = othersAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(clock.getAsLong() - othersAt);
+    double admitted = use(account).admitted + othersUse(account).getAdmitted();
     if (tokensPerSecond <= 0) {
-      return false;
+      return new Judgement(false, admitted, Double.MAX_VALUE, age);
     }
-    double admitted = use(account).admitted + othersUse(account).getAdmitted();
-    return admitted + tokens / 2 > level(tokensPerSecond * MEMORY_SECONDS);
+    double part = waited ? WAITED_PART : NEW_PART;
+    double share = part * level(tokensPerSecond * MEMORY_SECONDS);
+    return new Judgement(admitted + tokens / 2.0 > share, admitted, share, age);
   }
 
   private AccountUse othersUse(String account) {
@@ -145,7 +197,10 @@
       Map<String, Double> asked = new HashMap<>();
       own.keySet().forEach(account -> asked.put(account, use(account).asked));
       others.forEach((account, use) -> asked.merge(account, (double) use.getAsked(), Double::sum));
-      level = level(asked.values().stream().mapToDouble(d -> d).toArray(), capacity);
+      double step = work() < capacity ? HEADROOM_STEP : -2 * HEADROOM_STEP;
+      headroom = Math.max(1, Math.min(MOST_HEADROOM, headroom + step));
+      double tokens = capacity * headroom * tokensForWork();
+      level = level(asked.values().stream().mapToDouble(d -> d).toArray(), tokens);
       levelCapacity = capacity;
       levelAt = now;
       levelKnown = true;
