Tell one control daemon, not all, of a router's work

Change: the sums come from the live control daemon with the lowest address, signs of life from all. Found: a process ends with code 134 about a second after a start, once in about 100 starts.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -127,6 +127,7 @@
     private volatile long heardAt = clock.getAsLong();
     private volatile List<UpstreamWork> work = List.of();
     private volatile List<AccountUse> accounts = List.of();
+    private volatile boolean wantsSums;
     private long sentChange;
     private long sentStrike;
     private long sentVersion;
@@ -142,6 +143,7 @@
       heardAt = clock.getAsLong();
       work = report.getWorkList();
       accounts = report.getAccountsList();
+      wantsSums = report.getWantsSums();
       boolean struck = strikes.accept(report.getStrikesList());
       if (report.getFirst()) {
         router = report.getRouter();
@@ -189,9 +191,12 @@
       FleetUpdate.Builder update =
           FleetUpdate.newBuilder()
               .addAllControlAddresses(controlAddresses.get())
-              .setRouters(followers.size())
-              .addAllWork(workOfOthers(this).values())
-              .addAllAccounts(accountsOfOthers(this).values());
+              .setRouters(followers.size());
+      if (wantsSums) {
+        update.setSums(true);
+        update.addAllWork(workOfOthers(this).values());
+        update.addAllAccounts(accountsOfOthers(this).values());
+      }
       send(update, document.get());
     }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -49,9 +49,12 @@
 
   /** Keeps one stream to each control daemon and reports on them. */
   public void step() {
-    FollowerReport.Builder report = state.report();
+    FollowerReport.Builder whole = state.report();
+    FollowerReport.Builder sign = whole.clone().clearWork().clearAccounts();
+    String primary = primary();
     List<String> wanted = addresses();
     for (String address : wanted) {
+      FollowerReport.Builder report = address.equals(primary) ? whole.setWantsSums(true) : sign;
       links.computeIfAbsent(address, this::open).step(report);
     }
     for (String address : links.keySet()) {
@@ -70,13 +73,13 @@
     if (update.getControlAddressesCount() > 0) {
       toldBy.put(source, Set.copyOf(update.getControlAddressesList()));
     }
-    if (update.getRouters() > 0 && source.equals(primary())) {
+    if (update.getSums()) {
       state.workOfOthers(update.getWorkList());
       state.shares().othersAre(update.getAccountsList());
     }
   }
 
-  /** One daemon's word on the others' work is enough; they all hear the same. */
+  /** One daemon's word on the others' work is enough, and all routers choose alike. */
   private String primary() {
     return links.entrySet().stream()
         .filter(entry -> entry.getValue().isLive())
