Let callers come back within their target; send a document once to each router

Change: the pause is 0.15 to 0.45 of the target, drawn for each caller; a control daemon of the router's zone sends documents at once, others only if the router stays behind for 800 ms.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -99,7 +99,8 @@
             replicaSet::addresses,
             peers.control());
     this.followers =
-        new FollowServer(() -> applied, registry, replicaSet::addresses, System::nanoTime);
+        new FollowServer(
+            () -> applied, registry, replicaSet::addresses, System::nanoTime, settings.zone());
     this.onApplied = () -> peers.control().execute(followers::push);
     this.server = peers.serve(self, List.of(linkDefinition(links), definition()));
     peers.every(REPAIR_MILLIS, replicaSet::step);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -73,7 +73,12 @@
     this.state = new RouterState(settings.format(), router.silenceMillis(), System::nanoTime);
     this.follower =
         new ControlFollower(
-            settings.name(), state, peers.clients(), peers::seeds, System::nanoTime);
+            settings.name(),
+            settings.zone(),
+            state,
+            peers.clients(),
+            peers::seeds,
+            System::nanoTime);
     this.store =
         new DocumentStore(
             settings.peerAddress(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -34,10 +34,16 @@
   /** Silence of a router after which its stream is given up: five of its reports. */
   private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+  /** Time that a router has to get a document from the daemon it asked for it: two reports. */
+  private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
   private final Supplier<StoredDocument> document;
   private final UpstreamRegistry registry;
   private final Supplier<List<String>> controlAddresses;
   private final LongSupplier clock;
+  private final String zone;
+  private volatile long documentVersion;
+  private volatile long documentSince;
   private final Set<Follower> followers = ConcurrentHashMap.newKeySet();
   private final StrikeBoard strikes;
 
@@ -46,7 +52,9 @@
       Supplier<StoredDocument> document,
       UpstreamRegistry registry,
       Supplier<List<String>> controlAddresses,
-      LongSupplier clock) {
+      LongSupplier clock,
+      String zone) {
+    this.zone = zone;
     this.document = document;
     this.registry = registry;
     this.controlAddresses = controlAddresses;
@@ -68,6 +76,11 @@
 
   /** Sends what changed to all routers. */
   public void push() {
+    long version = document.get().version();
+    if (version > documentVersion) {
+      documentVersion = version;
+      documentSince = clock.getAsLong();
+    }
     followers.forEach(Follower::push);
   }
 
@@ -128,6 +141,7 @@
     private volatile List<UpstreamWork> work = List.of();
     private volatile List<AccountUse> accounts = List.of();
     private volatile boolean wantsSums;
+    private volatile boolean wantsDocument;
     private long sentChange;
     private long sentStrike;
     private long sentVersion;
@@ -144,12 +158,13 @@
       work = report.getWorkList();
       accounts = report.getAccountsList();
       wantsSums = report.getWantsSums();
+      wantsDocument = report.getWantsDocument();
+      synchronized (this) {
+        sentVersion = Math.max(sentVersion, report.getDocumentVersion());
+      }
       boolean struck = strikes.accept(report.getStrikesList());
       if (report.getFirst()) {
         router = report.getRouter();
-        synchronized (this) {
-          sentVersion = report.getDocumentVersion();
-        }
         followers.add(this);
         LOG.info("dependency regained: router {} follows", router);
         push();
@@ -179,7 +194,7 @@
     synchronized void push() {
       StoredDocument current = document.get();
       boolean changed =
-          current.version() > sentVersion
+          isDocumentDue(current)
               || registry.lastChange() > sentChange
               || strikes.last() > sentStrike;
       if (changed || !sentAny) {
@@ -187,6 +202,11 @@
       }
     }
 
+    private boolean isDocumentDue(StoredDocument current) {
+      return current.version() > sentVersion
+          && (wantsDocument || clock.getAsLong() - documentSince > BEHIND_NANOS);
+    }
+
     synchronized void beat() {
       FleetUpdate.Builder update =
           FleetUpdate.newBuilder()
@@ -204,12 +224,12 @@
       if (ended || updates.isCancelled() || !updates.isReady()) {
         return;
       }
-      if (current.version() > sentVersion) {
+      if (isDocumentDue(current)) {
         update.setDocument(DocumentStore.encode(current));
         sentVersion = current.version();
       }
       if (!sentAny) {
-        update.addAllControlAddresses(controlAddresses.get());
+        update.addAllControlAddresses(controlAddresses.get()).setZone(zone);
       }
       update.setComplete(!sentAny);
       long change = registry.lastChange();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -53,9 +53,6 @@
   /** Part of a route's target that may stand before a prompt while shares do not matter. */
   private static final double SPARE_OF_TARGET = 0.3;
 
-  /** Time in which an account's share becomes free again: a quarter of its window. */
-  private static final long ABOVE_SHARE_MILLIS = 1_000;
-
   /** Part of that time which counts as nothing before a prompt. */
   private static final double NOTHING_AHEAD = 0.4;
 
@@ -254,13 +251,9 @@
     boolean shared = !account.isEmpty() && head.promptTokens() > 0;
     if (shared && !isSpare(choice)) {
       Judgement found =
-          context
-              .state()
-              .shares()
-              .judge(account, head.shareTokens(), view.tokensPerSecond(), head.hasWaited(route));
+          context.state().shares().judge(account, head.shareTokens(), view.tokensPerSecond());
       if (found.above()) {
-        long back = ABOVE_SHARE_MILLIS + ThreadLocalRandom.current().nextLong(ABOVE_SHARE_MILLIS);
-        return Optional.of(Refusal.aboveShare(found, back));
+        return Optional.of(Refusal.aboveShare(found, ComeBack.afterMillis(route.targetMillis())));
       }
     }
     if (!isWorthwhile(choice)) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -27,12 +27,6 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /** Part of an account's share that requests use which were not sent away before. */
-  private static final double NEW_PART = 0.9;
-
-  /** Part of an account's share up to which those are served that come back. */
-  private static final double WAITED_PART = 1.2;
-
   /** Most of a share that is served while the engines have less work than they can do. */
   private static final double MOST_HEADROOM = 1.5;
 
@@ -172,18 +166,14 @@
    *
    * @param tokens tokens of the request
    * @param tokensPerSecond capacity of all engines; 0 if not known, so that nobody is above
-   * @param waited whether its caller was sent away before; those go before new ones of their
-   *     account, since they do not come a third time
    */
-  public synchronized Judgement judge(
-      String account, long tokens, double tokensPerSecond, boolean waited) {
+  public synchronized Judgement judge(String account, long tokens, double tokensPerSecond) {
     long age = othersAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(clock.getAsLong() - othersAt);
     double admitted = use(account).admitted + othersUse(account).getAdmitted();
     if (tokensPerSecond <= 0) {
       return new Judgement(false, admitted, Double.MAX_VALUE, age);
     }
-    double part = waited ? WAITED_PART : NEW_PART;
-    double share = part * level(tokensPerSecond * MEMORY_SECONDS);
+    double share = level(tokensPerSecond * MEMORY_SECONDS);
     return new Judgement(admitted + tokens / 2.0 > share, admitted, share, age);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -14,26 +14,33 @@
 /**
  * Follows all control daemons that are known, from seeds and from one another.
  *
+ * <p>All tell of upstreams; one of this router's zone sends documents at once, and the one with the
+ * lowest address sums up what routers do, so that little crosses between zones twice.
+ *
  * <p>Thread-safe; {@link #step} is called by one thread a few times a second.
  */
 public final class ControlFollower implements AutoCloseable {
 
   private final String self;
+  private final String zone;
   private final RouterState state;
   private final PeerClients clients;
   private final Supplier<List<String>> seeds;
   private final LongSupplier clock;
   private final Map<String, FollowClient> links = new ConcurrentHashMap<>();
+  private final Map<String, String> zones = new ConcurrentHashMap<>();
   private final Map<String, Set<String>> toldBy = new ConcurrentHashMap<>();
 
   /** Creates a follower without streams; {@code clock} gives nanoseconds. */
   public ControlFollower(
       String self,
+      String zone,
       RouterState state,
       PeerClients clients,
       Supplier<List<String>> seeds,
       LongSupplier clock) {
     this.self = self;
+    this.zone = zone;
     this.state = state;
     this.clients = clients;
     this.seeds = seeds;
@@ -52,19 +59,33 @@
     FollowerReport.Builder whole = state.report();
     FollowerReport.Builder sign = whole.clone().clearWork().clearAccounts();
     String primary = primary();
+    String near =
+        zones.entrySet().stream()
+            .filter(entry -> entry.getValue().equals(zone) && isLive(entry.getKey()))
+            .map(Map.Entry::getKey)
+            .min(String::compareTo)
+            .orElse(primary);
     List<String> wanted = addresses();
     for (String address : wanted) {
-      FollowerReport.Builder report = address.equals(primary) ? whole.setWantsSums(true) : sign;
+      boolean first = address.equals(primary);
+      FollowerReport.Builder report = (first ? whole : sign).clone();
+      report.setWantsSums(first).setWantsDocument(near.isEmpty() || address.equals(near));
       links.computeIfAbsent(address, this::open).step(report);
     }
     for (String address : links.keySet()) {
       if (!wanted.contains(address)) {
         links.remove(address).close();
         toldBy.remove(address);
+        zones.remove(address);
       }
     }
   }
 
+  private boolean isLive(String address) {
+    FollowClient link = links.get(address);
+    return link != null && link.isLive();
+  }
+
   private FollowClient open(String address) {
     return new FollowClient(self, address, state, clients, clock, update -> told(address, update));
   }
@@ -73,6 +94,9 @@
     if (update.getControlAddressesCount() > 0) {
       toldBy.put(source, Set.copyOf(update.getControlAddressesList()));
     }
+    if (!update.getZone().isEmpty()) {
+      zones.put(source, update.getZone());
+    }
     if (update.getSums()) {
       state.workOfOthers(update.getWorkList());
       state.shares().othersAre(update.getAccountsList());
