Let only a success go on with a stream; frame every answer so that its end shows

By the tests: answers on connections that close were framed by the close; a gap was never forgotten.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
@@ -29,9 +29,10 @@
     return gap;
   }
 
-  /** Forgets the event that was cut off. */
+  /** Forgets the event that was cut off, and a gap, before the stream goes on elsewhere. */
   void dropPartial() {
     partial.reset();
+    gap = false;
   }
 
   /** Returns whether an event was begun and not ended. */
@@ -88,7 +89,12 @@
     if (id <= lastId) {
       return false;
     }
-    gap |= lastId >= 0 && id != lastId + 1;
+    if (lastId >= 0 && id != lastId + 1) {
+      gap = true;
+    }
+    if (gap) {
+      return false;
+    }
     lastId = id;
     return true;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -7,6 +7,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -485,7 +486,6 @@
         return;
       }
       exchangeWithUpstream.cancel();
-      events.dropPartial();
       lost("silent", "silent for " + silent + " ms");
     }
 
@@ -529,6 +529,8 @@
         notExecuted(status);
       } else if (!isWhole(status, headers)) {
         fail("unsealed", "status " + status + " is not the upstream's own answer");
+      } else if (phase == Phase.ANSWERING && !isSuccess(status)) {
+        fail("status-" + status, "the upstream did not go on with the stream");
       } else if (status >= 500 && mayRepeat()) {
         fail("status-" + status, "the upstream failed");
       } else {
@@ -536,8 +538,16 @@
       }
     }
 
+    private boolean mayHaveBody(int status) {
+      return status != 204 && status != 304 && !exchange.getRequestMethod().equals(Methods.HEAD);
+    }
+
+    private static boolean isSuccess(int status) {
+      return status >= 200 && status < 300;
+    }
+
     private boolean isWhole(int status, HeaderMap headers) {
-      boolean success = status >= 200 && status < 300;
+      boolean success = isSuccess(status);
       return !headers.contains(Headers.CONTENT_ENCODING)
           && (!success
               || (context.codec().isSealed(headers) && context.codec().namesRequest(headers)));
@@ -564,6 +574,9 @@
 
     private void lost(String outcome, String why) {
       release();
+      if (events != null) {
+        events.dropPartial();
+      }
       earlierMayHaveRun = true;
       context.metrics().attempted(outcome);
       RelayLog.attemptFailed(RelayedCall.this, upstream.id(), outcome, why);
@@ -604,6 +617,10 @@
       String length = headers.getFirst(Headers.CONTENT_LENGTH);
       if (length != null && events == null) {
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
+      } else if (exchange.isHttp11() && mayHaveBody(status)) {
+        // Without it an answer on a connection that closes would end with the connection, so that
+        // one which broke off looked complete.
+        exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
       }
       if (context.isClosing()) {
         exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
@@ -665,9 +682,6 @@
       if (current != this || phase == Phase.ENDED) {
         return;
       }
-      if (events != null) {
-        events.dropPartial();
-      }
       if (!relaying) {
         upstream.unreachable(context.now());
       }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
@@ -45,8 +45,12 @@
   @Test
   public void shouldNoticeAMissingEvent() {
     accept(event(1));
-    accept(event(3));
+    assertThat(accept(event(3) + event(4))).isEmpty();
     assertThat(splitter.hasGap()).isTrue();
+
+    splitter.dropPartial();
+    assertThat(splitter.hasGap()).isFalse();
+    assertThat(accept(event(2) + event(3))).isEqualTo(event(2) + event(3));
   }
 
   @Test
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -94,6 +94,8 @@
       exchange.dispatch(() -> hold(exchange));
     } else if (path.endsWith("/break")) {
       exchange.dispatch(() -> breakOff(exchange));
+    } else if (path.contains("/resume-")) {
+      exchange.dispatch(() -> resumeOrBreak(exchange, path.endsWith("ok")));
     } else if (path.endsWith("/unsealed")) {
       exchange.getResponseHeaders().remove("X-Answer-Seal");
       exchange.getResponseSender().send("not mine");
@@ -137,6 +139,33 @@
     IoUtils.safeClose(exchange.getConnection());
   }
 
+  /** Stops in the middle of event 3; goes on after event 2, or answers that it cannot. */
+  private static void resumeOrBreak(HttpServerExchange exchange, boolean goesOn) {
+    String last = header(exchange, "Last-Event-Id");
+    exchange.startBlocking();
+    try {
+      if (last.equals("-")) {
+        write(exchange, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+        Thread.sleep(100);
+        IoUtils.safeClose(exchange.getConnection());
+      } else if (goesOn && last.equals("2")) {
+        write(exchange, "id: 3\ndata: c\n\n");
+        exchange.endExchange();
+      } else {
+        exchange.setStatusCode(500);
+        write(exchange, "cannot go on");
+        exchange.endExchange();
+      }
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void write(HttpServerExchange exchange, String text) throws IOException {
+    exchange.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    exchange.getOutputStream().flush();
+  }
+
   private static String header(HttpServerExchange exchange, String name) {
     String value = exchange.getRequestHeaders().getFirst(name);
     return value == null ? "-" : value;
@@ -224,6 +253,33 @@
     }
   }
 
+  private String stream(String path) throws IOException {
+    String[] parts = gateway.callers(0).split(":");
+    try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+      String head =
+          "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r3\r\nX-Api-Key: ";
+      String rest = LocalGateway.KEY + "\r\nConnection: close\r\n\r\n";
+      socket.getOutputStream().write((head + rest).getBytes(StandardCharsets.US_ASCII));
+      return readAll(socket.getInputStream());
+    }
+  }
+
+  @Test
+  public void shouldGoOnWithAStreamAtAnotherUpstreamWithoutRepeatingAnEvent() throws Exception {
+    String answer = stream("/stream/resume-ok");
+    String events = answer.replaceAll("(?s)^.*?\r\n\r\n", "").replaceAll("[0-9a-f]+\r\n|\r\n", "");
+    assertThat(events).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    assertThat(answer).endsWith("0\r\n\r\n");
+  }
+
+  /** A 500 of the second upstream once ended such a stream as if it were complete (inc-3c17). */
+  @Test
+  public void shouldNotEndAStreamAsCompleteThatTheNextUpstreamCannotGoOnWith() throws Exception {
+    String answer = stream("/stream/resume-no");
+    assertThat(answer).contains("data: b").doesNotContain("cannot go on");
+    assertThat(answer).doesNotEndWith("0\r\n\r\n");
+  }
+
   private static String readAll(InputStream in) throws IOException {
     StringBuilder text = new StringBuilder();
     try {
