Split the call from its attempts and its admission; take no unsealed promise for an upstream's

Found on reading it: a 408, 429 or 503 without the upstream's seal was passed on as a promise that nothing ran, though anything on the way may have said it; it is a lost answer now.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -16,6 +16,9 @@
 /** Reads and writes the header fields of requests and answers. Immutable and thread-safe. */
 public final class HeaderCodec {
 
+  /** Status of an upstream that is not the expected one (RFC 9110). */
+  static final int MISDIRECTED = 421;
+
   private static final Set<HttpString> ONE_CONNECTION =
       Set.of(
           Headers.CONNECTION,
@@ -188,7 +191,7 @@
 
   /** Returns whether an upstream said that it did not run the request. */
   boolean isNotExecuted(int status, HeaderMap headers) {
-    return status == 421 || headers.contains(notExecuted);
+    return status == MISDIRECTED || headers.contains(notExecuted);
   }
 
   /** Returns whether an answer belongs to a request: it repeats its identity or names none. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Refusal.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Refusal.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import org.toucansaddle.daemon.internal.gateway.relay.Placement.Choice;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Judgement;
 import org.toucansaddle.daemon.internal.problem.RunState;
 
@@ -45,11 +46,18 @@
 
   static Refusal aboveShare(Judgement found, long retryAfterMillis) {
     String detail =
-        "The client account got %.0f tokens lately of a share of %.0f, other routers told %d ms ago."
+        "The account got %.0f tokens lately of a share of %.0f; other routers told %d ms ago."
             .formatted(found.admitted(), found.level(), found.othersAgeMillis());
     return notRun("above-share", detail, retryAfterMillis);
   }
 
+  static Refusal targetCannotBeMet(Choice choice, long retryAfterMillis) {
+    String detail =
+        "The soonest upstream is expected to begin in %.0f ms, %.0f ms of them for others."
+            .formatted(choice.waitMillis(), choice.aheadMillis());
+    return notRun("target-cannot-be-met", detail, retryAfterMillis);
+  }
+
   static Refusal notRun(String type, String detail, long retryAfterMillis) {
     return new Refusal(503, type, RunState.NOT_RUN, detail, retryAfterMillis);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -14,6 +14,7 @@
 
   private final RouterState state;
   private final HeaderCodec codec;
+  private final Admission admission;
   private final Placement placement;
   private final RelayMetrics metrics;
   private final RouterSettings settings;
@@ -41,6 +42,7 @@
       BooleanSupplier closing) {
     this.state = state;
     this.codec = codec;
+    this.admission = new Admission(state.shares());
     this.placement = placement;
     this.metrics = metrics;
     this.settings = settings;
@@ -57,6 +59,10 @@
     return codec;
   }
 
+  Admission admission() {
+    return admission;
+  }
+
   Placement placement() {
     return placement;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -23,7 +23,8 @@
   static void ended(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} status={} outcome={} upstream={}"
-            + " reason={} heard_ms_ago={} attempts={} first_ms={} total_ms={} prompt={} wait_ms={} detail=\"{}\"",
+            + " reason={} heard_ms_ago={} attempts={} first_ms={} total_ms={} prompt={} wait_ms={}"
+            + " detail=\"{}\"",
         call.head().requestId(),
         call.route() == null ? "" : call.route().name(),
         call.account(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -1,13 +1,11 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import com.dynatrace.hash4j.hashing.Hashing;
-import io.undertow.client.ClientRequest;
-import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -20,10 +18,10 @@
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.gateway.WeightedService;
+import org.toucansaddle.daemon.internal.gateway.relay.Admission.Ask;
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.Choice;
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.EngineLimits;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnections.Connection;
-import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Judgement;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.daemon.internal.problem.RunState;
@@ -37,37 +35,21 @@
  */
 final class RelayedCall {
 
-  private static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-Id");
-
   /** Time left below which no upstream is asked, in milliseconds: it could not answer in time. */
   private static final long LEAST_LEFT_MILLIS = 20;
 
-  /** Silence of a stream, or before its first event, after which another upstream goes on. */
-  private static final long STALL_MILLIS = 1_500;
-
-  /** Part of a route's target that a prompt may be expected to wait. */
-  private static final double MAX_WAIT_OF_TARGET = 0.9;
-
-  /** Utilisation of the engines below which shares do not matter. */
-  private static final double SPARE_UTILISATION = 0.8;
-
-  /** Part of a route's target that may stand before a prompt while shares do not matter. */
-  private static final double SPARE_OF_TARGET = 0.3;
-
-  /** Part of that time which counts as nothing before a prompt. */
-  private static final double NOTHING_AHEAD = 0.4;
-
-  /** Part of the time left that a caller who came back may be expected to wait. */
-  private static final double MAX_WAIT_OF_TIME = 0.4;
-
   /** Prompt tokens that an engine reads in the time in which it serves one. */
   private static final double READ_OF_SERVED = 2;
 
   private static final double DEFAULT_TOKENS_PER_MILLI = 25;
 
-  private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long BUSY_RETRY_AFTER_MILLIS = 400;
 
+  /** Time for which an address is passed over where another upstream answered. */
+  private static final long ELSEWHERE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private enum Phase {
     STARTING,
     WAITING,
@@ -91,7 +73,7 @@
   private final EventSplitter events;
 
   private Phase phase = Phase.STARTING;
-  private Attempt current;
+  private CallAttempt current;
   private XnioExecutor.Key deadlineTimer;
   private int attempts;
   private boolean earlierMayHaveRun;
@@ -165,6 +147,10 @@
     return attempts;
   }
 
+  String service() {
+    return service;
+  }
+
   String lastUpstream() {
     return lastUpstream;
   }
@@ -189,7 +175,7 @@
     return firstByteAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(firstByteAt - begunAt);
   }
 
-  private long leftMillis() {
+  long leftMillis() {
     return TimeUnit.NANOSECONDS.toMillis(deadlineAt - context.now());
   }
 
@@ -201,9 +187,7 @@
     }
     CallerWatch.start(exchange, this::callerGone);
     context.budget(service).request();
-    if (!account.isEmpty() && head.promptTokens() > 0) {
-      context.state().shares().asked(account, head.shareTokens());
-    }
+    context.admission().arrived(ask());
     deadlineTimer =
         exchange
             .getIoThread()
@@ -238,7 +222,7 @@
     }
     expectedWaitMillis = choice.get().waitMillis();
     if (phase == Phase.STARTING && attempts == 0) {
-      Optional<Refusal> refusal = admit(choice.get());
+      Optional<Refusal> refusal = context.admission().admit(ask(), choice.get());
       if (refusal.isPresent()) {
         refuse(refusal.get());
         return;
@@ -247,44 +231,8 @@
     send(choice.get(), otherwise);
   }
 
-  /** Returns why a request is not sent now, or counts it as admitted. */
-  private Optional<Refusal> admit(Choice choice) {
-    boolean shared = !account.isEmpty() && head.promptTokens() > 0;
-    if (shared && !isSpare(choice)) {
-      Judgement found =
-          context.state().shares().judge(account, head.shareTokens(), view.tokensPerSecond());
-      if (found.above()) {
-        return Optional.of(Refusal.aboveShare(found, ComeBack.afterMillis(route.targetMillis())));
-      }
-    }
-    if (!isWorthwhile(choice)) {
-      long back = Math.round(Math.max(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis / 2));
-      return Optional.of(
-          Refusal.notRun("target-cannot-be-met", "All upstreams have long queues.", back));
-    }
-    if (shared) {
-      long work = head.workTokens(choice.toRead());
-      context.state().shares().admitted(account, head.shareTokens(), work);
-    }
-    return Optional.empty();
-  }
-
-  /** Nobody waits, whatever their share, while the engines have capacity. */
-  private boolean isSpare(Choice choice) {
-    return context.state().shares().utilisation(view.tokensPerSecond()) < SPARE_UTILISATION
-        && choice.aheadMillis() < SPARE_OF_TARGET * route.targetMillis();
-  }
-
-  /**
-   * Returns whether a request should be sent now: it meets its target, or coming back would not
-   * help since nothing stands before it or its caller has waited already.
-   */
-  private boolean isWorthwhile(Choice choice) {
-    double limit = route.targetMillis() * MAX_WAIT_OF_TARGET;
-    if (choice.waitMillis() <= limit || choice.aheadMillis() < limit * NOTHING_AHEAD) {
-      return true;
-    }
-    return head.hasWaited(route) && choice.waitMillis() < leftMillis() * MAX_WAIT_OF_TIME;
+  private Ask ask() {
+    return new Ask(route, head, account, view.tokensPerSecond(), leftMillis());
   }
 
   private EngineLimits limits(int engines) {
@@ -307,13 +255,13 @@
     lastUpstream = upstream.id();
     String address = upstream.report().address();
     UpstreamConnections connections = context.connections(exchange.getIoThread());
-    Attempt attempt = new Attempt(choice);
+    CallAttempt attempt = new CallAttempt(context, this, exchange, choice, nominalSpeed);
     current = attempt;
     upstreamAgeMillis = TimeUnit.NANOSECONDS.toMillis(context.now() - upstream.heardAtNanos());
     reason = choice.reason().name();
     Connection idle = connections.takeIdle(address);
     if (idle != null) {
-      attempt.begin(idle);
+      begin(attempt, idle);
       return;
     }
     if (connections.open(address) >= connectionShare()) {
@@ -329,7 +277,7 @@
           if (phase == Phase.ENDED || current != attempt) {
             connection.release(0);
           } else {
-            attempt.begin(connection);
+            begin(attempt, connection);
           }
         },
         failure -> {
@@ -343,6 +291,12 @@
         });
   }
 
+  private void begin(CallAttempt attempt, Connection connection) {
+    attempts++;
+    phase = phase == Phase.STARTING ? Phase.WAITING : phase;
+    attempt.begin(connection, body);
+  }
+
   private int connectionShare() {
     int max = view.service(service).map(ServiceDefinition::maxConnections).orElse(0);
     return max == 0 ? Integer.MAX_VALUE : Math.max(2, max / context.state().routers());
@@ -370,7 +324,7 @@
   }
 
   private void cancelAttempt() {
-    Attempt attempt = current;
+    CallAttempt attempt = current;
     current = null;
     if (attempt != null) {
       attempt.cancel();
@@ -378,8 +332,8 @@
   }
 
   private void resume() {
-    if (current != null && current.exchangeWithUpstream != null) {
-      current.exchangeWithUpstream.resume();
+    if (current != null) {
+      current.resume();
     }
   }
 
@@ -413,280 +367,133 @@
     RelayLog.ended(this, status, outcome, detail);
   }
 
-  /** One upstream's turn. */
-  private final class Attempt implements UpstreamAttempt.Listener {
-    private final Upstream upstream;
-    private UpstreamAttempt exchangeWithUpstream;
-    private XnioExecutor.Key stallTimer;
-    private long lastByteAt;
-    private final int toRead;
-    private final int memory;
-    private final long tokensAhead;
-    private long sentAt;
-    private boolean promptCounted;
-    private boolean counted;
-    private boolean relaying;
-
-    Attempt(Choice choice) {
-      this.upstream = choice.upstream();
-      this.toRead = choice.toRead();
-      this.counted = true;
-      this.promptCounted = true;
-      this.memory = toRead + head.expectedOutputTokens();
-      upstream.begun(toRead, memory);
-      this.tokensAhead = upstream.pendingTokens();
-    }
+  // ---- what the attempt under way tells ----
 
-    void begin(Connection connection) {
-      attempts++;
-      phase = phase == Phase.STARTING ? Phase.WAITING : phase;
-      sentAt = context.now();
-      lastByteAt = sentAt;
-      exchangeWithUpstream = new UpstreamAttempt(connection, body, this);
-      watchStall();
-      exchangeWithUpstream.start(request());
-    }
-
-    private ClientRequest request() {
-      ClientRequest request = new ClientRequest();
-      String query = exchange.getQueryString();
-      String path = head.path() + (query.isEmpty() ? "" : "?" + query);
-      request.setMethod(exchange.getRequestMethod()).setPath(path);
-      HeaderMap headers = request.getRequestHeaders();
-      context.codec().copyRequest(exchange.getRequestHeaders(), headers);
-      context.codec().address(headers, upstream.id(), account, Math.max(1, leftMillis()));
-      if (body.length > 0 || exchange.getRequestHeaders().contains(Headers.CONTENT_LENGTH)) {
-        headers.put(Headers.CONTENT_LENGTH, body.length);
-      }
-      if (events != null && events.lastId() >= 0) {
-        headers.put(LAST_EVENT_ID, Long.toString(events.lastId()));
-      }
-      return request;
-    }
-
-    /** A stream that may go on elsewhere does so when its upstream falls silent. */
-    private void watchStall() {
-      if (events == null) {
-        return;
-      }
-      stallTimer =
-          exchange
-              .getIoThread()
-              .executeAfter(this::checkStall, STALL_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void checkStall() {
-      if (current != this || phase == Phase.ENDED) {
-        return;
-      }
-      long limit = Math.max(STALL_MILLIS, relaying ? 0 : 2L * route.targetMillis());
-      long silent = TimeUnit.NANOSECONDS.toMillis(context.now() - lastByteAt);
-      if (silent < limit || leftMillis() < STALL_MILLIS || attempts >= route.maxAttempts()) {
-        watchStall();
-        return;
-      }
-      exchangeWithUpstream.cancel();
-      lost("silent", "silent for " + silent + " ms");
-    }
-
-    boolean isSent() {
-      return exchangeWithUpstream != null;
-    }
-
-    void cancel() {
-      release();
-      if (exchangeWithUpstream != null) {
-        exchangeWithUpstream.cancel();
-      }
-    }
+  boolean isCurrent(CallAttempt attempt) {
+    return current == attempt && phase != Phase.ENDED;
+  }
 
-    void release() {
-      promptRead();
-      if (counted) {
-        counted = false;
-        upstream.ended(memory);
-      }
-      if (stallTimer != null) {
-        stallTimer.remove();
-      }
-    }
+  boolean isAnswering() {
+    return phase == Phase.ANSWERING;
+  }
 
-    private void promptRead() {
-      if (promptCounted) {
-        promptCounted = false;
-        upstream.promptRead(toRead);
-      }
-    }
+  /** Returns whether a broken answer may go on at another upstream. */
+  boolean isResumable() {
+    return events != null;
+  }
 
-    @Override
-    public void onHead(ClientResponse response) {
-      HeaderMap headers = response.getResponseHeaders();
-      int status = response.getResponseCode();
-      upstream.reached();
-      if (!context.codec().belongsTo(head.requestId(), headers)) {
-        fail("crossed", "the answer belongs to another request");
-      } else if (context.codec().isNotExecuted(status, headers)) {
-        notExecuted(status);
-      } else if (!isWhole(status, headers)) {
-        fail("unsealed", "status " + status + " is not the upstream's own answer");
-      } else if (phase == Phase.ANSWERING && !isSuccess(status)) {
-        fail("status-" + status, "the upstream did not go on with the stream");
-      } else if (status >= 500 && mayRepeat()) {
-        fail("status-" + status, "the upstream failed");
-      } else {
-        beginAnswer(status, headers);
-      }
-    }
+  /** Returns the id of the last event that the caller got; -1 if there was none. */
+  long lastEventId() {
+    return events == null ? -1 : events.lastId();
+  }
 
-    private boolean mayHaveBody(int status) {
-      return status != 204 && status != 304 && !exchange.getRequestMethod().equals(Methods.HEAD);
-    }
+  boolean hasAttemptLeft() {
+    return attempts < route.maxAttempts();
+  }
 
-    private static boolean isSuccess(int status) {
-      return status >= 200 && status < 300;
-    }
+  /** Returns whether a failure of the upstream itself is tried again instead of passed on. */
+  boolean mayRepeatFailure() {
+    return phase == Phase.WAITING
+        && route.repetition() == Repetition.REPEATABLE
+        && hasAttemptLeft();
+  }
 
-    private boolean isWhole(int status, HeaderMap headers) {
-      boolean success = isSuccess(status);
-      return !headers.contains(Headers.CONTENT_ENCODING)
-          && (!success
-              || (context.codec().isSealed(headers) && context.codec().namesRequest(headers)));
-    }
+  /** An upstream broke its connection while it had the request. */
+  void struck(String upstream) {
+    context.state().crashes().strike(digest, upstream);
+  }
 
-    private void notExecuted(int status) {
-      exchangeWithUpstream.cancel();
-      release();
-      if (status == 421) {
-        upstream.pauseUntil(context.now() + TimeUnit.SECONDS.toNanos(5));
-      }
-      context.metrics().attempted("not-executed");
-      RelayLog.attemptFailed(RelayedCall.this, upstream.id(), "not-executed", "status " + status);
-      Refusal otherwise =
-          Refusal.notRun(
-              "upstream-full", "The upstream did not run the request.", BUSY_RETRY_AFTER_MILLIS);
-      again(otherwise, true);
+  /** An upstream said that it did not run the request. */
+  void notExecuted(CallAttempt attempt, int status) {
+    if (status == HeaderCodec.MISDIRECTED) {
+      attempt.upstream().pauseUntil(context.now() + ELSEWHERE_NANOS);
     }
+    context.metrics().attempted("not-executed");
+    RelayLog.attemptFailed(this, attempt.upstream().id(), "not-executed", "status " + status);
+    String detail = "The upstream did not run the request.";
+    again(Refusal.notRun("upstream-full", detail, BUSY_RETRY_AFTER_MILLIS), true);
+  }
 
-    private void fail(String outcome, String why) {
-      exchangeWithUpstream.cancel();
-      lost(outcome, why);
+  /** An answer was lost; the request may have run. */
+  void lost(CallAttempt attempt, String outcome, String why) {
+    if (events != null) {
+      events.dropPartial();
     }
+    earlierMayHaveRun = true;
+    context.metrics().attempted(outcome);
+    RelayLog.attemptFailed(this, attempt.upstream().id(), outcome, why);
+    boolean untouched = phase != Phase.ANSWERING || events != null;
+    Refusal otherwise = Refusal.lost("The upstream's answer was lost: " + why + ".");
+    again(otherwise, route.isRepeatable() && untouched);
+  }
 
-    private void lost(String outcome, String why) {
-      release();
-      if (events != null) {
-        events.dropPartial();
-      }
-      earlierMayHaveRun = true;
-      context.metrics().attempted(outcome);
-      RelayLog.attemptFailed(RelayedCall.this, upstream.id(), outcome, why);
-      Refusal otherwise = Refusal.lost("The upstream's answer was lost: " + why + ".");
-      boolean untouched = phase != Phase.ANSWERING || events != null;
-      again(otherwise, route.isRepeatable() && untouched);
+  private void again(Refusal otherwise, boolean allowed) {
+    current = null;
+    boolean quarantined = context.state().crashes().isQuarantined(digest);
+    boolean mayGoOn = allowed && hasAttemptLeft() && !quarantined;
+    if (mayGoOn && context.budget(service).tryRepeat()) {
+      tryUpstream(otherwise);
+    } else {
+      refuse(otherwise);
     }
+  }
 
-    private boolean mayRepeat() {
-      return phase == Phase.WAITING
-          && route.repetition() == Repetition.REPEATABLE
-          && attempts < route.maxAttempts();
+  /** An answer begins, or a stream goes on. */
+  void answerBegins(int status, HeaderMap headers) {
+    if (phase == Phase.ANSWERING) {
+      return;
     }
-
-    private void again(Refusal otherwise, boolean allowed) {
-      current = null;
-      boolean mayGoOn =
-          allowed
-              && attempts < route.maxAttempts()
-              && !context.state().crashes().isQuarantined(digest);
-      boolean budgeted = mayGoOn && context.budget(service).tryRepeat();
-      if (budgeted) {
-        tryUpstream(otherwise);
-      } else {
-        refuse(otherwise);
-      }
+    phase = Phase.ANSWERING;
+    exchange.setStatusCode(status);
+    context.codec().copyAnswer(headers, exchange.getResponseHeaders());
+    String length = headers.getFirst(Headers.CONTENT_LENGTH);
+    if (length != null && events == null) {
+      exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
+    } else if (exchange.isHttp11() && mayHaveBody(status)) {
+      // Without it an answer on a connection that closes would end with the connection, so that
+      // one which broke off looked complete.
+      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
     }
-
-    private void beginAnswer(int status, HeaderMap headers) {
-      relaying = true;
-      promptReadAtFirstByte();
-      if (phase == Phase.ANSWERING) {
-        return;
-      }
-      phase = Phase.ANSWERING;
-      exchange.setStatusCode(status);
-      context.codec().copyAnswer(headers, exchange.getResponseHeaders());
-      String length = headers.getFirst(Headers.CONTENT_LENGTH);
-      if (length != null && events == null) {
-        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
-      } else if (exchange.isHttp11() && mayHaveBody(status)) {
-        // Without it an answer on a connection that closes would end with the connection, so that
-        // one which broke off looked complete.
-        exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
-      }
-      if (context.isClosing()) {
-        exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-      }
+    if (context.isClosing()) {
+      exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
     }
+  }
 
-    private void promptReadAtFirstByte() {
-      if (!route.isStream()) {
-        promptRead();
-      }
-    }
+  private boolean mayHaveBody(int status) {
+    return status != StatusCodes.NO_CONTENT
+        && status != StatusCodes.NOT_MODIFIED
+        && !exchange.getRequestMethod().equals(Methods.HEAD);
+  }
 
-    @Override
-    public boolean onBody(ByteBuffer data) {
-      if (current != this || phase == Phase.ENDED) {
-        return false;
-      }
-      lastByteAt = context.now();
-      if (promptCounted && toRead > 0) {
-        long millis = TimeUnit.NANOSECONDS.toMillis(lastByteAt - sentAt);
-        context.speed(service).observed(tokensAhead, nominalSpeed, millis);
-      }
-      promptRead();
-      if (firstByteAt == 0) {
-        firstByteAt = lastByteAt;
-        context.metrics().firstByte(route.name(), (firstByteAt - begunAt) / 1e9);
-      }
-      ByteBuffer out = events == null ? data : events.accept(data);
-      if (events != null && events.hasGap()) {
-        fail("gap", "an event is missing");
-        return false;
-      }
-      return !out.hasRemaining() || answer.write(out);
+  /** Passes content on; returns whether there is room for more. */
+  boolean answerGoesOn(CallAttempt attempt, ByteBuffer data) {
+    if (firstByteAt == 0) {
+      firstByteAt = context.now();
+      context.metrics().firstByte(route.name(), (firstByteAt - begunAt) / NANOS_PER_SECOND);
     }
-
-    @Override
-    public void onPause() {
-      answer.flush();
+    ByteBuffer out = events == null ? data : events.accept(data);
+    boolean hasRoom = !out.hasRemaining() || answer.write(out);
+    if (events != null && events.hasGap()) {
+      attempt.cancel();
+      lost(attempt, "gap", "an event is missing");
+      return false;
     }
+    return hasRoom;
+  }
 
-    @Override
-    public void onEnd() {
-      if (current != this || phase == Phase.ENDED) {
-        return;
-      }
-      release();
-      current = null;
-      context.metrics().attempted("whole");
-      context.state().crashes().clear(digest);
-      if (events != null && events.hasPartial()) {
-        answer.write(ByteBuffer.wrap(events.takePartial()));
-      }
-      RelayedCall.this.end(exchange.getStatusCode(), "answered", "");
-      answer.end();
-    }
+  void flush() {
+    answer.flush();
+  }
 
-    @Override
-    public void onBroken(String why) {
-      if (current != this || phase == Phase.ENDED) {
-        return;
-      }
-      if (!relaying) {
-        upstream.unreachable(context.now());
-      }
-      context.state().crashes().strike(digest, upstream.id());
-      lost("broken", why);
+  /** The answer is whole. */
+  void answered() {
+    current = null;
+    context.metrics().attempted("whole");
+    context.state().crashes().clear(digest);
+    if (events != null && events.hasPartial()) {
+      answer.write(ByteBuffer.wrap(events.takePartial()));
     }
+    end(exchange.getStatusCode(), "answered", "");
+    answer.end();
   }
 }
