--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
@@ -7,8 +7,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.toucansaddle.coordination.replication.ReplicaId;
+import org.toucansaddle.coordination.replication.ReplicatedLog;
 import org.toucansaddle.coordination.replication.ReplicationException;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.internal.control.ControlReplica;
@@ -137,10 +139,7 @@
                     .build());
   }
 
-  private <T> CompletableFuture<T> here(
-      java.util.function.Function<
-              org.toucansaddle.coordination.replication.ReplicatedLog, CompletableFuture<T>>
-          action) {
+  private <T> CompletableFuture<T> here(Function<ReplicatedLog, CompletableFuture<T>> action) {
     if (replica.isEmpty()) {
       return CompletableFuture.failedFuture(
           new IllegalStateException("This daemon is not a control replica."));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.control;
 
+import io.grpc.Status;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import java.util.HashMap;
@@ -187,7 +188,7 @@
     synchronized void end() {
       followers.remove(this);
       ended = true;
-      updates.onError(io.grpc.Status.UNAVAILABLE.withDescription("silent").asRuntimeException());
+      updates.onError(Status.UNAVAILABLE.withDescription("silent").asRuntimeException());
     }
 
     /** Sends what changed, if anything did. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -42,7 +42,6 @@
   private final HttpString credential;
   private final HttpString account;
   private final HttpString expectedUpstream;
-  private final HttpString upstream;
   private final HttpString seal;
   private final HttpString notExecuted;
   private final HttpString tokens;
@@ -57,7 +56,6 @@
     this.credential = new HttpString(names.credential());
     this.account = new HttpString(names.account());
     this.expectedUpstream = new HttpString(names.expectedUpstream());
-    this.upstream = new HttpString(names.upstream());
     this.seal = new HttpString(names.seal());
     this.notExecuted = new HttpString(names.notExecuted());
     this.tokens = new HttpString(names.tokens());
@@ -209,9 +207,4 @@
   boolean isSealed(HeaderMap headers) {
     return headers.contains(seal);
   }
-
-  /** Returns the upstream that an answer names; empty if it names none. */
-  String upstreamOf(HeaderMap headers) {
-    return first(headers, upstream);
-  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnections.Connection;
 import org.xnio.ChannelListeners;
 import org.xnio.channels.StreamSinkChannel;
@@ -93,10 +94,6 @@
     }
   }
 
-  boolean isReusedConnection() {
-    return connection.isReused();
-  }
-
   private void sent(ClientExchange exchange) {
     exchange.setResponseListener(
         new ClientCallback<>() {
@@ -164,7 +161,7 @@
 
   private static boolean isClosing(HeaderMap headers) {
     String value = headers.getFirst(Headers.CONNECTION);
-    return value != null && value.toLowerCase(java.util.Locale.ROOT).contains("close");
+    return value != null && value.toLowerCase(Locale.ROOT).contains("close");
   }
 
   private static long keepMillis(HeaderMap headers) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnections.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnections.java
@@ -49,7 +49,6 @@
     private final ClientConnection client;
     private long idleSince;
     private long idleNanos = DEFAULT_IDLE_NANOS;
-    private boolean used;
 
     private Connection(String address, ClientConnection client) {
       this.address = address;
@@ -63,17 +62,11 @@
       return client;
     }
 
-    /** Returns whether it carried a request before. */
-    boolean isReused() {
-      return used;
-    }
-
     /** Keeps the connection for another request, for at most a time. */
     void release(long keptMillis) {
       if (!client.isOpen()) {
         return;
       }
-      used = true;
       idleSince = System.nanoTime();
       idleNanos = keptMillis > 0 ? TimeUnit.MILLISECONDS.toNanos(keptMillis) : DEFAULT_IDLE_NANOS;
       idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addFirst(this);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -59,12 +59,7 @@
     FollowerReport.Builder whole = state.report();
     FollowerReport.Builder sign = whole.clone().clearWork().clearAccounts();
     String primary = primary();
-    String near =
-        zones.entrySet().stream()
-            .filter(entry -> entry.getValue().equals(zone) && isLive(entry.getKey()))
-            .map(Map.Entry::getKey)
-            .min(String::compareTo)
-            .orElse(primary);
+    String near = near(primary);
     List<String> wanted = addresses();
     for (String address : wanted) {
       boolean first = address.equals(primary);
@@ -81,6 +76,15 @@
     }
   }
 
+  /** Returns the live daemon of this router's zone with the lowest address. */
+  private String near(String otherwise) {
+    return zones.entrySet().stream()
+        .filter(entry -> entry.getValue().equals(zone) && isLive(entry.getKey()))
+        .map(Map.Entry::getKey)
+        .min(String::compareTo)
+        .orElse(otherwise);
+  }
+
   private boolean isLive(String address) {
     FollowClient link = links.get(address);
     return link != null && link.isLive();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
@@ -1,7 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.toucansaddle.daemon.gateway.ClientAccount;
@@ -59,9 +58,4 @@
   public long tokensPerSecond() {
     return document.limits().tokensPerSecond();
   }
-
-  /** Returns the names of the accounts. */
-  public List<String> accounts() {
-    return document.accounts().stream().map(ClientAccount::name).toList();
-  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -89,11 +89,6 @@
     pausedUntilNanos = nanos;
   }
 
-  /** Returns the number of failures to reach it since it last answered. */
-  public int failures() {
-    return failures.get();
-  }
-
   /** Notes a request sent there, with prompt tokens to read and tokens to keep in memory. */
   public void begun(int tokens, int memoryTokens) {
     ownRequests.incrementAndGet();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -1,7 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -94,16 +93,6 @@
     return byService.getOrDefault(service, List.of());
   }
 
-  /** Returns all upstreams that said they are ready. */
-  public Collection<List<Upstream>> ready() {
-    return byService.values();
-  }
-
-  /** Returns an upstream by its id, or nothing. */
-  public synchronized java.util.Optional<Upstream> find(String id) {
-    return java.util.Optional.ofNullable(byId.get(id));
-  }
-
   /** Returns all upstreams known. */
   public synchronized List<Upstream> all() {
     return List.copyOf(byId.values());
