Keep nothing of an answered request on its caller's connection

Cause: the watch for callers who leave added a listener to the connection for each request, which kept the request and its body until the connection closed: 107 MB after 100 requests of 1 MB. Ruled out: the connections to upstreams (their exchanges end with the answer). GatewayUsageTest.shouldKeepNothingOfRequestsThatWereAnsweredOnAConnection fails before, passes after; the test of callers who leave passes as before, since a close shows as the end of the input.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerWatch.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerWatch.java
@@ -22,7 +22,6 @@
     if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
       return;
     }
-    connection.addCloseListener(closed -> onGone.run());
     if (connection.getExtraBytes() != null) {
       return;
     }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -209,6 +209,24 @@
     assertThat(longBody.status()).isEqualTo(413);
   }
 
+  /** A listener on the caller's connection once kept every request of it, with its body. */
+  @Test
+  public void shouldKeepNothingOfRequestsThatWereAnsweredOnAConnection() {
+    String body = "x".repeat(1 << 20);
+    post(0, "/once/kept", body);
+    long before = usedHeap();
+    for (int i = 0; i < 100; i++) {
+      assertThat(post(0, "/once/kept", body).status()).isEqualTo(200);
+    }
+    assertThat(usedHeap() - before).as("bytes kept of 100 MB").isLessThan(50L << 20);
+  }
+
+  private static long usedHeap() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
   @Test
   public void shouldNotPassOnASuccessThatTheUpstreamDidNotSeal() {
     HttpReply reply = post(0, "/once/unsealed", "");
