--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.gateway.ControlGateway.PutOutcome;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
@@ -35,8 +36,8 @@
 
   private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
   private final List<String> seen = new CopyOnWriteArrayList<>();
-  private final CountDownLatch held = new CountDownLatch(1);
-  private final CountDownLatch left = new CountDownLatch(1);
+  private volatile CountDownLatch held = new CountDownLatch(1);
+  private volatile CountDownLatch left = new CountDownLatch(1);
   private LocalGateway gateway;
   private Undertow first;
   private Undertow second;
@@ -94,6 +95,8 @@
       exchange.dispatch(() -> hold(exchange));
     } else if (path.endsWith("/break")) {
       exchange.dispatch(() -> breakOff(exchange));
+    } else if (path.endsWith("/silent")) {
+      exchange.dispatch(() -> held.countDown());
     } else if (path.contains("/resume-")) {
       exchange.dispatch(() -> resumeOrBreak(exchange, path.endsWith("ok")));
     } else if (path.endsWith("/unsealed")) {
@@ -234,16 +237,29 @@
     assertThat(reply.text()).contains("\"run\":\"unknown\"");
   }
 
+  @DataProvider
+  static Object[][] bodies() {
+    return new Object[][] {
+      {"Content-Length: 4\r\n\r\nbody"},
+      {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+      {"Content-Length: 0\r\n\r\n"},
+    };
+  }
+
   /** The channel of a body once took the notifications, and 336 of 347 runs went on. */
-  @Test
-  public void shouldTellTheUpstreamWhenTheCallerOfARequestWithABodyLeaves() throws Exception {
+  @Test(dataProvider = "bodies")
+  public void shouldTellTheUpstreamWhenTheCallerOfARequestWithABodyLeaves(String body)
+      throws Exception {
+    held = new CountDownLatch(1);
+    left = new CountDownLatch(1);
     String[] parts = gateway.callers(0).split(":");
     try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
       OutputStream out = socket.getOutputStream();
       String head =
           "POST /stream/hold HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Api-Key: "
               + LocalGateway.KEY
-              + "\r\nContent-Length: 4\r\n\r\nbody";
+              + "\r\n"
+              + body;
       out.write(head.getBytes(StandardCharsets.US_ASCII));
       out.flush();
       assertThat(held.await(5, TimeUnit.SECONDS)).isTrue();
@@ -251,6 +267,37 @@
     assertThat(left.await(2, TimeUnit.SECONDS)).isTrue();
   }
 
+  @Test(dataProvider = "bodies")
+  public void shouldNoticeACallerWhoLeavesWhileTheUpstreamIsSilent(String body) throws Exception {
+    held = new CountDownLatch(1);
+    double before = callersGone();
+    String[] parts = gateway.callers(0).split(":");
+    try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+      String head =
+          "POST /stream/silent HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Api-Key: "
+              + LocalGateway.KEY
+              + "\r\n"
+              + body;
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      assertThat(held.await(5, TimeUnit.SECONDS)).isTrue();
+    }
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(500);
+    while (callersGone() == before && System.nanoTime() - end < 0) {
+      Thread.sleep(10);
+    }
+    assertThat(callersGone()).isEqualTo(before + 1);
+  }
+
+  private double callersGone() {
+    return gateway
+        .router(0)
+        .metrics()
+        .lines()
+        .filter(line -> line.contains("answers_total") && line.contains("caller-gone"))
+        .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+        .sum();
+  }
+
   @Test
   public void shouldNeverLetAnAnswerThatBrokeOffLookComplete() throws Exception {
     String[] parts = gateway.callers(0).split(":");
