--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RequestPath.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/RequestPath.java
@@ -5,7 +5,6 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
@@ -35,9 +34,6 @@
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
 import org.toucansaddle.protocol.generated.Announcement;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** The way of callers' requests through one daemon: server, filters, client. Thread-safe. */
@@ -64,7 +60,8 @@
       ScheduledExecutorService timers,
       BooleanSupplier refusing) {
     this.settings = settings;
-    this.worker = createWorker(settings.limits().ioThreads());
+    // Server and client share their threads, so an answer is relayed on one thread.
+    this.worker = IoThreads.start(settings.limits().ioThreads());
     this.client =
         HttpClient.createOn(
             worker,
@@ -113,26 +110,6 @@
         "toucansaddle_requests_under_way", "Requests under way at this router.", watch::size);
   }
 
-  /** Server and client share their I/O threads, so an answer is relayed on one thread. */
-  private static XnioWorker createWorker(int ioThreads) {
-    try {
-      return Xnio.getInstance(Undertow.class.getClassLoader())
-          .createWorker(
-              OptionMap.builder()
-                  .set(Options.WORKER_IO_THREADS, ioThreads)
-                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                  .set(Options.WORKER_NAME, "requests")
-                  .getMap());
-    } catch (IOException e) {
-      throw new IllegalStateException(
-          "The daemon could not start its I/O threads ("
-              + e.getMessage()
-              + "). Check the limit on open files, for example with ulimit -n.",
-          e);
-    }
-  }
-
   Undertow startServer(Consumer<Announcement> onAnnouncement, BooleanSupplier ready) {
     HttpHandler paths =
         Handlers.path(this::countAndHandle)
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/LeaderLoop.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/LeaderLoop.java
@@ -1,4 +1,4 @@
-package org.toucansaddle.daemon.internal.gateway.control;
+package org.toucansaddle.daemon.internal.control;
 
 import java.time.Duration;
 import java.util.List;
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.toucansaddle.protocol.generated.ProposeReply;
 
@@ -16,26 +17,39 @@
  *
  * <p>Only for calls that may be made twice. Thread-safe.
  */
-final class LeaderLoop {
+public final class LeaderLoop {
 
-  private static final int MIN_PAUSE_MILLIS = 20;
-  private static final int MAX_PAUSE_MILLIS = 120;
+  /** Least and longest pause before another try, in milliseconds. */
+  public record Pause(int minMillis, int maxMillis) {}
 
-  private final Supplier<List<String>> addresses;
+  private final Supplier<List<String>> replicas;
+  private final Predicate<String> isKnown;
+  private final Pause pause;
   private final ScheduledExecutorService timers;
   private volatile String lastLeader = "";
 
-  /** Creates a loop over the control daemons' addresses. */
-  LeaderLoop(Supplier<List<String>> addresses, ScheduledExecutorService timers) {
-    this.addresses = addresses;
+  /**
+   * Creates a loop over the control replicas.
+   *
+   * @param replicas their names or addresses, in the form that actions take
+   * @param isKnown whether a call can be made at a replica that another one named as leader
+   */
+  public LeaderLoop(
+      Supplier<List<String>> replicas,
+      Predicate<String> isKnown,
+      Pause pause,
+      ScheduledExecutorService timers) {
+    this.replicas = replicas;
+    this.isKnown = isKnown;
+    this.pause = pause;
     this.timers = timers;
   }
 
   /** An answer of one control daemon. */
-  record Answer<T>(ProposeReply.Status status, String leader, T value) {}
+  public record Answer<T>(ProposeReply.Status status, String leader, T value) {}
 
   /** Makes a call; the future holds nothing if no leader answered in time. */
-  <T> CompletableFuture<Optional<T>> call(
+  public <T> CompletableFuture<Optional<T>> call(
       Function<String, CompletableFuture<Answer<T>>> action, Duration timeout) {
     Call<T> call = new Call<>(action, System.nanoTime() + timeout.toNanos());
     call.attempt(lastLeader);
@@ -43,11 +57,11 @@
   }
 
   private String next(String hint) {
-    List<String> all = addresses.get();
-    if (!hint.isEmpty() || all.isEmpty()) {
+    if (!hint.isEmpty() && isKnown.test(hint)) {
       return hint;
     }
-    return all.get(ThreadLocalRandom.current().nextInt(all.size()));
+    List<String> all = replicas.get();
+    return all.isEmpty() ? "" : all.get(ThreadLocalRandom.current().nextInt(all.size()));
   }
 
   private final class Call<T> {
@@ -62,22 +76,22 @@
 
     void attempt(String hint) {
       long left = deadline - System.nanoTime();
-      String address = next(hint);
+      String replica = next(hint);
       if (left <= 0) {
         future.complete(Optional.empty());
-      } else if (address.isEmpty()) {
+      } else if (replica.isEmpty()) {
         again("");
       } else {
         action
-            .apply(address)
+            .apply(replica)
             .orTimeout(left, TimeUnit.NANOSECONDS)
-            .whenComplete((answer, failure) -> answered(address, answer, failure));
+            .whenComplete((answer, failure) -> answered(replica, answer, failure));
       }
     }
 
-    private void answered(String address, Answer<T> answer, Throwable failure) {
+    private void answered(String replica, Answer<T> answer, Throwable failure) {
       if (failure == null && answer.status() == ProposeReply.Status.DONE) {
-        lastLeader = address;
+        lastLeader = replica;
         future.complete(Optional.of(answer.value()));
         return;
       }
@@ -86,8 +100,8 @@
     }
 
     private void again(String hint) {
-      int pause = ThreadLocalRandom.current().nextInt(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS);
-      timers.schedule(() -> attempt(hint), pause, TimeUnit.MILLISECONDS);
+      int millis = ThreadLocalRandom.current().nextInt(pause.minMillis(), pause.maxMillis());
+      timers.schedule(() -> attempt(hint), millis, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -18,6 +18,7 @@
 import org.toucansaddle.daemon.gateway.GatewaySettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
 import org.toucansaddle.daemon.gateway.RouterGateway;
+import org.toucansaddle.daemon.internal.IoThreads;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
 import org.toucansaddle.daemon.internal.gateway.relay.GatewayHandler;
 import org.toucansaddle.daemon.internal.gateway.relay.HeaderCodec;
@@ -26,9 +27,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
-import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** Assembles and runs a router. Thread-safe. */
@@ -89,7 +88,7 @@
             peers.clients(),
             follower::addresses,
             peers.control());
-    this.worker = createWorker(router.ioThreads());
+    this.worker = IoThreads.start(router.ioThreads());
     ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
     RelayContext context =
         new RelayContext(
@@ -112,17 +111,6 @@
     LOG.info("started: router {} for callers at {}", settings.name(), router.callerAddress());
   }
 
-  private static XnioWorker createWorker(int ioThreads) throws IOException {
-    return Xnio.getInstance(Undertow.class.getClassLoader())
-        .createWorker(
-            OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, ioThreads)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.WORKER_NAME, "requests")
-                .getMap());
-  }
-
   private void startServers() {
     HttpHandler readiness =
         Handlers.path().addExactPath(settings.readinessPath(), this::answerReady);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
@@ -14,8 +14,9 @@
 import org.toucansaddle.coordination.replication.ReplicationException;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.internal.control.ControlReplica;
+import org.toucansaddle.daemon.internal.control.LeaderLoop;
+import org.toucansaddle.daemon.internal.control.LeaderLoop.Answer;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStateMachine.Outcome;
-import org.toucansaddle.daemon.internal.gateway.control.LeaderLoop.Answer;
 import org.toucansaddle.daemon.internal.peer.PeerClients;
 import org.toucansaddle.protocol.GatewayMethods;
 import org.toucansaddle.protocol.generated.ProposeReply;
@@ -36,6 +37,8 @@
   /** Longest wait for one daemon; a leader that lost its VM must not use up the whole call. */
   private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(700);
 
+  private static final LeaderLoop.Pause PAUSE = new LeaderLoop.Pause(20, 120);
+
   private final String selfAddress;
   private final Optional<ControlReplica> replica;
   private final Supplier<StoredDocument> applied;
@@ -54,7 +57,7 @@
     this.replica = replica;
     this.applied = applied;
     this.clients = clients;
-    this.loop = new LeaderLoop(addresses, timers);
+    this.loop = new LeaderLoop(addresses, address -> true, PAUSE, timers);
   }
 
   /** Stores a document; nothing is returned if no quorum acknowledged it in time. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
@@ -1,19 +1,16 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.function.DoubleSupplier;
+import org.toucansaddle.daemon.internal.metrics.MetricsText;
 
 /** Counters and histograms of one daemon of a gateway. Thread-safe. */
 public final class RelayMetrics {
 
-  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final MetricsText metrics = new MetricsText();
+  private final PrometheusRegistry registry = metrics.registry();
   private final Counter answers =
       Counter.builder()
           .name("toucansaddle_gateway_answers_total")
@@ -51,21 +48,11 @@
 
   /** Adds a gauge that is read when metrics are collected. */
   public void gauge(String name, String help, DoubleSupplier value) {
-    GaugeWithCallback.builder()
-        .name(name)
-        .help(help)
-        .callback(callback -> callback.call(value.getAsDouble()))
-        .register(registry);
+    metrics.gauge(name, help, value);
   }
 
   /** Returns all metrics in the Prometheus text format. */
   public String text() {
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
-    try {
-      PrometheusTextFormatWriter.builder().build().write(out, registry.scrape());
-    } catch (IOException e) {
-      throw new IllegalStateException("The metrics could not be written.", e);
-    }
-    return out.toString(StandardCharsets.UTF_8);
+    return metrics.text();
   }
 }
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/metrics/MetricsText.java
@@ -0,0 +1,41 @@
+package org.toucansaddle.daemon.internal.metrics;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.DoubleSupplier;
+
+/** The registered metrics of one daemon and their text form. Thread-safe. */
+public final class MetricsText {
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.builder().build();
+
+  /** Returns the registry to add counters and histograms to. */
+  public PrometheusRegistry registry() {
+    return registry;
+  }
+
+  /** Adds a gauge that is read when metrics are collected. */
+  public void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  public String text() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      writer.write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException("The metrics could not be written.", e);
+    }
+    return out.toString(StandardCharsets.UTF_8);
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/metrics/RouterMetrics.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/metrics/RouterMetrics.java
@@ -2,21 +2,16 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.function.DoubleSupplier;
 import org.toucansaddle.daemon.internal.peer.PeerTraffic;
 
 /** Counters, gauges and histograms of one daemon. Thread-safe. */
 public final class RouterMetrics {
 
-  private final PrometheusRegistry registry = new PrometheusRegistry();
-  private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.builder().build();
+  private final MetricsText metrics = new MetricsText();
+  private final PrometheusRegistry registry = metrics.registry();
   private final Counter answers =
       Counter.builder()
           .name("toucansaddle_answers_total")
@@ -65,11 +60,7 @@
 
   /** Adds a gauge that is read when metrics are collected. */
   public void gauge(String name, String help, DoubleSupplier value) {
-    GaugeWithCallback.builder()
-        .name(name)
-        .help(help)
-        .callback(callback -> callback.call(value.getAsDouble()))
-        .register(registry);
+    metrics.gauge(name, help, value);
   }
 
   /** Adds counters of the messages to other daemons, read when metrics are collected. */
@@ -90,12 +81,6 @@
 
   /** Returns all metrics in the Prometheus text format. */
   public String text() {
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
-    try {
-      writer.write(out, registry.scrape());
-    } catch (IOException e) {
-      throw new IllegalStateException("The metrics could not be written.", e);
-    }
-    return out.toString(StandardCharsets.UTF_8);
+    return metrics.text();
   }
 }
