Pass over upstreams that hang with some requests

Callers of streams that may not be repeated left after 4.8 s of silence. Ruled out: that the close does not reach the upstream. Change: engines begin prompts in order, so a request that is silent past its target while later ones are answered is stuck. The router passes the upstream over for 3 s, doubled when it comes again, and tells the others through the sums of the control daemons; never more than half of a service. Requests that may be repeated move at once, plain ones too now. StuckUpstreamUsageTest times out on the code before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -131,6 +131,7 @@
         .setRequests(a.getRequests() + b.getRequests())
         .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
         .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
+        .setStuckRouters(a.getStuckRouters() + b.getStuckRouters())
         .build();
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -11,7 +11,6 @@
 import org.toucansaddle.daemon.internal.gateway.relay.Placement.Choice;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnections.Connection;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
-import org.xnio.XnioExecutor;
 
 /**
  * One upstream's turn at a request: counts its load, sends the request, judges the answer's head.
@@ -22,9 +21,6 @@
 
   private static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-Id");
 
-  /** Silence of a stream, or before its first event, after which another upstream goes on. */
-  private static final long STALL_MILLIS = 1_500;
-
   private final RelayContext context;
   private final RelayedCall call;
   private final HttpServerExchange exchange;
@@ -34,9 +30,8 @@
   private final long tokensAhead;
   private final double nominalSpeed;
   private UpstreamAttempt sent;
-  private XnioExecutor.Key stallTimer;
+  private SilenceWatch silence;
   private long sentAt;
-  private long lastByteAt;
   private boolean promptCounted = true;
   private boolean counted = true;
   private boolean relaying;
@@ -75,9 +70,8 @@
   /** Sends the request on a connection. */
   void begin(Connection connection, byte[] body) {
     sentAt = context.now();
-    lastByteAt = sentAt;
     sent = new UpstreamAttempt(connection, body, this);
-    watchStall();
+    silence = new SilenceWatch(context, call, this, exchange.getIoThread());
     sent.start(request(body));
   }
 
@@ -99,28 +93,9 @@
     return request;
   }
 
-  /** A stream that may go on elsewhere does so when its upstream falls silent. */
-  private void watchStall() {
-    if (call.isResumable()) {
-      stallTimer =
-          exchange
-              .getIoThread()
-              .executeAfter(this::checkStall, STALL_MILLIS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void checkStall() {
-    if (!call.isCurrent(this)) {
-      return;
-    }
-    long limit = Math.max(STALL_MILLIS, relaying ? 0 : 2L * call.route().targetMillis());
-    long silent = TimeUnit.NANOSECONDS.toMillis(context.now() - lastByteAt);
-    boolean mayGoOn = call.leftMillis() >= STALL_MILLIS && call.hasAttemptLeft();
-    if (silent < limit || !mayGoOn) {
-      watchStall();
-    } else {
-      fail("silent", "silent for " + silent + " ms");
-    }
+  /** The upstream does not answer, or stopped in the middle of a stream. */
+  void silent(long millis) {
+    fail("silent", "silent for " + millis + " ms");
   }
 
   /** Goes on reading after the caller had no room. */
@@ -145,8 +120,8 @@
       counted = false;
       upstream.ended(memory);
     }
-    if (stallTimer != null) {
-      stallTimer.remove();
+    if (silence != null) {
+      silence.close();
     }
   }
 
@@ -177,6 +152,7 @@
       relaying = true;
       if (!call.route().isStream()) {
         promptRead();
+        silence.answered();
       }
       call.answerBegins(status, headers);
     }
@@ -204,9 +180,9 @@
     if (!call.isCurrent(this)) {
       return false;
     }
-    lastByteAt = context.now();
+    silence.heard();
     if (promptCounted && toRead > 0) {
-      long millis = TimeUnit.NANOSECONDS.toMillis(lastByteAt - sentAt);
+      long millis = TimeUnit.NANOSECONDS.toMillis(context.now() - sentAt);
       context.speed(call.service()).observed(tokensAhead, nominalSpeed, millis);
     }
     promptRead();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -12,6 +12,9 @@
 /** What all requests of a router share. Thread-safe. */
 public final class RelayContext {
 
+  /** Bound of the memory for routes, above the number that a configuration usually has. */
+  private static final int MAX_ROUTES_LEARNED = 2_000;
+
   private final RouterState state;
   private final HeaderCodec codec;
   private final Admission admission;
@@ -22,6 +25,7 @@
   private final ByteBufferPool buffers;
   private final BooleanSupplier closing;
   private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+  private final Map<String, Punctuality> punctualities = new ConcurrentHashMap<>();
   private final Map<String, EngineSpeed> speeds = new ConcurrentHashMap<>();
   private final Map<XnioIoThread, UpstreamConnections> connections = new ConcurrentHashMap<>();
 
@@ -91,6 +95,14 @@
                 clock));
   }
 
+  /** Routes that are gone are forgotten with all others, which are learned anew. */
+  Punctuality punctuality(String route) {
+    if (punctualities.size() > MAX_ROUTES_LEARNED) {
+      punctualities.clear();
+    }
+    return punctualities.computeIfAbsent(route, name -> new Punctuality());
+  }
+
   EngineSpeed speed(String service) {
     return speeds.computeIfAbsent(service, name -> new EngineSpeed());
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -20,6 +20,17 @@
         why);
   }
 
+  /** Says that an upstream is passed over because of a request that it does not answer. */
+  static void upstreamStuck(RelayedCall call, String upstream, long silentMillis) {
+    LOG.info(
+        "upstream_stuck upstream={} request={} silent_ms={} target_ms={} wait_ms={}",
+        upstream,
+        call.head().requestId(),
+        silentMillis,
+        call.route().targetMillis(),
+        Math.round(call.expectedWaitMillis()));
+  }
+
   static void ended(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} status={} outcome={} upstream={}"
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -7,7 +7,6 @@
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -201,13 +200,7 @@
       deadlinePassed();
       return;
     }
-    long now = context.now();
-    List<Upstream> usable = new ArrayList<>();
-    for (Upstream upstream : context.state().upstreams().ready(service)) {
-      if (upstream.isUsable(now) && context.state().isHeard(upstream)) {
-        usable.add(upstream);
-      }
-    }
+    List<Upstream> usable = context.state().usable(service);
     EngineLimits limits = limits(usable.size());
     nominalSpeed = limits.tokensPerMilli();
     Optional<Choice> choice =
@@ -382,6 +375,11 @@
     return events != null;
   }
 
+  /** Returns whether the request may be taken from an upstream that has not answered. */
+  boolean isMovable() {
+    return route.isRepeatable() && (phase == Phase.WAITING || isResumable());
+  }
+
   /** Returns the id of the last event that the caller got; -1 if there was none. */
   long lastEventId() {
     return events == null ? -1 : events.lastId();
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/SilenceWatch.java
@@ -0,0 +1,127 @@
+package org.toucansaddle.daemon.internal.gateway.relay;
+
+import java.util.concurrent.TimeUnit;
+import org.toucansaddle.daemon.internal.gateway.routing.AnswerOrder;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * Watches one attempt for an upstream that does not answer, or stops in the middle of a stream.
+ *
+ * <p>A request that another upstream may take is taken from a silent one. In any case an upstream
+ * with a stuck request is passed over for a while. Engines begin prompts in order; of other
+ * requests silence tells only where such requests are usually answered in time. Confined to the
+ * call's I/O thread.
+ */
+final class SilenceWatch implements AutoCloseable {
+
+  /** Silence in the middle of a stream after which another upstream goes on with it. */
+  private static final long STALL_MILLIS = 1_500;
+
+  /** Pause between two looks at a request that is overdue. */
+  private static final long STEP_MILLIS = 200;
+
+  private final RelayContext context;
+  private final RelayedCall call;
+  private final CallAttempt attempt;
+  private final XnioIoThread thread;
+  private final Punctuality punctuality;
+  private final long sentAt;
+  private XnioExecutor.Key timer;
+  private long lastByteAt;
+  private boolean answered;
+  private boolean overdue;
+
+  SilenceWatch(RelayContext context, RelayedCall call, CallAttempt attempt, XnioIoThread thread) {
+    this.context = context;
+    this.call = call;
+    this.attempt = attempt;
+    this.thread = thread;
+    this.punctuality = context.punctuality(call.route().name());
+    this.sentAt = context.now();
+    this.lastByteAt = sentAt;
+    schedule(call.route().targetMillis());
+  }
+
+  /** Notes that the upstream began to answer. */
+  void answered() {
+    if (!answered) {
+      answered = true;
+      sample(true);
+      order().answered(sentAt, context.now());
+    }
+  }
+
+  /** Notes that content arrived. */
+  void heard() {
+    answered();
+    lastByteAt = context.now();
+  }
+
+  private void sample(boolean inTime) {
+    if (!overdue) {
+      punctuality.observed(inTime);
+    }
+  }
+
+  private AnswerOrder order() {
+    return attempt.upstream().order();
+  }
+
+  private void schedule(long millis) {
+    timer = thread.executeAfter(this::check, Math.max(1, millis), TimeUnit.MILLISECONDS);
+  }
+
+  private void check() {
+    if (!call.isCurrent(attempt)) {
+      return;
+    }
+    long now = context.now();
+    long silent = TimeUnit.NANOSECONDS.toMillis(now - lastByteAt);
+    if (answered) {
+      checkStream(silent);
+    } else {
+      checkFirst(silent, now);
+    }
+  }
+
+  private void checkStream(long silent) {
+    if (!call.isResumable()) {
+      return;
+    }
+    if (silent >= STALL_MILLIS && mayGoOn()) {
+      attempt.silent(silent);
+    } else {
+      schedule(Math.max(STEP_MILLIS, STALL_MILLIS - silent));
+    }
+  }
+
+  private void checkFirst(long silent, long now) {
+    sample(false);
+    overdue = true;
+    int target = call.route().targetMillis();
+    boolean tells = call.head().promptTokens() > 0 || punctuality.isUsual();
+    boolean stuck = tells && order().isStuck(sentAt, TimeUnit.MILLISECONDS.toNanos(target), now);
+    if (stuck && order().stuck(now)) {
+      context.metrics().attempted("stuck");
+      RelayLog.upstreamStuck(call, attempt.upstream().id(), silent);
+    }
+    boolean tooLong = tells && silent >= Math.max(STALL_MILLIS, 2L * target);
+    if ((stuck || tooLong) && call.isMovable() && mayGoOn()) {
+      attempt.silent(silent);
+    } else {
+      schedule(STEP_MILLIS);
+    }
+  }
+
+  private boolean mayGoOn() {
+    return call.leftMillis() >= STALL_MILLIS && call.hasAttemptLeft();
+  }
+
+  @Override
+  public void close() {
+    if (timer != null) {
+      timer.remove();
+    }
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -92,8 +93,27 @@
     return confirmed && view.get().isPresent() && upstreamsCompleteAt != 0;
   }
 
+  /**
+   * Returns the upstreams of a service that new requests may go to; those with stuck requests only
+   * if they are more than half of them.
+   */
+  public List<Upstream> usable(String service) {
+    long now = clock.getAsLong();
+    List<Upstream> usable = new ArrayList<>();
+    List<Upstream> sound = new ArrayList<>();
+    for (Upstream upstream : upstreams.ready(service)) {
+      if (upstream.isUsable(now) && isHeard(upstream)) {
+        usable.add(upstream);
+        if (!upstream.isStuck(now)) {
+          sound.add(upstream);
+        }
+      }
+    }
+    return sound.size() * 2 >= usable.size() ? sound : usable;
+  }
+
   /** Returns whether an upstream was heard lately, or could not have been heard. */
-  public boolean isHeard(Upstream upstream) {
+  private boolean isHeard(Upstream upstream) {
     long newest = 0;
     long now = clock.getAsLong();
     for (long at : toldAt.values()) {
@@ -163,7 +183,11 @@
     works.forEach(work -> byId.put(work.getUpstream(), work));
     for (Upstream upstream : upstreams.all()) {
       UpstreamWork work = byId.getOrDefault(upstream.id(), UpstreamWork.getDefaultInstance());
-      upstream.othersAre(work.getRequests(), work.getPendingTokens(), work.getMemoryTokens());
+      upstream.othersAre(
+          work.getRequests(),
+          work.getPendingTokens(),
+          work.getMemoryTokens(),
+          work.getStuckRouters() > 0);
     }
   }
 
@@ -176,14 +200,17 @@
   public FollowerReport.Builder report() {
     FollowerReport.Builder report =
         FollowerReport.newBuilder().setDocumentVersion(version()).addAllAccounts(shares.own());
+    long now = clock.getAsLong();
     for (Upstream upstream : upstreams.all()) {
-      if (upstream.ownRequests() > 0) {
+      boolean stuck = upstream.order().isPaused(now);
+      if (upstream.ownRequests() > 0 || stuck) {
         report.addWork(
             UpstreamWork.newBuilder()
                 .setUpstream(upstream.id())
                 .setRequests(upstream.ownRequests())
                 .setPendingTokens((int) Math.max(0, upstream.ownPendingTokens()))
-                .setMemoryTokens((int) Math.max(0, upstream.ownMemoryTokens())));
+                .setMemoryTokens((int) Math.max(0, upstream.ownMemoryTokens()))
+                .setStuckRouters(stuck ? 1 : 0));
       }
     }
     return report;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -26,6 +26,8 @@
   private volatile int otherRequests;
   private volatile int otherPendingTokens;
   private volatile int otherMemoryTokens;
+  private volatile boolean stuckForOthers;
+  private final AnswerOrder order = new AnswerOrder();
   private final AtomicInteger failures = new AtomicInteger();
   private final AtomicInteger ownRequests = new AtomicInteger();
   private final AtomicLong ownPendingTokens = new AtomicLong();
@@ -68,6 +70,16 @@
     return report.state() == State.READY && nowNanos - pausedUntilNanos >= 0;
   }
 
+  /** Returns the order of its answers to this router. */
+  public AnswerOrder order() {
+    return order;
+  }
+
+  /** Returns whether it holds requests, of any router, that it does not answer. */
+  boolean isStuck(long nowNanos) {
+    return stuckForOthers || order.isPaused(nowNanos);
+  }
+
   /** Returns whether it was heard after a moment. */
   boolean isHeardAfter(long nanos) {
     return heardAtNanos - nanos > 0;
@@ -107,8 +119,9 @@
     ownMemoryTokens.addAndGet(-memoryTokens);
   }
 
-  /** Sets what other routers have under way there. */
-  void othersAre(int requests, int pendingTokens, int memoryTokens) {
+  /** Sets what other routers have under way there, and whether it is stuck for any of them. */
+  void othersAre(int requests, int pendingTokens, int memoryTokens, boolean stuck) {
+    stuckForOthers = stuck;
     otherRequests = requests;
     otherPendingTokens = pendingTokens;
     otherMemoryTokens = memoryTokens;
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -108,6 +108,7 @@
     List<Route> routes =
         List.of(
             route("once", Repetition.ONCE, 1, false),
+            route("slow", Repetition.ONCE, 1, false),
             route("again", Repetition.REPEATABLE, 2, false),
             route("stream", Repetition.STREAM, 2, true));
     ServiceDefinition desk = new ServiceDefinition("desk", "/healthz", 100, Optional.empty());
