Compress documents in the log and between daemons

Change: a document is packed once where it arrives; the log holds it packed, commands of plain content are still read. The message for routers is built once for all. One decoder instead of two.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStateMachine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStateMachine.java
@@ -47,16 +47,12 @@
 
   /** Returns the command that stores a document. */
   public static byte[] command(StoredDocument document) {
-    byte[] content = document.content();
-    return ByteBuffer.allocate(Long.BYTES + content.length)
-        .putLong(document.version())
-        .put(content)
-        .array();
+    return DocumentCodec.toCommand(document);
   }
 
   @Override
   public byte[] apply(long index, byte[] command) {
-    StoredDocument sent = decode(command);
+    StoredDocument sent = DocumentCodec.fromCommand(command);
     boolean accepted = sent.version() != current.version() || sent.isSameAs(current);
     if (sent.version() > current.version()) {
       replace(sent);
@@ -69,14 +65,6 @@
     onDocument.accept(document);
   }
 
-  private static StoredDocument decode(byte[] bytes) {
-    ByteBuffer in = ByteBuffer.wrap(bytes);
-    long version = in.getLong();
-    byte[] content = new byte[in.remaining()];
-    in.get(content);
-    return new StoredDocument(version, content);
-  }
-
   @Override
   public byte[] snapshot() {
     return command(current);
@@ -84,7 +72,8 @@
 
   @Override
   public void restore(byte[] state) {
-    StoredDocument restored = state.length == 0 ? StoredDocument.none() : decode(state);
+    StoredDocument restored =
+        state.length == 0 ? StoredDocument.none() : DocumentCodec.fromCommand(state);
     if (restored.version() > 0) {
       replace(restored);
     } else {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.daemon.internal.gateway.control;
 
-import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -24,7 +23,6 @@
 import org.toucansaddle.protocol.generated.PutDocumentRequest;
 import org.toucansaddle.protocol.generated.ReadDocumentReply;
 import org.toucansaddle.protocol.generated.ReadDocumentRequest;
-import org.toucansaddle.protocol.generated.StoredDocumentMessage;
 
 /**
  * Stores and reads the configuration document through the leader of the control replicas.
@@ -63,7 +61,7 @@
   /** Stores a document; nothing is returned if no quorum acknowledged it in time. */
   public CompletableFuture<Optional<Outcome>> put(StoredDocument document, Duration timeout) {
     PutDocumentRequest request =
-        PutDocumentRequest.newBuilder().setDocument(encode(document)).build();
+        PutDocumentRequest.newBuilder().setDocument(DocumentCodec.encode(document)).build();
     return loop.call(
         address ->
             putAt(address, request)
@@ -84,7 +82,9 @@
                 .thenApply(
                     reply ->
                         new Answer<>(
-                            reply.getStatus(), reply.getLeader(), decode(reply.getDocument()))),
+                            reply.getStatus(),
+                            reply.getLeader(),
+                            DocumentCodec.decode(reply.getDocument()))),
         timeout);
   }
 
@@ -105,7 +105,7 @@
 
   /** Stores a document if this daemon leads. */
   public CompletableFuture<PutDocumentReply> putHere(PutDocumentRequest request) {
-    byte[] command = DocumentStateMachine.command(decode(request.getDocument()));
+    byte[] command = DocumentStateMachine.command(DocumentCodec.decode(request.getDocument()));
     return here(log -> log.propose(command))
         .thenApply(DocumentStore::stored)
         .exceptionally(
@@ -132,7 +132,7 @@
             index ->
                 ReadDocumentReply.newBuilder()
                     .setStatus(ProposeReply.Status.DONE)
-                    .setDocument(encode(applied.get()))
+                    .setDocument(DocumentCodec.encode(applied.get()))
                     .build())
         .exceptionally(
             failure ->
@@ -168,17 +168,4 @@
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof ReplicationException known ? Optional.of(known) : Optional.empty();
   }
-
-  /** Encodes a document for another daemon. */
-  public static StoredDocumentMessage encode(StoredDocument document) {
-    return StoredDocumentMessage.newBuilder()
-        .setVersion(document.version())
-        .setContent(ByteString.copyFrom(document.content()))
-        .build();
-  }
-
-  /** Decodes a document of another daemon. */
-  public static StoredDocument decode(StoredDocumentMessage message) {
-    return new StoredDocument(message.getVersion(), message.getContent().toByteArray());
-  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -18,6 +18,7 @@
 import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
+import org.toucansaddle.protocol.generated.StoredDocumentMessage;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
@@ -45,6 +46,7 @@
   private final String zone;
   private volatile long documentVersion;
   private volatile long documentSince;
+  private volatile StoredDocumentMessage lastPacked = StoredDocumentMessage.getDefaultInstance();
   private final Set<Follower> followers = ConcurrentHashMap.newKeySet();
   private final StrikeBoard strikes;
 
@@ -132,9 +134,19 @@
         .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
         .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
         .setStuckRouters(a.getStuckRouters() + b.getStuckRouters())
+        .setProbingRouters(a.getProbingRouters() + b.getProbingRouters())
         .build();
   }
 
+  private StoredDocumentMessage packed(StoredDocument current) {
+    StoredDocumentMessage last = lastPacked;
+    if (last.getVersion() != current.version()) {
+      last = DocumentCodec.encode(current);
+      lastPacked = last;
+    }
+    return last;
+  }
+
   /** One router's stream. */
   private final class Follower implements StreamObserver<FollowerReport> {
     private final ServerCallStreamObserver<FleetUpdate> updates;
@@ -227,7 +239,7 @@
         return;
       }
       if (isDocumentDue(current)) {
-        update.setDocument(DocumentStore.encode(current));
+        update.setDocument(packed(current));
         sentVersion = current.version();
       }
       if (!sentAny) {
