Notice a stuck prompt after 0.4 s, and try an upstream that hung with repeatable requests

Ruled out: that a shorter limit blames engines wrongly. Change: overtaken prompts count past max(0.4 s, twice the expected time). An upstream that answers nothing at all is only put on probation, as is one after a pause: requests that run once go elsewhere until it answered eight. Less than half of a service is never passed over, stuck ones last.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -29,6 +29,7 @@
   private final int memory;
   private final long tokensAhead;
   private final double nominalSpeed;
+  private final double expectedMillis;
   private UpstreamAttempt sent;
   private SilenceWatch silence;
   private long sentAt;
@@ -54,6 +55,7 @@
     this.toRead = choice.toRead();
     this.memory = toRead + call.head().expectedOutputTokens();
     this.nominalSpeed = nominalSpeed;
+    this.expectedMillis = choice.waitMillis();
     upstream.begun(toRead, memory);
     this.tokensAhead = upstream.pendingTokens();
   }
@@ -71,7 +73,7 @@
   void begin(Connection connection, byte[] body) {
     sentAt = context.now();
     sent = new UpstreamAttempt(connection, body, this);
-    silence = new SilenceWatch(context, call, this, exchange.getIoThread());
+    silence = new SilenceWatch(context, call, this, exchange.getIoThread(), expectedMillis);
     sent.start(request(body));
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -2,6 +2,7 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.daemon.internal.gateway.routing.AnswerOrder.Finding;
 
 /** Writes one line for each decision that touches a request. Stateless and thread-safe. */
 final class RelayLog {
@@ -21,10 +22,11 @@
   }
 
   /** Says that an upstream is passed over because of a request that it does not answer. */
-  static void upstreamStuck(RelayedCall call, String upstream, long silentMillis) {
+  static void upstreamStuck(RelayedCall call, String upstream, Finding finding, long silentMillis) {
     LOG.info(
-        "upstream_stuck upstream={} request={} silent_ms={} target_ms={} wait_ms={}",
+        "upstream_stuck upstream={} finding={} request={} silent_ms={} target_ms={} wait_ms={}",
         upstream,
+        finding,
         call.head().requestId(),
         silentMillis,
         call.route().targetMillis(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -200,7 +200,7 @@
       deadlinePassed();
       return;
     }
-    List<Upstream> usable = context.state().usable(service);
+    List<Upstream> usable = context.state().usable(service, route.isRepeatable());
     EngineLimits limits = limits(usable.size());
     nominalSpeed = limits.tokensPerMilli();
     Optional<Choice> choice =
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/SilenceWatch.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/SilenceWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.internal.gateway.routing.AnswerOrder;
+import org.toucansaddle.daemon.internal.gateway.routing.AnswerOrder.Finding;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -19,7 +20,13 @@
   private static final long STALL_MILLIS = 1_500;
 
   /** Pause between two looks at a request that is overdue. */
-  private static final long STEP_MILLIS = 200;
+  private static final long STEP_MILLIS = 100;
+
+  /** Least time after which a prompt counts as overdue: chunks of others may stand before it. */
+  private static final long LEAST_DUE_MILLIS = 400;
+
+  /** Expected times after which a prompt counts as overdue. */
+  private static final double DUE_OF_EXPECTED = 2;
 
   private final RelayContext context;
   private final RelayedCall call;
@@ -27,12 +34,23 @@
   private final XnioIoThread thread;
   private final Punctuality punctuality;
   private final long sentAt;
+  private final long dueMillis;
   private XnioExecutor.Key timer;
   private long lastByteAt;
   private boolean answered;
   private boolean overdue;
 
-  SilenceWatch(RelayContext context, RelayedCall call, CallAttempt attempt, XnioIoThread thread) {
+  /**
+   * Starts the watch of an attempt that is sent now.
+   *
+   * @param expectedMillis expected time until the first token of a prompt, in milliseconds
+   */
+  SilenceWatch(
+      RelayContext context,
+      RelayedCall call,
+      CallAttempt attempt,
+      XnioIoThread thread,
+      double expectedMillis) {
     this.context = context;
     this.call = call;
     this.attempt = attempt;
@@ -40,7 +58,11 @@
     this.punctuality = context.punctuality(call.route().name());
     this.sentAt = context.now();
     this.lastByteAt = sentAt;
-    schedule(call.route().targetMillis());
+    this.dueMillis =
+        isPrompt()
+            ? Math.max(LEAST_DUE_MILLIS, Math.round(DUE_OF_EXPECTED * expectedMillis))
+            : call.route().targetMillis();
+    schedule(dueMillis);
   }
 
   /** Notes that the upstream began to answer. */
@@ -64,6 +86,10 @@
     }
   }
 
+  private boolean isPrompt() {
+    return call.head().promptTokens() > 0;
+  }
+
   private AnswerOrder order() {
     return attempt.upstream().order();
   }
@@ -97,17 +123,23 @@
   }
 
   private void checkFirst(long silent, long now) {
-    sample(false);
-    overdue = true;
     int target = call.route().targetMillis();
-    boolean tells = call.head().promptTokens() > 0 || punctuality.isUsual();
-    boolean stuck = tells && order().isStuck(sentAt, TimeUnit.MILLISECONDS.toNanos(target), now);
-    if (stuck && order().stuck(now)) {
+    if (silent >= target) {
+      sample(false);
+      overdue = true;
+    }
+    boolean tells = isPrompt() || punctuality.isUsual();
+    long due = TimeUnit.MILLISECONDS.toNanos(dueMillis);
+    Finding finding =
+        tells
+            ? order().judge(sentAt, due, TimeUnit.MILLISECONDS.toNanos(target), now)
+            : Finding.NONE;
+    if (order().found(finding, now)) {
       context.metrics().attempted("stuck");
-      RelayLog.upstreamStuck(call, attempt.upstream().id(), silent);
+      RelayLog.upstreamStuck(call, attempt.upstream().id(), finding, silent);
     }
     boolean tooLong = tells && silent >= Math.max(STALL_MILLIS, 2L * target);
-    if ((stuck || tooLong) && call.isMovable() && mayGoOn()) {
+    if ((finding == Finding.OVERTAKEN || tooLong) && call.isMovable() && mayGoOn()) {
       attempt.silent(silent);
     } else {
       schedule(STEP_MILLIS);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -16,6 +16,7 @@
 import org.toucansaddle.daemon.gateway.FleetDocument;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.internal.gateway.control.DocumentCodec;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
@@ -94,22 +95,31 @@
   }
 
   /**
-   * Returns the upstreams of a service that new requests may go to; those with stuck requests only
-   * if they are more than half of them.
+   * Returns the upstreams of a service that a new request may go to; those that hang with requests
+   * only if they are more than half of them.
+   *
+   * @param repeatable whether the request may be taken from an upstream that hangs
    */
-  public List<Upstream> usable(String service) {
+  public List<Upstream> usable(String service, boolean repeatable) {
     long now = clock.getAsLong();
     List<Upstream> usable = new ArrayList<>();
+    List<Upstream> notStuck = new ArrayList<>();
     List<Upstream> sound = new ArrayList<>();
     for (Upstream upstream : upstreams.ready(service)) {
       if (upstream.isUsable(now) && isHeard(upstream)) {
         usable.add(upstream);
         if (!upstream.isStuck(now)) {
-          sound.add(upstream);
+          notStuck.add(upstream);
+          if (repeatable || !upstream.isOnProbation(now)) {
+            sound.add(upstream);
+          }
         }
       }
     }
-    return sound.size() * 2 >= usable.size() ? sound : usable;
+    if (sound.size() * 2 >= usable.size()) {
+      return sound;
+    }
+    return notStuck.size() * 2 >= usable.size() ? notStuck : usable;
   }
 
   /** Returns whether an upstream was heard lately, or could not have been heard. */
@@ -148,9 +158,7 @@
     long now = clock.getAsLong();
     toldAt.put(source, now);
     if (update.hasDocument()) {
-      offer(
-          new StoredDocument(
-              update.getDocument().getVersion(), update.getDocument().getContent().toByteArray()));
+      offer(DocumentCodec.decode(update.getDocument()));
     }
     for (UpstreamMessage message : update.getUpstreamsList()) {
       long heardAt = now - TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis());
@@ -183,11 +191,7 @@
     works.forEach(work -> byId.put(work.getUpstream(), work));
     for (Upstream upstream : upstreams.all()) {
       UpstreamWork work = byId.getOrDefault(upstream.id(), UpstreamWork.getDefaultInstance());
-      upstream.othersAre(
-          work.getRequests(),
-          work.getPendingTokens(),
-          work.getMemoryTokens(),
-          work.getStuckRouters() > 0);
+      upstream.othersAre(work);
     }
   }
 
@@ -203,14 +207,16 @@
     long now = clock.getAsLong();
     for (Upstream upstream : upstreams.all()) {
       boolean stuck = upstream.order().isPaused(now);
-      if (upstream.ownRequests() > 0 || stuck) {
+      boolean probing = upstream.order().isOnProbation(now);
+      if (upstream.ownRequests() > 0 || stuck || probing) {
         report.addWork(
             UpstreamWork.newBuilder()
                 .setUpstream(upstream.id())
                 .setRequests(upstream.ownRequests())
                 .setPendingTokens((int) Math.max(0, upstream.ownPendingTokens()))
                 .setMemoryTokens((int) Math.max(0, upstream.ownMemoryTokens()))
-                .setStuckRouters(stuck ? 1 : 0));
+                .setStuckRouters(stuck ? 1 : 0)
+                .setProbingRouters(probing ? 1 : 0));
       }
     }
     return report;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
  * One start of an upstream as this router sees it: its last report and its load.
@@ -27,6 +28,7 @@
   private volatile int otherPendingTokens;
   private volatile int otherMemoryTokens;
   private volatile boolean stuckForOthers;
+  private volatile boolean onProbationForOthers;
   private final AnswerOrder order = new AnswerOrder();
   private final AtomicInteger failures = new AtomicInteger();
   private final AtomicInteger ownRequests = new AtomicInteger();
@@ -80,6 +82,11 @@
     return stuckForOthers || order.isPaused(nowNanos);
   }
 
+  /** Returns whether only requests that may be repeated should be tried there. */
+  boolean isOnProbation(long nowNanos) {
+    return onProbationForOthers || order.isOnProbation(nowNanos);
+  }
+
   /** Returns whether it was heard after a moment. */
   boolean isHeardAfter(long nanos) {
     return heardAtNanos - nanos > 0;
@@ -119,12 +126,13 @@
     ownMemoryTokens.addAndGet(-memoryTokens);
   }
 
-  /** Sets what other routers have under way there, and whether it is stuck for any of them. */
-  void othersAre(int requests, int pendingTokens, int memoryTokens, boolean stuck) {
-    stuckForOthers = stuck;
-    otherRequests = requests;
-    otherPendingTokens = pendingTokens;
-    otherMemoryTokens = memoryTokens;
+  /** Sets what other routers have under way there, and how they find it. */
+  void othersAre(UpstreamWork work) {
+    stuckForOthers = work.getStuckRouters() > 0;
+    onProbationForOthers = work.getProbingRouters() > 0;
+    otherRequests = work.getRequests();
+    otherPendingTokens = work.getPendingTokens();
+    otherMemoryTokens = work.getMemoryTokens();
   }
 
   /** Returns the requests of this router under way there. */
