Elect a leader soon after all replicas lost power

A replica that has just started says nothing for an election timeout, since a leader may still hold its lease. A candidate whose request came in that time lost its whole candidacy and waited 0.6 to 1.2 s for the next; and since all three replicas that are left must agree, two candidates at once split the votes. Change: a candidate asks those who have not voted again, six times a timeout. Of two that ask at the same time the first by name goes on and the other waits. A candidacy for binding votes is half as long.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/Election.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/Election.java
@@ -9,10 +9,18 @@
 /** Election timer and the votes received in one candidacy. Not thread-safe. */
 final class Election {
 
+  /**
+   * Parts of the timeout after which a candidate asks again. Replicas that started later than it
+   * stay silent until their own timeout is over, and must not cost a whole candidacy.
+   */
+  private static final int ASKS_IN_TIMEOUT = 6;
+
   private final int timeoutMillis;
   private final SplittableRandom random;
   private final Set<ReplicaId> votes = new HashSet<>();
   private long deadline;
+  private long askAgainAt;
+  private long begunAt;
   private long leaderHeardAt;
 
   Election(int timeoutMillis, SplittableRandom random, long now) {
@@ -47,7 +55,37 @@
   void begin(ReplicaId self, long now) {
     votes.clear();
     votes.add(self);
+    begunAt = now;
     restartTimer(now);
+    asked(now);
+  }
+
+  /** Starts to ask for binding votes; another candidate may split them, so it ends sooner. */
+  void beginBinding(ReplicaId self, long now) {
+    begin(self, now);
+    deadline = now + timeoutMillis / 2 + random.nextInt(timeoutMillis / 2);
+  }
+
+  /** Returns whether the candidacy is so young that its first answers may be on their way. */
+  boolean isFresh(long now) {
+    return now - begunAt < 2 * timeoutMillis / ASKS_IN_TIMEOUT;
+  }
+
+  /** Returns whether it is time to ask again those who have not voted, and notes that. */
+  boolean asksAgain(long now) {
+    if (now < askAgainAt) {
+      return false;
+    }
+    asked(now);
+    return true;
+  }
+
+  private void asked(long now) {
+    askAgainAt = now + timeoutMillis / ASKS_IN_TIMEOUT;
+  }
+
+  boolean hasVote(ReplicaId from) {
+    return votes.contains(from);
   }
 
   void vote(ReplicaId from) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/RaftReplica.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/replication/RaftReplica.java
@@ -123,6 +123,8 @@
       }
     } else if (election.timedOut(now)) {
       startPreVote();
+    } else if (role == Role.PRE_CANDIDATE && election.asksAgain(now)) {
+      requestVotes(term() + 1, true);
     }
   }
 
@@ -273,7 +275,7 @@
 
   private void startElection() {
     role = Role.CANDIDATE;
-    election.begin(self, clock.getAsLong());
+    election.beginBinding(self, clock.getAsLong());
     saveTerm(term() + 1, Optional.of(self));
     requestVotes(term(), false);
     countVotes();
@@ -283,7 +285,7 @@
     long lastIndex = storage.lastIndex();
     VoteRequest request = new VoteRequest(term, preVote, lastIndex, storage.termAt(lastIndex));
     for (ReplicaId voter : members.current().voters()) {
-      if (!voter.equals(self)) {
+      if (!election.hasVote(voter)) {
         send(voter, request);
       }
     }
@@ -324,7 +326,7 @@
       return;
     }
     if (request.preVote()) {
-      boolean granted = request.term() > term() && isUpToDate(request);
+      boolean granted = mayGrantPreVote(from, request, now);
       long answerTerm = granted ? request.term() : term();
       send(from, new VoteResponse(answerTerm, true, granted));
       return;
@@ -342,13 +344,24 @@
     send(from, new VoteResponse(term(), false, granted));
   }
 
+  /** Of two replicas that ask at the same time one goes first, or they would split the votes. */
+  private boolean mayGrantPreVote(ReplicaId from, VoteRequest request, long now) {
+    if (request.term() <= term() || !isUpToDate(request)) {
+      return false;
+    }
+    if (role == Role.PRE_CANDIDATE) {
+      if (self.compareTo(from) < 0) {
+        return request.lastIndex() > storage.lastIndex() || !election.isFresh(now);
+      }
+      role = Role.FOLLOWER;
+      election.restartTimer(now);
+    }
+    return true;
+  }
+
   private boolean isUpToDate(VoteRequest request) {
     long lastIndex = storage.lastIndex();
-    long lastTerm = storage.termAt(lastIndex);
-    if (request.lastTerm() != lastTerm) {
-      return request.lastTerm() > lastTerm;
-    }
-    return request.lastIndex() >= lastIndex;
+    return request.isUpToDate(lastIndex, storage.termAt(lastIndex));
   }
 
   private void onVoteResponse(ReplicaId from, VoteResponse response) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/replication/RaftMessage.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/replication/RaftMessage.java
@@ -17,7 +17,13 @@
    * @param lastTerm term of the candidate's last entry
    */
   record VoteRequest(long term, boolean preVote, long lastIndex, long lastTerm)
-      implements RaftMessage {}
+      implements RaftMessage {
+
+    /** Returns whether the candidate's log holds all of a log that ends with this entry. */
+    public boolean isUpToDate(long otherLastIndex, long otherLastTerm) {
+      return lastTerm == otherLastTerm ? lastIndex >= otherLastIndex : lastTerm > otherLastTerm;
+    }
+  }
 
   /**
    * Answers a {@link VoteRequest}.
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicatedLogTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicatedLogTest.java
@@ -11,6 +11,9 @@
 
   private static final int SEEDS_PER_CASE = 1_000;
 
+  /** Two timeouts of a schedule, after which the first candidate asks, and four messages. */
+  private static final int MOST_ELECTION_MILLIS = 500;
+
   @DataProvider
   static Object[][] fleets() {
     return new Object[][] {{3, 0}, {5, 100_000}};
@@ -33,4 +36,20 @@
       assertThat(schedule.accepted()).as("seed %d", seed).isNotEmpty();
     }
   }
+
+  @DataProvider
+  static Object[][] powerLosses() {
+    return new Object[][] {{5, 2, 300}, {5, 0, 300}, {3, 0, 100}, {3, 1, 20}};
+  }
+
+  /** Pattern: the final fault, in which all lose power and two of five lose their disks too. */
+  @Test(dataProvider = "powerLosses")
+  public void shouldHaveALeaderSoonAfterAllLostPower(int replicas, int lost, int startsWithin) {
+    for (int seed = 0; seed < 300; seed++) {
+      ReplicationSchedule schedule = new ReplicationSchedule(seed, replicas);
+      schedule.run(0, 2_000);
+      long millis = schedule.millisToALeaderAfterPowerLoss(lost, startsWithin);
+      assertThat(millis).as("seed %d", seed).isLessThanOrEqualTo(MOST_ELECTION_MILLIS);
+    }
+  }
 }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicationSchedule.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicationSchedule.java
@@ -54,6 +54,7 @@
   private Set<ReplicaId> cutOff = Set.of();
   private long cutUntil;
   private boolean faulty;
+  private boolean calm;
   private long now = 1;
   private long order;
   private int proposals;
@@ -89,6 +90,10 @@
 
   private void send(ReplicaId from, ReplicaId to, RaftMessage message) {
     boolean cut = cutOff.contains(from) != cutOff.contains(to);
+    if (calm) {
+      network.add(new Delivery(now + random.nextInt(5), order++, from, to, message));
+      return;
+    }
     if (cut || random.nextInt(100) < 5) {
       return;
     }
@@ -118,6 +123,43 @@
     }
   }
 
+  /**
+   * Takes the power from all replicas; some never come back, the others start within a time.
+   *
+   * @return time from the last start to the first leader, in milliseconds
+   */
+  long millisToALeaderAfterPowerLoss(int lost, int startsWithinMillis) {
+    calm = true;
+    network.clear();
+    heal();
+    long lastStart = now;
+    int index = 0;
+    for (Node node : nodes.values()) {
+      boolean stays = index++ < lost;
+      node.downUntil = stays ? Long.MAX_VALUE : now + random.nextInt(startsWithinMillis);
+      lastStart = stays ? lastStart : Math.max(lastStart, node.downUntil);
+      node.disk.crash();
+      node.log = null;
+    }
+    while (nodes.values().stream().noneMatch(this::leads)) {
+      for (Node node : nodes.values()) {
+        if (node.log == null && isUp(node)) {
+          start(node);
+        }
+      }
+      if (now > lastStart + 60_000) {
+        throw new AssertionError("no leader after a minute");
+      }
+      step();
+      now += STEP_MILLIS;
+    }
+    return now - lastStart;
+  }
+
+  private boolean leads(Node node) {
+    return node.log != null && node.log.status().role() == ReplicaStatus.Role.LEADER;
+  }
+
   private void heal() {
     cutOff = Set.of();
     nodes.values().forEach(node -> node.downUntil = Math.min(node.downUntil, now));
@@ -201,6 +243,9 @@
 
   private void check() {
     for (Node node : nodes.values()) {
+      if (node.log == null) {
+        continue;
+      }
       ReplicaStatus status = node.log.status();
       if (status.role() == ReplicaStatus.Role.LEADER) {
         ReplicaId known = leaderByTerm.putIfAbsent(status.term(), node.id);
