Let a refused connection use up neither an attempt nor the retry budget

A struck request may only run where no other struck one runs, so it prefers upstreams that have just died; each refused connection counted as one of its five attempts and took a retry from its account. Ruled out: that the neighbour was struck out (it was not quarantined), and its deadline. Change: a refused connection took nothing anywhere, so it counts as no attempt and takes no retry; the pause before the next try still grows with it. Calls of services take no retry for it either.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -27,6 +27,10 @@
 
   private static final int MAX_ATTEMPTS = 5;
   private static final int BACKOFF_MILLIS = 40;
+
+  /** Doublings of the pause before another attempt, which keeps it under 1.3 s. */
+  private static final int MAX_DOUBLINGS = 5;
+
   private static final int CHARACTERS_PER_TOKEN = 4;
   private static final int TOKENS_CHARGED_TOGETHER = 8;
 
@@ -41,6 +45,7 @@
   private boolean everWritten;
   private int startedAttempts;
   private int failedAttempts;
+  private int refusedConnections;
   private int parts;
   private int unchargedTokens;
 
@@ -205,7 +210,7 @@
       }
       running = Optional.empty();
       everWritten |= written;
-      failedAttempts += outcome == AttemptOutcome.PREEMPTED ? 0 : 1;
+      count(outcome);
     }
     charge(takeUncharged());
     long now = context.clock().getAsLong();
@@ -226,6 +231,15 @@
     }
   }
 
+  /** A refused connection took nothing to an upstream, so it uses up no attempt. */
+  private void count(AttemptOutcome outcome) {
+    if (outcome == AttemptOutcome.NOT_CONNECTED) {
+      refusedConnections++;
+    } else if (outcome != AttemptOutcome.PREEMPTED) {
+      failedAttempts++;
+    }
+  }
+
   private void whole(ModelAttempt attempt, AnswerUsage usage, long now) {
     context.strikes().clear(request.digest());
     context
@@ -271,15 +285,23 @@
       fail(Problems.timedOut(runState()).problem());
       return;
     }
-    if (failures() >= MAX_ATTEMPTS || !context.budgets().tryRetry(account())) {
+    if (outcome != AttemptOutcome.NOT_CONNECTED && !mayRetry()) {
       fail(Problems.upstreamFailed(runState(), outcome.name()).problem());
       return;
     }
-    int bound = BACKOFF_MILLIS << failures();
+    int bound = BACKOFF_MILLIS << Math.min(MAX_DOUBLINGS, failures() + refusals());
     int pause = ThreadLocalRandom.current().nextInt(bound);
     context.timers().schedule(() -> pool.submit(this), pause, TimeUnit.MILLISECONDS);
   }
 
+  private boolean mayRetry() {
+    return failures() < MAX_ATTEMPTS && context.budgets().tryRetry(account());
+  }
+
+  private synchronized int refusals() {
+    return refusedConnections;
+  }
+
   private synchronized int failures() {
     return failedAttempts;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ServiceRequest.java
@@ -202,7 +202,7 @@
     AttemptOutcome outcome = mayHaveRun ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_CONNECTED;
     DecisionLog.attemptFailed(request, upstream.id(), attemptId(), outcome.name());
     context.metrics().attempted(outcome.name());
-    if (mayRetry(now)) {
+    if (mayRetry(now) && (!mayHaveRun || context.budgets().tryRetry(account()))) {
       pool.submit(this);
     } else {
       fail(Problems.upstreamFailed(runState(), "no whole answer").problem());
@@ -211,11 +211,7 @@
 
   private synchronized boolean mayRetry(long now) {
     boolean safe = !written || request.workClass().getIdempotent();
-    return safe
-        && !ended
-        && attempts < MAX_ATTEMPTS
-        && now < request.deadlineMillis()
-        && context.budgets().tryRetry(account());
+    return safe && !ended && attempts < MAX_ATTEMPTS && now < request.deadlineMillis();
   }
 
   private synchronized RunState runState() {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
@@ -149,6 +149,27 @@
     }
   }
 
+  /** A connection that is refused runs nothing, so it must not use up what repeats are allowed. */
+  @Test
+  public void shouldAnswerAllWhileMostEnginesRefuseConnections() {
+    List<StandinEngine> dying = new ArrayList<>();
+    for (int i = 1; i <= 5; i++) {
+      dying.add(fleet.startEngine("engine-" + i, 12));
+    }
+    fleet.startEngine("engine-6", 12);
+    fleet.await(() -> fleet.ask(0, "warm up").outcome() == Outcome.WHOLE);
+    LocalFleet.sleep(1_500);
+    dying.forEach(StandinEngine::close);
+    List<CompletableFuture<Caller.Result>> results = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      String prompt = "question " + i + " [tokens=5]";
+      results.add(fleet.caller().ask(fleet.callers(0), LocalFleet.KEY, "summary", prompt, ""));
+    }
+    for (CompletableFuture<Caller.Result> result : results) {
+      assertThat(result.join().outcome()).as(result.join().text()).isEqualTo(Outcome.WHOLE);
+    }
+  }
+
   private int startsOf(String prompt) {
     String hash = Long.toHexString(ExpectedAnswer.hash(prompt));
     return (int) fleet.journal("start").stream().filter(s -> s.text("prompt").equals(hash)).count();
