--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RetryBudget.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RetryBudget.java
@@ -9,8 +9,9 @@
 /**
  * This router's part of the fleet's budget for repeated requests to one service.
  *
- * <p>Within any window at most {@code ratio} repeats for each request taken here, and an even part
- * of the fleet's slack. Thread-safe.
+ * <p>Within any window at most {@code ratio} repeats for each request taken here in that window or
+ * in the one half a window before, and an even part of the fleet's slack. To hold that for every
+ * later window, a repeat counts the requests of the last half window only. Thread-safe.
  */
 public final class RetryBudget {
 
@@ -43,15 +44,15 @@
   /** Counts a request. */
   public synchronized void request() {
     long now = clock.getAsLong();
-    expire(requests, now);
+    expire(requests, now - windowNanos / 2);
     requests.add(now);
   }
 
   /** Takes a repeat from the budget, if there is one left. */
   public synchronized boolean tryRepeat() {
     long now = clock.getAsLong();
-    expire(requests, now);
-    expire(repeats, now);
+    expire(requests, now - windowNanos / 2);
+    expire(repeats, now - windowNanos);
     double share = SLACK_USED * slack / Math.max(1, routers.getAsInt());
     if (repeats.size() + 1 > ratio * requests.size() + share) {
       return false;
@@ -60,8 +61,8 @@
     return true;
   }
 
-  private void expire(Deque<Long> times, long now) {
-    while (!times.isEmpty() && now - times.peek() > windowNanos) {
+  private static void expire(Deque<Long> times, long before) {
+    while (!times.isEmpty() && times.peek() - before < 0) {
       times.poll();
     }
   }
