Test the replicated log over lost disks, learners and replacement in seeded schedules

Change: in 500 schedules up to two of five disks are lost at once, whenever all replicas hold everything; the leader takes the lost replica out, lets the empty one learn and promotes it, as SeededReplicaSet does.

--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicatedLogTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicatedLogTest.java
@@ -52,4 +52,26 @@
       assertThat(millis).as("seed %d", seed).isLessThanOrEqualTo(MOST_ELECTION_MILLIS);
     }
   }
+
+  /** Pattern: disks lost right after an acknowledgement, then others once all is repaired. */
+  @Test
+  public void shouldKeepEveryAcceptedCommandOverLostDisks() {
+    int wiped = 0;
+    for (int seed = 200_000; seed < 200_500; seed++) {
+      ReplicationSchedule schedule = new ReplicationSchedule(seed, 5).withWipedDisks();
+      try {
+        schedule.run(8_000, 5_000);
+      } catch (RuntimeException | AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+      wiped += schedule.wiped();
+      assertThat(schedule.history()).as("seed %d", seed).doesNotHaveDuplicates();
+      assertThat(new HashSet<>(schedule.history()))
+          .as("seed %d", seed)
+          .containsAll(schedule.accepted());
+      assertThat(schedule.wasWholeLately()).as("seed %d: %s", seed, schedule.describe()).isTrue();
+      assertThat(schedule.isConverged()).as("seed %d: %s", seed, schedule.describe()).isTrue();
+    }
+    assertThat(wiped).as("disks lost in all schedules").isGreaterThan(500);
+  }
 }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicationSchedule.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/replication/ReplicationSchedule.java
@@ -31,8 +31,8 @@
 
   /** One replica with its disk. */
   private static final class Node {
-    private final ReplicaId id;
-    private final SimulatedDisk disk = new SimulatedDisk();
+    private ReplicaId id;
+    private SimulatedDisk disk = new SimulatedDisk();
     private RecordingMachine machine;
     private ReplicatedLog log;
     private long downUntil;
@@ -55,6 +55,9 @@
   private long cutUntil;
   private boolean faulty;
   private boolean calm;
+  private boolean wiping;
+  private int wiped;
+  private long wholeAt;
   private long now = 1;
   private long order;
   private int proposals;
@@ -104,6 +107,78 @@
     }
   }
 
+  /** Lets disks be lost, too: less than half of them at once, as long as all hold everything. */
+  ReplicationSchedule withWipedDisks() {
+    wiping = true;
+    return this;
+  }
+
+  /** Returns how many disks were lost. */
+  int wiped() {
+    return wiped;
+  }
+
+  private void wipeSome() {
+    List<Node> all = new ArrayList<>(nodes.values());
+    int most = (all.size() - 1) / 2;
+    for (int i = 1 + random.nextInt(most); i > 0; i--) {
+      Node node = all.remove(random.nextInt(all.size()));
+      nodes.remove(node.id);
+      node.id = new ReplicaId(node.id.name(), node.id.folderId() + 100);
+      node.disk = new SimulatedDisk();
+      node.downUntil = now + random.nextInt(500);
+      nodes.put(node.id, node);
+      start(node);
+      wiped++;
+    }
+  }
+
+  /**
+   * Returns whether all replicas were voters and held all that was committed in the last second.
+   */
+  boolean wasWholeLately() {
+    return now - wholeAt < SETTLE_MILLIS;
+  }
+
+  private boolean isWhole() {
+    return nodes.values().stream()
+        .map(node -> node.log.status())
+        .filter(status -> status.role() == ReplicaStatus.Role.LEADER && status.membersCommitted())
+        .anyMatch(
+            status ->
+                status.members().voters().equals(nodes.keySet())
+                    && status.matchIndexes().values().stream()
+                        .allMatch(index -> index >= status.commitIndex())
+                    && status.responsive().size() == nodes.size() - 1);
+  }
+
+  /**
+   * What a control daemon does at the leader: lost voters are removed, new ones learn, then vote.
+   */
+  private void repair(Node node) {
+    ReplicaStatus status = node.log.status();
+    if (status.role() != ReplicaStatus.Role.LEADER || !status.membersCommitted()) {
+      return;
+    }
+    ReplicaSet set = status.members();
+    for (Node other : nodes.values()) {
+      if (!set.contains(other.id) && isUp(other)) {
+        node.log.proposeMembers(set.withLearner(other.id));
+        return;
+      }
+    }
+    for (ReplicaId learner : set.learners()) {
+      boolean holdsAll =
+          status.matchIndexes().getOrDefault(learner, 0L) >= status.commitIndex()
+              && status.responsive().contains(learner);
+      if (holdsAll) {
+        ReplicaSet without = set.voterNamed(learner.name()).map(set::without).orElse(null);
+        node.log.proposeMembers(without == null ? set.withPromoted(learner) : without);
+        return;
+      }
+    }
+  }
+
   /** Runs with faults, then without, and checks what must hold all the way. */
   void run(long faultMillis, long calmMillis) {
     long faultsEnd = now + faultMillis;
@@ -119,6 +194,7 @@
         propose();
       }
       step();
+      wholeAt = wiping && isWhole() ? now : wholeAt;
       now += STEP_MILLIS;
     }
   }
@@ -170,6 +246,9 @@
     if (now > cutUntil) {
       cutOff = Set.of();
     }
+    if (wiping && random.nextInt(100) == 0 && isWhole()) {
+      wipeSome();
+    }
     int draw = random.nextInt(1_000);
     Node victim = pick();
     if (draw < 8) {
@@ -215,6 +294,9 @@
     while (!network.isEmpty() && network.peek().at() <= now) {
       Delivery delivery = network.poll();
       Node node = nodes.get(delivery.to());
+      if (node == null) {
+        continue;
+      }
       if (isUp(node)) {
         node.log.receive(delivery.from(), delivery.message());
       } else if (now >= node.downUntil) {
@@ -226,6 +308,9 @@
     for (Node node : nodes.values()) {
       if (isUp(node)) {
         node.log.tick();
+        if (wiping && now % 100 < STEP_MILLIS) {
+          repair(node);
+        }
         crashBeforeFlushOrFlush(node);
       }
     }
