Let operators replace a gateway's document with the command line

Change: TomlDocuments, the product's own format, whose faults name table, field and remedy; a misspelt field is a fault. GatewayAdmin serves it with the operators' token beside the admin interface that exists; `toucansaddle document get|check|put` calls it. The interface of the product's own fleet is as before. Left: no settings file starts a gateway without a program that embeds it.

--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/CliMain.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/CliMain.java
@@ -3,6 +3,7 @@
 import org.toucansaddle.cli.internal.AccountCommands;
 import org.toucansaddle.cli.internal.ClassCommands;
 import org.toucansaddle.cli.internal.CliErrors;
+import org.toucansaddle.cli.internal.DocumentCommands;
 import org.toucansaddle.cli.internal.DrainCommand;
 import org.toucansaddle.cli.internal.StatusCommand;
 import org.toucansaddle.cli.internal.UpstreamsCommand;
@@ -20,6 +21,7 @@
       ClassCommands.class,
       AccountCommands.class,
       UpstreamsCommand.class,
+      DocumentCommands.class,
       StatusCommand.class,
       DrainCommand.class,
       AutoComplete.GenerateCompletion.class
--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/AdminClient.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/AdminClient.java
@@ -48,6 +48,11 @@
     return call(method, path, body);
   }
 
+  /** Sends a text; only for calls that may be made twice. */
+  JsonNode send(String method, String path, String field, String text) {
+    return call(method, path, JSON.createObjectNode().put(field, text));
+  }
+
   JsonNode post(String path) {
     return call("POST", path, JSON.createObjectNode());
   }
--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/CliErrors.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/CliErrors.java
@@ -49,6 +49,11 @@
             + "). Name its file with --token-file or set TOUCANSADDLE_TOKEN.");
   }
 
+  static CliException noFile(String file) {
+    return new CliException(
+        USAGE, "The file " + file + " cannot be read. Check the path, for example with 'ls -l'.");
+  }
+
   static CliException notInForce(long revision, String members) {
     return new CliException(
         NOT_IN_FORCE,
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/Route.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/Route.java
@@ -56,8 +56,9 @@
 
   /** Returns the silence of a stream after which its callers leave, in milliseconds. */
   public int patienceMillis() {
-    int byTargets =
-        Math.max(TARGETS_OF_PATIENCE * targetMillis, GAPS_OF_PATIENCE * gapTargetMillis);
-    return Math.max(LEAST_PATIENCE_MILLIS, byTargets);
+    long targets = (long) TARGETS_OF_PATIENCE * targetMillis;
+    long gaps = (long) GAPS_OF_PATIENCE * gapTargetMillis;
+    long patience = Math.max(LEAST_PATIENCE_MILLIS, Math.max(targets, gaps));
+    return (int) Math.min(Integer.MAX_VALUE, patience);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminOperations.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminOperations.java
@@ -25,7 +25,7 @@
 import org.toucansaddle.protocol.generated.WorkClass;
 
 /** What operators can ask of a daemon. Thread-safe. */
-public final class AdminOperations {
+public final class AdminOperations implements AdminCalls {
 
   private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(8);
   private static final Duration REVISION_TIMEOUT = Duration.ofMillis(900);
@@ -60,7 +60,8 @@
     this.drain = drain;
   }
 
-  CompletableFuture<ObjectNode> perform(AdminCall call) {
+  @Override
+  public CompletableFuture<ObjectNode> perform(AdminCall call) {
     return switch (call.method() + " " + call.collection()) {
       case "GET status" -> CompletableFuture.completedFuture(status.describe());
       case "GET upstreams" -> CompletableFuture.completedFuture(status.upstreams());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminProblems.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminProblems.java
@@ -50,4 +50,23 @@
   static Problem unavailable(String detail) {
     return Problem.of(503, "control-unavailable", RunState.UNKNOWN, detail).retryAfter(1);
   }
+
+  static Problem invalidDocument(String why) {
+    return notRun(400, "invalid-document", "The document does not take effect: " + why + ".");
+  }
+
+  static Problem versionTaken(long version) {
+    return notRun(
+        409,
+        "version-taken",
+        "Other content holds version "
+            + version
+            + ". Read what is in force, then send a higher"
+            + " version.");
+  }
+
+  static Problem documentUnconfirmed() {
+    return unavailable(
+        "No quorum of the control daemons answered in time. Send the same document again.");
+  }
 }
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/RouteTest.java
@@ -0,0 +1,31 @@
+package org.toucansaddle.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link Route}. */
+public class RouteTest {
+
+  @DataProvider
+  public Object[][] patience() {
+    return new Object[][] {
+      // target, gap, patience in milliseconds
+      {400, 200, 2_000},
+      {1_000, 400, 4_000},
+      {1_000, 600, 4_800},
+      {Integer.MAX_VALUE, 0, Integer.MAX_VALUE},
+    };
+  }
+
+  @Test(dataProvider = "patience")
+  public void shouldKnowHowLongCallersBearSilence(int target, int gap, int expected) {
+    List<WeightedService> services = List.of(new WeightedService("s", 1));
+    Route route =
+        new Route(
+            "r", "h", "/", Repetition.STREAM, 9_000, target, gap, 0, services, 1, false, false);
+    assertThat(route.patienceMillis()).isEqualTo(expected);
+  }
+}
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
@@ -0,0 +1,110 @@
+package org.toucansaddle.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link TomlDocuments}. */
+public class TomlDocumentsTest {
+
+  private static final String WHOLE =
+      """
+      version = 7
+
+      [limits]
+      max_body_bytes = 1000000
+      tokens_per_second = 250000
+
+      [[services]]
+      name = "chart-model"
+      health_path = "/healthz"
+      max_connections = 300
+      engine = { slots = 64, memory_tokens = 345009 }
+
+      [[services]]
+      name = "buoys"
+
+      [[routes]]
+      name = "short-answer"
+      host = "Charts.example"
+      path_prefix = "/answers/"
+      repetition = "stream"
+      timeout_millis = 10000
+      target_millis = 1000
+      gap_target_millis = 600
+      max_attempts = 2
+      resumable = true
+      services = [ { name = "chart-model", weight = 3 }, { name = "buoys" } ]
+
+      [[routes]]
+      name = "buoy"
+      host = "charts.example"
+      path_prefix = "/buoys/"
+      repetition = "repeatable"
+      timeout_millis = 3000
+      priority = 1
+      open = true
+      service = "buoys"
+
+      [[accounts]]
+      name = "puntarenas"
+      keys = [ "k1", "k2" ]
+      """;
+
+  private static FleetDocument read(String text) throws DocumentException {
+    return TomlDocuments.format().read(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  public void shouldReadAWholeDocument() throws DocumentException {
+    FleetDocument document = read(WHOLE);
+    assertThat(document.version()).isEqualTo(7);
+    assertThat(document.limits().maxBodyBytes()).isEqualTo(1_000_000);
+    assertThat(document.limits().tokensPerSecond()).isEqualTo(250_000);
+    assertThat(document.limits().maxHeaderBytes()).isEqualTo(16 << 10);
+    assertThat(document.services().get(0).engine().orElseThrow().memoryTokens()).isEqualTo(345_009);
+    assertThat(document.services().get(1).engine()).isEmpty();
+    assertThat(document.accounts())
+        .containsExactly(new ClientAccount("puntarenas", Set.of("k1", "k2")));
+    Route stream = document.routes().get(0);
+    assertThat(stream.host()).isEqualTo("charts.example");
+    assertThat(stream.isStream() && stream.isRepeatable()).isTrue();
+    assertThat(stream.services())
+        .isEqualTo(List.of(new WeightedService("chart-model", 3), new WeightedService("buoys", 1)));
+    Route buoy = document.routes().get(1);
+    assertThat(buoy.targetMillis()).as("the timeout, if no target is stated").isEqualTo(3_000);
+    assertThat(buoy.open()).isTrue();
+  }
+
+  @DataProvider
+  public Object[][] faults() {
+    return new Object[][] {
+      {"version = 7", "version = \"7\"", "'version' must be a whole number"},
+      {"version = 7", "version = 0", "version 0 is not between"},
+      {"version = 7", "", "'version' must be a whole number"},
+      {"version = 7", "versions = 7\nversion = 7", "'versions' is no field"},
+      {"target_millis = 1000", "tagret_millis = 1000", "routes 'short-answer': 'tagret_millis'"},
+      {"\"stream\"", "\"sometimes\"", "none of repeatable, once and stream"},
+      {"service = \"buoys\"", "service = \"boys\"", "service 'boys' does not exist"},
+      {"open = true", "open = \"yes\"", "'open' must be true or false"},
+      {"keys = [ \"k1\", \"k2\" ]", "keys = [ 1 ]", "a list of texts"},
+      {"slots = 64", "slots = -1", "chart-model' engine: 'slots' must be a whole number"},
+      {"max_attempts = 2", "max_attempts = 3000000000", "at most 2147483647"},
+      {"[limits]", "[limits", "not TOML"},
+      {"/answers/", "/answers", "begin and end with a slash"},
+    };
+  }
+
+  @Test(dataProvider = "faults")
+  public void shouldNameTheFaultOfADocument(String right, String wrong, String message) {
+    assertThat(WHOLE).contains(right);
+    assertThatThrownBy(() -> read(WHOLE.replace(right, wrong)))
+        .isInstanceOf(DocumentException.class)
+        .hasMessageContaining(message);
+  }
+}
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -18,6 +18,7 @@
 import org.toucansaddle.daemon.gateway.ControlGateway;
 import org.toucansaddle.daemon.gateway.ControlGateway.PutOutcome;
 import org.toucansaddle.daemon.gateway.DocumentException;
+import org.toucansaddle.daemon.gateway.DocumentFormat;
 import org.toucansaddle.daemon.gateway.FleetDocument;
 import org.toucansaddle.daemon.gateway.GatewaySettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.ControlSettings;
@@ -50,12 +51,18 @@
 
   private final FreePorts ports = new FreePorts();
   private final Path folder;
+  private final DocumentFormat format;
   private final List<String> peers = new ArrayList<>();
   private final List<ControlGateway> controls = new ArrayList<>();
   private final List<RouterGateway> routers = new ArrayList<>();
   private final List<String> callerAddresses = new ArrayList<>();
 
   LocalGateway() throws IOException {
+    this(LocalGateway::read);
+  }
+
+  LocalGateway(DocumentFormat format) throws IOException {
+    this.format = format;
     folder = Files.createTempDirectory("gateway");
     for (int i = 0; i < CONTROLS; i++) {
       peers.add("127.0.0.1:" + ports.next());
@@ -76,7 +83,7 @@
         "secret-of-the-test",
         peers.subList(0, SEEDS),
         HeaderNames.defaults(),
-        LocalGateway::read);
+        format);
   }
 
   private ControlGateway startControl(int i, boolean firstStart) throws IOException {
@@ -197,6 +204,10 @@
     return callerAddresses.get(router);
   }
 
+  ControlGateway control(int i) {
+    return controls.get(i);
+  }
+
   RouterGateway router(int i) {
     return routers.get(i);
   }
