--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminCalls.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminCalls.java
@@ -5,7 +5,7 @@
 
 /** Performs operators' calls. Thread-safe. */
 @FunctionalInterface
-interface AdminCalls {
+public interface AdminCalls {
 
   /**
    * Performs a call.
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminHandler.java
@@ -41,16 +41,7 @@
   private final AdminCalls operations;
 
   /** Creates a handler; {@code tokenDigest} is the SHA-256 digest of the token in hexadecimal. */
-  public AdminHandler(String tokenDigest, AdminOperations operations) {
-    this(tokenDigest, (AdminCalls) operations);
-  }
-
-  /** Creates a handler for the documents of a gateway. */
-  public AdminHandler(String tokenDigest, DocumentOperations operations) {
-    this(tokenDigest, (AdminCalls) operations);
-  }
-
-  private AdminHandler(String tokenDigest, AdminCalls operations) {
+  public AdminHandler(String tokenDigest, AdminCalls operations) {
     this.tokenDigest = HexFormat.of().parseHex(tokenDigest);
     this.operations = operations;
   }
