Measure how late a router's I/O threads are and how many callers are connected

Nothing told a router that has too much to do from one whose engines are slow: requests that wait in sockets are counted from the moment they are read. A task on each I/O thread measures its own delay ten times a second; the average is a metric, and a line 'late' is logged at most once a second. Connections of callers are counted where the idle ones were kept already, now in a class of its own.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -22,6 +22,7 @@
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
 import org.toucansaddle.daemon.internal.gateway.relay.GatewayHandler;
 import org.toucansaddle.daemon.internal.gateway.relay.HeaderCodec;
+import org.toucansaddle.daemon.internal.gateway.relay.IoLag;
 import org.toucansaddle.daemon.internal.gateway.relay.RelayContext;
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector;
@@ -52,6 +53,13 @@
   /** Time before the end of the grace period at which remaining requests are aborted. */
   private static final int ABORT_MARGIN_MILLIS = 400;
 
+  private static final int LOAD_LOG_MILLIS = 1_000;
+
+  /** Lag of the I/O threads from which the load is logged, in milliseconds. */
+  private static final int LOGGED_LAG_MILLIS = 100;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final int MAX_HEADER_BYTES = 64 * 1024;
   private static final int MAX_HEADERS = 200;
@@ -63,6 +71,7 @@
   private final ControlFollower follower;
   private final DocumentStore store;
   private final RelayMetrics metrics = new RelayMetrics();
+  private final IoLag ioLag = new IoLag();
   private final GatewayHandler handler;
   private final XnioWorker worker;
   private final List<Undertow> servers = new ArrayList<>();
@@ -105,10 +114,20 @@
             draining::get);
     this.handler = new GatewayHandler(context);
     startServers();
+    new IoLagMonitor(ioLag, System::nanoTime).start(worker);
     loadConfirmedDocument();
     peers.controlExecutor().execute(follower::step);
     peers.scheduleRepeatedly(REPORT_MILLIS, follower::step);
     peers.scheduleRepeatedly(IDLE_SWEEP_MILLIS, context::closeExpiredConnections);
+    peers.scheduleRepeatedly(LOAD_LOG_MILLIS, this::logLoad);
+    metrics.registerGauge(
+        "toucansaddle_gateway_io_lag_seconds",
+        "Average time by which I/O threads are late.",
+        () -> ioLag.averageMillis() / MILLIS_PER_SECOND);
+    metrics.registerGauge(
+        "toucansaddle_gateway_caller_connections",
+        "Open connections of callers.",
+        handler::openConnections);
     metrics.registerGauge(
         "toucansaddle_gateway_under_way", "Requests under way.", handler::requestsInFlight);
     metrics.registerGauge(
@@ -116,6 +135,18 @@
     LOG.info("started: router {} for callers at {}", settings.name(), router.callerAddress());
   }
 
+  private void logLoad() {
+    double maxLagMillis = ioLag.drainMaxMillis();
+    if (maxLagMillis >= LOGGED_LAG_MILLIS) {
+      LOG.info(
+          "late: io_lag_ms={} io_lag_max_ms={} caller_connections={} under_way={}",
+          Math.round(ioLag.averageMillis()),
+          Math.round(maxLagMillis),
+          handler.openConnections(),
+          handler.requestsInFlight());
+    }
+  }
+
   private void startServers() {
     HttpHandler readiness =
         Handlers.path().addExactPath(settings.readinessPath(), this::handleReadiness);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -5,15 +5,12 @@
 import io.undertow.server.ServerConnection;
 import io.undertow.util.SameThreadExecutor;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.request.HeadSize;
-import org.xnio.IoUtils;
 
 /**
  * Handles requests of callers: finds the route and the client account, reads the body, relays.
@@ -29,7 +26,7 @@
 
   private final RelayContext context;
   private final AtomicInteger requestsInFlight = new AtomicInteger();
-  private final Set<ServerConnection> idleConnections = ConcurrentHashMap.newKeySet();
+  private final CallerConnections connections = new CallerConnections();
   private volatile boolean refusingNewRequests;
 
   /** Creates a handler. */
@@ -42,22 +39,15 @@
     return requestsInFlight.get();
   }
 
-  /**
-   * Refuses requests from now on and closes idle connections.
-   *
-   * <p>A caller whose request arrives during the close sees the connection end without a response,
-   * which shows that the request was not read.
-   */
-  public void refuseNewRequests() {
-    refusingNewRequests = true;
-    idleConnections.forEach(
-        connection -> connection.getIoThread().execute(() -> closeIfIdle(connection)));
+  /** Returns the number of open connections of callers. */
+  public int openConnections() {
+    return connections.openCount();
   }
 
-  private void closeIfIdle(ServerConnection connection) {
-    if (idleConnections.remove(connection)) {
-      IoUtils.safeClose(connection);
-    }
+  /** Refuses requests from now on and closes idle connections. */
+  public void refuseNewRequests() {
+    refusingNewRequests = true;
+    connections.closeIdle();
   }
 
   @Override
@@ -65,15 +55,11 @@
     long startNanos = context.nowNanos();
     requestsInFlight.incrementAndGet();
     ServerConnection connection = exchange.getConnection();
-    if (!idleConnections.remove(connection)) {
-      connection.addCloseListener(idleConnections::remove);
-    }
+    connections.onRequestStarted(connection);
     exchange.addExchangeCompleteListener(
         (ended, next) -> {
           requestsInFlight.decrementAndGet();
-          if (connection.isOpen()) {
-            idleConnections.add(connection);
-          }
+          connections.onRequestEnded(connection);
           next.proceed();
         });
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> route(exchange, startNanos));
