Add failing tests: callers' kept connections use up a router's descriptors

The router runs in a process of its own, since a test cannot lower the descriptors of its own process. LocalGateway shares its settings with it.

--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
@@ -0,0 +1,171 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import org.toucansaddle.daemon.gateway.CallerLimits;
+import org.toucansaddle.daemon.gateway.DocumentException;
+import org.toucansaddle.daemon.gateway.FleetDocument;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.xnio.IoUtils;
+
+/** Usage tests of callers that keep their connections open between requests. */
+public class ConnectionUsageTest {
+
+  private static final int IDLE_TIMEOUT_MILLIS = 1_500;
+
+  /** Time allowed to notice that a connection is idle for too long. */
+  private static final int IDLE_TOLERANCE_MILLIS = 1_500;
+
+  /** Callers wait so long for a new connection and its response. */
+  private static final int RESPONSE_TIMEOUT_MILLIS = 1_000;
+
+  private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
+  private final List<Socket> sockets = new ArrayList<>();
+  private LocalGateway gateway;
+  private Undertow upstream;
+  private long sequence;
+
+  @BeforeClass
+  public void startGateway() throws Exception {
+    gateway = new LocalGateway(ConnectionUsageTest::parseDocument);
+    upstream =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setIoThreads(1)
+            .setWorkerThreads(1)
+            .setHandler(ConnectionUsageTest::handleRequest)
+            .build();
+    upstream.start();
+    gateway.awaitServing();
+    reports.scheduleWithFixedDelay(this::reportUpstream, 0, 500, TimeUnit.MILLISECONDS);
+    LocalGateway.await(() -> isServing(gateway.callerAddress(0)));
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopGateway() throws Exception {
+    reports.shutdownNow();
+    sockets.forEach(IoUtils::safeClose);
+    upstream.stop();
+    gateway.close();
+  }
+
+  private static FleetDocument parseDocument(byte[] content) throws DocumentException {
+    FleetDocument document = LocalGateway.parseDocument(content);
+    CallerLimits limits = CallerLimits.defaults();
+    return new FleetDocument(
+        document.version(),
+        document.routes(),
+        document.services(),
+        document.accounts(),
+        new CallerLimits(
+            limits.maxHeaderBytes(),
+            limits.maxBodyBytes(),
+            limits.headerTimeoutMillis(),
+            IDLE_TIMEOUT_MILLIS,
+            limits.tokensPerSecond()));
+  }
+
+  private static void handleRequest(HttpServerExchange exchange) {
+    HttpString requestId = new HttpString("X-Request-Id");
+    exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
+    exchange.getResponseHeaders().put(requestId, exchange.getRequestHeaders().getFirst(requestId));
+    exchange.getResponseSender().send("answer");
+  }
+
+  private void reportUpstream() {
+    InetSocketAddress bound = (InetSocketAddress) upstream.getListenerInfo().get(0).getAddress();
+    sequence++;
+    gateway.reportUpstream(0, "u1", "127.0.0.1:" + bound.getPort(), State.READY, sequence);
+  }
+
+  private Socket connect(String address) throws IOException {
+    int colon = address.lastIndexOf(':');
+    Socket socket = new Socket();
+    sockets.add(socket);
+    socket.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
+    int port = Integer.parseInt(address.substring(colon + 1));
+    socket.connect(new InetSocketAddress("127.0.0.1", port), RESPONSE_TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  /** Sends a request and returns its status; the connection stays open. */
+  private static int get(Socket socket) throws IOException {
+    String request =
+        "GET /once/x HTTP/1.1\r\nHost: "
+            + LocalGateway.HOST
+            + "\r\nX-Request-Id: r1\r\nX-Api-Key: "
+            + LocalGateway.API_KEY
+            + "\r\n\r\n";
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    byte[] response = new byte[4_096];
+    int count = socket.getInputStream().read(response);
+    if (count < 0) {
+      throw new IOException("the connection ended without a response");
+    }
+    String text = new String(response, 0, count, StandardCharsets.US_ASCII);
+    return Integer.parseInt(text.split(" ", 3)[1]);
+  }
+
+  private boolean isServing(String address) {
+    try (Socket socket = connect(address)) {
+      return get(socket) == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** Guards against idle connections of callers that add up until no descriptor is left. */
+  @Test
+  public void shouldCloseConnectionThatIsIdleLongerThanDocumentAllows() throws Exception {
+    Socket socket = connect(gateway.callerAddress(0));
+    assertThat(get(socket)).isEqualTo(200);
+    Thread.sleep(IDLE_TIMEOUT_MILLIS / 2);
+    assertThat(get(socket)).as("request within the idle timeout").isEqualTo(200);
+    socket.setSoTimeout(IDLE_TIMEOUT_MILLIS + IDLE_TOLERANCE_MILLIS);
+    int end;
+    try {
+      end = socket.getInputStream().read();
+    } catch (SocketTimeoutException e) {
+      throw new AssertionError("the idle connection is still open", e);
+    }
+    assertThat(end).as("end of the idle connection").isEqualTo(-1);
+  }
+
+  /** Guards against a router that serves nobody because callers keep connections open there. */
+  @Test
+  public void shouldServeNewCallersWhenKeptConnectionsExceedDescriptors() throws Exception {
+    int maxDescriptors = 300;
+    int callers = 2 * maxDescriptors;
+    try (RouterProcess router = RouterProcess.startWithDescriptors(gateway, maxDescriptors)) {
+      LocalGateway.await(() -> isServing(router.callerAddress()));
+      for (int caller = 1; caller <= callers; caller++) {
+        int status;
+        try {
+          status = get(connect(router.callerAddress()));
+        } catch (IOException e) {
+          throw new AssertionError(
+              "caller %d of %d got no response; log: %s"
+                  .formatted(caller, callers, router.logFile()),
+              e);
+        }
+        assertThat(status).as("caller %d of %d", caller, callers).isEqualTo(200);
+      }
+    }
+  }
+}
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -77,14 +77,14 @@
   }
 
   private GatewaySettings settings(String name, String peerAddress) {
+    return settings(name, peerAddress, seeds(), format);
+  }
+
+  /** Returns the settings of a daemon that joins a gateway with the given seeds. */
+  static GatewaySettings settings(
+      String name, String peerAddress, List<String> seeds, DocumentFormat format) {
     return new GatewaySettings(
-        name,
-        "z1",
-        peerAddress,
-        "secret-of-the-test",
-        peerAddresses.subList(0, SEED_COUNT),
-        HeaderNames.defaults(),
-        format);
+        name, "z1", peerAddress, "secret-of-the-test", seeds, HeaderNames.defaults(), format);
   }
 
   private ControlGateway startControl(int index, boolean firstStart) throws IOException {
@@ -95,24 +95,39 @@
   }
 
   private RouterGateway startRouter(int index) throws IOException {
-    String callerAddress = "127.0.0.1:" + ports.allocate();
+    String callerAddress = allocateAddress();
     callerAddresses.add(callerAddress);
     return RouterGateway.start(
-        settings("router" + index, "127.0.0.1:" + ports.allocate()),
-        new RouterSettings(
-            callerAddress,
-            Optional.empty(),
-            "/readyz",
-            Optional.empty(),
-            1,
-            6_000,
-            0.2,
-            50,
-            10_000,
-            8_000));
-  }
-
-  private static FleetDocument parseDocument(byte[] content) throws DocumentException {
+        settings("router" + index, allocateAddress()), routerSettings(callerAddress));
+  }
+
+  /** Returns an unused address on loopback. */
+  String allocateAddress() {
+    return "127.0.0.1:" + ports.allocate();
+  }
+
+  /** Returns the peer addresses of the seeds. */
+  List<String> seeds() {
+    return peerAddresses.subList(0, SEED_COUNT);
+  }
+
+  /** Returns the settings of a router with one I/O thread. */
+  static RouterSettings routerSettings(String callerAddress) {
+    return new RouterSettings(
+        callerAddress,
+        Optional.empty(),
+        "/readyz",
+        Optional.empty(),
+        1,
+        6_000,
+        0.2,
+        50,
+        10_000,
+        8_000);
+  }
+
+  /** Parses a document in the default format. */
+  static FleetDocument parseDocument(byte[] content) throws DocumentException {
     long version = Long.parseLong(new String(content, StandardCharsets.UTF_8));
     List<Route> routes =
         List.of(
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RouterProcess.java
@@ -0,0 +1,60 @@
+package org.toucansaddle.usage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.toucansaddle.daemon.gateway.GatewaySettings;
+import org.toucansaddle.daemon.gateway.RouterGateway;
+import org.toucansaddle.standins.fleet.FleetProcess;
+
+/** Router of a {@link LocalGateway} in a process of its own. Used by one thread. */
+final class RouterProcess implements AutoCloseable {
+
+  private final FleetProcess process;
+  private final String callerAddress;
+
+  private RouterProcess(FleetProcess process, String callerAddress) {
+    this.process = process;
+    this.callerAddress = callerAddress;
+  }
+
+  /** Starts a router that may open a limited number of file descriptors. */
+  static RouterProcess startWithDescriptors(LocalGateway gateway, int maxDescriptors)
+      throws IOException {
+    String callerAddress = gateway.allocateAddress();
+    List<String> arguments = new ArrayList<>(List.of(callerAddress, gateway.allocateAddress()));
+    arguments.addAll(gateway.seeds());
+    List<String> command =
+        new ArrayList<>(
+            List.of("bash", "-c", "ulimit -n " + maxDescriptors + "; exec \"$@\"", "router"));
+    command.addAll(FleetProcess.javaCommand(128, 1, RouterProcess.class, arguments));
+    Path log = Files.createTempFile("router", ".log");
+    FleetProcess process = new FleetProcess("router", command, log);
+    process.start();
+    return new RouterProcess(process, callerAddress);
+  }
+
+  /** Runs a router; the arguments are its address for callers, its peer address, and the seeds. */
+  public static void main(String[] args) throws Exception {
+    List<String> seeds = List.of(args).subList(2, args.length);
+    GatewaySettings settings =
+        LocalGateway.settings("router-process", args[1], seeds, LocalGateway::parseDocument);
+    RouterGateway.start(settings, LocalGateway.routerSettings(args[0]));
+    Thread.currentThread().join();
+  }
+
+  String callerAddress() {
+    return callerAddress;
+  }
+
+  Path logFile() {
+    return process.logFile();
+  }
+
+  @Override
+  public void close() {
+    process.kill();
+  }
+}
