Close the least recently used connections before a router runs out of descriptors

Cause: callers keep their connections, and a router closed none of them before it had used up its descriptors (3,900 of 4,100 there). Then accept fails and backs off for 250 ms to 1 s on all listeners, readiness too, and connections to upstreams fail, so that these count as unreachable: 'no-upstream' 1,481 times at edge-brnik-a-28, 39 times at all others.

Ruled out: too little memory (no process ended).

Now a router knows its limit (RouterSettings.maxDescriptors). Above 45% of it, it closes the connection that has been idle longest whenever a new one sends its first request, and if none is idle the response closes its connection. A request needs one descriptor for its caller and one for its upstream, so both fit.

Before: caller 224 of 600 got no response with 300 descriptors. After: all 600 are served.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
@@ -42,6 +42,7 @@
    * @param readinessPath path of the readiness check
    * @param metricsAddress host and port where metrics are served; empty to disable
    * @param ioThreads number of I/O threads for connections to callers and upstreams
+   * @param maxDescriptors number of file descriptors that the process may open
    * @param reportTimeoutMillis time without a report after which an upstream gets no requests, in
    *     milliseconds
    * @param retryRatio retries allowed per request, over the whole fleet
@@ -55,6 +56,7 @@
       String readinessPath,
       Optional<String> metricsAddress,
       int ioThreads,
+      int maxDescriptors,
       int reportTimeoutMillis,
       double retryRatio,
       int retrySlack,
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -20,6 +20,7 @@
 import org.toucansaddle.daemon.gateway.RouterGateway;
 import org.toucansaddle.daemon.internal.IoThreads;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
+import org.toucansaddle.daemon.internal.gateway.relay.CallerConnections;
 import org.toucansaddle.daemon.internal.gateway.relay.GatewayHandler;
 import org.toucansaddle.daemon.internal.gateway.relay.HeaderCodec;
 import org.toucansaddle.daemon.internal.gateway.relay.IoLag;
@@ -53,6 +54,12 @@
   /** Time before the end of the grace period at which remaining requests are aborted. */
   private static final int ABORT_MARGIN_MILLIS = 400;
 
+  /**
+   * Fraction of the descriptors for connections of callers; each request under way needs as many
+   * for its upstream.
+   */
+  private static final double MAX_CALLER_DESCRIPTOR_FRACTION = 0.45;
+
   private static final int LOAD_LOG_MILLIS = 1_000;
 
   /** Lag of the I/O threads from which the load is logged, in milliseconds. */
@@ -72,6 +79,7 @@
   private final DocumentStore store;
   private final RelayMetrics metrics = new RelayMetrics();
   private final IoLag ioLag = new IoLag();
+  private final CallerConnections connections;
   private final GatewayHandler handler;
   private final XnioWorker worker;
   private final List<Undertow> servers = new ArrayList<>();
@@ -102,6 +110,9 @@
             peers.controlExecutor());
     this.worker = IoThreads.start(router.ioThreads());
     ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
+    this.connections =
+        new CallerConnections(
+            (int) (router.maxDescriptors() * MAX_CALLER_DESCRIPTOR_FRACTION), System::nanoTime);
     RelayContext context =
         new RelayContext(
             state,
@@ -111,7 +122,8 @@
             router,
             System::nanoTime,
             buffers,
-            draining::get);
+            draining::get,
+            connections);
     this.handler = new GatewayHandler(context);
     startServers();
     new IoLagMonitor(ioLag, System::nanoTime).start(worker);
@@ -127,7 +139,7 @@
     metrics.registerGauge(
         "toucansaddle_gateway_caller_connections",
         "Open connections of callers.",
-        handler::openConnections);
+        connections::openCount);
     metrics.registerGauge(
         "toucansaddle_gateway_under_way", "Requests under way.", handler::requestsInFlight);
     metrics.registerGauge(
@@ -142,7 +154,7 @@
           "late: io_lag_ms={} io_lag_max_ms={} caller_connections={} under_way={}",
           Math.round(ioLag.averageMillis()),
           Math.round(maxLagMillis),
-          handler.openConnections(),
+          connections.openCount(),
           handler.requestsInFlight());
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -26,12 +26,13 @@
 
   private final RelayContext context;
   private final AtomicInteger requestsInFlight = new AtomicInteger();
-  private final CallerConnections connections = new CallerConnections();
+  private final CallerConnections connections;
   private volatile boolean refusingNewRequests;
 
   /** Creates a handler. */
   public GatewayHandler(RelayContext context) {
     this.context = context;
+    this.connections = context.connections();
   }
 
   /** Returns the number of requests whose responses are not completely written. */
@@ -39,15 +40,10 @@
     return requestsInFlight.get();
   }
 
-  /** Returns the number of open connections of callers. */
-  public int openConnections() {
-    return connections.openCount();
-  }
-
   /** Refuses requests from now on and closes idle connections. */
   public void refuseNewRequests() {
     refusingNewRequests = true;
-    connections.closeIdle();
+    connections.closeIdleFor(0);
   }
 
   @Override
@@ -141,6 +137,6 @@
         error.status(),
         error.type());
     context.metrics().recordRequest("", error.type());
-    ErrorResponseWriter.send(exchange, head.requestId(), error, context.isClosing());
+    ErrorResponseWriter.send(exchange, head.requestId(), error, context.closesConnections());
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -24,6 +24,7 @@
   private final LongSupplier nanoClock;
   private final ByteBufferPool bufferPool;
   private final BooleanSupplier closing;
+  private final CallerConnections connections;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<String, OnTimeRate> onTimeRates = new ConcurrentHashMap<>();
   private final Map<String, FirstTokenEstimator> estimators = new ConcurrentHashMap<>();
@@ -34,7 +35,8 @@
    * Creates the context of a router.
    *
    * @param nanoClock gives nanoseconds
-   * @param closing whether connections of callers are closed after their response
+   * @param closing whether the router shuts down
+   * @param connections connections of callers
    */
   public RelayContext(
       RouterState state,
@@ -44,7 +46,8 @@
       RouterSettings settings,
       LongSupplier nanoClock,
       ByteBufferPool bufferPool,
-      BooleanSupplier closing) {
+      BooleanSupplier closing,
+      CallerConnections connections) {
     this.state = state;
     this.codec = codec;
     this.admission = new AdmissionControl(state.shares());
@@ -54,6 +57,7 @@
     this.nanoClock = nanoClock;
     this.bufferPool = bufferPool;
     this.closing = closing;
+    this.connections = connections;
   }
 
   RouterState state() {
@@ -80,8 +84,13 @@
     return nanoClock.getAsLong();
   }
 
-  boolean isClosing() {
-    return closing.getAsBoolean();
+  CallerConnections connections() {
+    return connections;
+  }
+
+  /** Returns whether the connection of a caller is closed after its response. */
+  boolean closesConnections() {
+    return closing.getAsBoolean() || connections.isFull();
   }
 
   RetryBudget retryBudget(String service) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -346,7 +346,7 @@
 
   private void respond(ErrorResponse error) {
     recordEnd(error.status(), error.type(), error.detail());
-    ErrorResponseWriter.send(exchange, head.requestId(), error, context.isClosing());
+    ErrorResponseWriter.send(exchange, head.requestId(), error, context.closesConnections());
   }
 
   private void abortResponse(String cause) {
@@ -453,7 +453,7 @@
       // If the end of the connection marked the end, a truncated response would look complete.
       exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
     }
-    if (context.isClosing()) {
+    if (context.closesConnections()) {
       exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
     }
   }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -47,6 +47,7 @@
   private static final int CONTROL_COUNT = 5;
   private static final int SEED_COUNT = 3;
   private static final int ROUTER_COUNT = 2;
+  private static final int MAX_DESCRIPTORS = 4_096;
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
   private static final long AWAIT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
 
@@ -98,7 +99,8 @@
     String callerAddress = allocateAddress();
     callerAddresses.add(callerAddress);
     return RouterGateway.start(
-        settings("router" + index, allocateAddress()), routerSettings(callerAddress));
+        settings("router" + index, allocateAddress()),
+        routerSettings(callerAddress, MAX_DESCRIPTORS));
   }
 
   /** Returns an unused address on loopback. */
@@ -112,13 +114,14 @@
   }
 
   /** Returns the settings of a router with one I/O thread. */
-  static RouterSettings routerSettings(String callerAddress) {
+  static RouterSettings routerSettings(String callerAddress, int maxDescriptors) {
     return new RouterSettings(
         callerAddress,
         Optional.empty(),
         "/readyz",
         Optional.empty(),
         1,
+        maxDescriptors,
         6_000,
         0.2,
         50,
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RouterProcess.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RouterProcess.java
@@ -24,7 +24,9 @@
   static RouterProcess startWithDescriptors(LocalGateway gateway, int maxDescriptors)
       throws IOException {
     String callerAddress = gateway.allocateAddress();
-    List<String> arguments = new ArrayList<>(List.of(callerAddress, gateway.allocateAddress()));
+    List<String> arguments =
+        new ArrayList<>(
+            List.of(callerAddress, gateway.allocateAddress(), Integer.toString(maxDescriptors)));
     arguments.addAll(gateway.seeds());
     List<String> command =
         new ArrayList<>(
@@ -36,12 +38,12 @@
     return new RouterProcess(process, callerAddress);
   }
 
-  /** Runs a router; the arguments are its address for callers, its peer address, and the seeds. */
+  /** Runs a router; the arguments are its addresses for callers and peers, its limit, the seeds. */
   public static void main(String[] args) throws Exception {
-    List<String> seeds = List.of(args).subList(2, args.length);
+    List<String> seeds = List.of(args).subList(3, args.length);
     GatewaySettings settings =
         LocalGateway.settings("router-process", args[1], seeds, LocalGateway::parseDocument);
-    RouterGateway.start(settings, LocalGateway.routerSettings(args[0]));
+    RouterGateway.start(settings, LocalGateway.routerSettings(args[0], Integer.parseInt(args[2])));
     Thread.currentThread().join();
   }
 
