Apply the idle timeout of the document to connections of callers

Cause: idle_timeout_millis was read and checked, never applied; only the fixed 60 s of the server were.

Before: a connection idle for 3 s with a timeout of 1.5 s was open. After: it is closed, and one that is used within the timeout is kept.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -131,6 +132,7 @@
     peers.controlExecutor().execute(follower::step);
     peers.scheduleRepeatedly(REPORT_MILLIS, follower::step);
     peers.scheduleRepeatedly(IDLE_SWEEP_MILLIS, context::closeExpiredConnections);
+    peers.scheduleRepeatedly(IDLE_SWEEP_MILLIS, this::closeIdleCallers);
     peers.scheduleRepeatedly(LOAD_LOG_MILLIS, this::logLoad);
     metrics.registerGauge(
         "toucansaddle_gateway_io_lag_seconds",
@@ -147,6 +149,14 @@
     LOG.info("started: router {} for callers at {}", settings.name(), router.callerAddress());
   }
 
+  private void closeIdleCallers() {
+    state
+        .view()
+        .map(view -> view.document().limits().idleTimeoutMillis())
+        .ifPresent(
+            millis -> connections.closeIdleFor(TimeUnit.MILLISECONDS.toNanos((long) millis)));
+  }
+
   private void logLoad() {
     double maxLagMillis = ioLag.drainMaxMillis();
     if (maxLagMillis >= LOGGED_LAG_MILLIS) {
