Hash the prefix of a request once for each engine

Cause: the order of the engines for a prefix was sorted with a comparison that hashed prefix and id again: about 400 hashes for 42 engines and one request. Now each engine's score is computed once.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -176,18 +176,26 @@
     return upstream.requests() / (double) Math.max(1, upstream.report().slots());
   }
 
+  /** Upstream with its place in the order of a prefix. Immutable. */
+  private record RankedUpstream(long score, Upstream upstream) {
+
+    RankedUpstream(String prefix, Upstream upstream) {
+      this(Hashing.komihash5_0().hashCharsToLong(prefix + upstream.id()), upstream);
+    }
+  }
+
   /** Returns the upstreams in an order that depends on the prefix and is equal on all routers. */
   private static List<Upstream> rankForPrefix(List<Upstream> candidates, String prefix) {
     if (prefix.isEmpty()) {
       return candidates;
     }
-    List<Upstream> ordered = new ArrayList<>(candidates);
-    ordered.sort(
-        Comparator.comparingLong((Upstream u) -> score(prefix, u)).thenComparing(Upstream::id));
+    List<RankedUpstream> ranked = new ArrayList<>(candidates.size());
+    candidates.forEach(upstream -> ranked.add(new RankedUpstream(prefix, upstream)));
+    ranked.sort(
+        Comparator.comparingLong(RankedUpstream::score)
+            .thenComparing(entry -> entry.upstream().id()));
+    List<Upstream> ordered = new ArrayList<>(ranked.size());
+    ranked.forEach(entry -> ordered.add(entry.upstream()));
     return ordered;
   }
-
-  private static long score(String prefix, Upstream upstream) {
-    return Hashing.komihash5_0().hashCharsToLong(prefix + upstream.id());
-  }
 }
