Spread service calls by free capacity instead of all to the least loaded upstream

Cause: every router sent each call to the upstream with the fewest requests. With 78 routers a router's own share is small, and all of them see the same reports, up to 0.8 s old; so all sent to the same upstream until the next report, which then rejected what exceeded its slots and queue.

Now an upstream is drawn in proportion to its free capacity.

UpstreamSelectorTest.shouldNotOverfillLeastLoadedUpstreamBetweenReports failed in all three cases before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -14,8 +14,8 @@
  * Selects the upstream for a request, without I/O.
  *
  * <p>A prompt goes to the engine that has prefilled its shared prefix before, unless that engine is
- * too busy to meet the target. Other requests go to the upstream with the fewest requests in flight
- * per slot. Stateless and thread-safe.
+ * too busy to meet the target. Other requests are spread in proportion to the free capacity of the
+ * upstreams. Stateless and thread-safe.
  */
 public final class UpstreamSelector {
 
@@ -31,7 +31,7 @@
   /** Fraction of an engine's memory for requests; the rest caches shared prefixes. */
   private static final double MAX_MEMORY_FRACTION = 0.85;
 
-  /** Load added to another availability zone, per slot; only breaks ties. */
+  /** Load added to another availability zone, per slot. */
   private static final double OTHER_ZONE_LOAD_PENALTY = 0.01;
 
   /** Waiting time added to another availability zone. */
@@ -67,8 +67,8 @@
     NEXT_FOR_PREFIX,
     /** It has the shortest expected time to the first token. */
     LEAST_WAIT,
-    /** It has the fewest requests in flight per slot. */
-    LEAST_LOAD
+    /** It was drawn in proportion to the free capacity of the upstreams. */
+    FREE_CAPACITY
   }
 
   /**
@@ -108,25 +108,37 @@
     if (head.promptTokens() > 0) {
       return selectEngine(candidates, head, targetMillis, profile);
     }
-    return selectLeastLoaded(candidates);
+    return drawByFreeCapacity(candidates);
   }
 
-  private Optional<Selection> selectLeastLoaded(List<Upstream> candidates) {
-    Upstream best = null;
-    double bestLoad = Double.MAX_VALUE;
-    int start = candidates.isEmpty() ? 0 : ThreadLocalRandom.current().nextInt(candidates.size());
-    for (int i = 0; i < candidates.size(); i++) {
-      Upstream upstream = candidates.get((start + i) % candidates.size());
-      double load = loadPerSlot(upstream) + (isSameZone(upstream) ? 0 : OTHER_ZONE_LOAD_PENALTY);
-      if (load < bestLoad) {
-        best = upstream;
-        bestLoad = load;
-      }
+  /**
+   * Draws an upstream in proportion to its free capacity. All routers see the load of the others as
+   * last reported; if each of them selected the least loaded upstream, they would overload it until
+   * the next report.
+   */
+  private Optional<Selection> drawByFreeCapacity(List<Upstream> candidates) {
+    double[] free = new double[candidates.size()];
+    double sum = 0;
+    for (int i = 0; i < free.length; i++) {
+      free[i] = freeCapacity(candidates.get(i));
+      sum += free[i];
     }
-    if (best == null || bestLoad > 1 + MAX_QUEUED_PER_SLOT) {
+    if (sum <= 0) {
       return Optional.empty();
     }
-    return Optional.of(new Selection(best, 0, 0, 0, Reason.LEAST_LOAD));
+    double drawn = ThreadLocalRandom.current().nextDouble(sum);
+    int index = 0;
+    while (drawn >= free[index] && index < free.length - 1) {
+      drawn -= free[index];
+      index++;
+    }
+    return Optional.of(new Selection(candidates.get(index), 0, 0, 0, Reason.FREE_CAPACITY));
+  }
+
+  /** Returns the requests per slot that an upstream can accept; 0 if it is full. */
+  private double freeCapacity(Upstream upstream) {
+    double penalty = isSameZone(upstream) ? 0 : OTHER_ZONE_LOAD_PENALTY;
+    return Math.max(0, 1 + MAX_QUEUED_PER_SLOT - loadPerSlot(upstream) - penalty);
   }
 
   private Optional<Selection> selectEngine(
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
@@ -180,6 +181,39 @@
     assertThat(upstreams).extracting(Upstream::requests).allMatch(n -> n >= 6);
   }
 
+  /**
+   * Guards against routers that all send to the same upstream until the next report: with 78 of
+   * them, two of five arrivals at a service with spare capacity were rejected.
+   */
+  @Test(dataProvider = "loads")
+  public void shouldNotOverfillLeastLoadedUpstreamBetweenReports(List<Integer> requests) {
+    int slots = 6;
+    int acceptedPerUpstream = slots + slots * 3 / 2;
+    int arrivalsBetweenReports = 24;
+    int rounds = 500;
+    List<Upstream> upstreams = upstreams(requests.size(), slots);
+    for (int i = 0; i < requests.size(); i++) {
+      for (int n = 0; n < requests.get(i); n++) {
+        upstreams.get(i).recordRequestStarted(0, 0);
+      }
+    }
+    Map<Upstream, Integer> arrivals = new HashMap<>();
+    for (int i = 0; i < rounds * arrivalsBetweenReports; i++) {
+      arrivals.merge(select(upstreams, plainRequest()).orElseThrow().upstream(), 1, Integer::sum);
+    }
+    for (Upstream upstream : upstreams) {
+      double arrivalsPerReport = arrivals.getOrDefault(upstream, 0) / (double) rounds;
+      assertThat(upstream.requests() + arrivalsPerReport)
+          .as("requests at %s", upstream.id())
+          .isLessThanOrEqualTo(acceptedPerUpstream);
+    }
+  }
+
+  @DataProvider
+  public static Object[][] loads() {
+    return new Object[][] {{List.of(5, 6, 6)}, {List.of(4, 4, 4)}, {List.of(0, 9, 9)}};
+  }
+
   @Test
   public void shouldNotSelectTriedUpstream() {
     List<Upstream> upstreams = upstreams(2, 6);
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/StuckUpstreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/StuckUpstreamUsageTest.java
@@ -157,7 +157,15 @@
       assertThat(response.text()).isEqualTo("healthy");
     }
     assertThat(countStuckOutcomes()).isPositive();
-    LocalGateway.await(() -> answeredBy("hanging"));
+    LocalGateway.await(this::receivesUnrepeatableRequests);
+  }
+
+  /** An upstream on probation receives only repeatable requests. */
+  private boolean receivesUnrepeatableRequests() {
+    post(0, "/repeatable/x").join();
+    answeringUpstreams.clear();
+    post(0, "/once/x").join();
+    return answeringUpstreams.contains("hanging");
   }
 
   private long countStuckOutcomes() {
