Do not send a request on whose caller left before it was read

Cause: when a router is late, a request and the end of its connection wait in the socket together. The router read the request only, and saw the end at its next pass over all connections, after the request was sent on.

Now the router reads once more before it sends: the end of the connection ends the request there, and the first bytes of a pipelined request are kept, as before. It costs one read of an empty socket for each request.

ConnectionUsageTest.shouldNotSendRequestWhoseCallerLeftBeforeItWasRead: a router is suspended, 20 callers send a request and leave, the router continues.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerDisconnectDetector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerDisconnectDetector.java
@@ -17,29 +17,43 @@
 
   private CallerDisconnectDetector() {}
 
-  /** Monitors a connection whose request has been read completely. */
-  static void start(HttpServerExchange exchange, Runnable onDisconnect) {
+  /**
+   * Monitors a connection whose request has been read completely.
+   *
+   * @return whether the caller is still connected; if not, {@code onDisconnect} is not called
+   */
+  static boolean start(HttpServerExchange exchange, Runnable onDisconnect) {
     if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
-      return;
+      return true;
     }
     if (connection.getExtraBytes() != null) {
-      return;
+      return true;
     }
     ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
     // Reading a request body replaces the conduit; restore it to receive read notifications.
     channel.setConduit(connection.getOriginalSourceConduit());
-    channel.setReadListener(readable -> onReadable(exchange, connection, readable, onDisconnect));
-    channel.resumeReads();
+    // The request may have waited for so long that its caller has left.
+    if (!readAhead(connection, channel)) {
+      return false;
+    }
+    channel.setReadListener(
+        readable -> {
+          if (!exchange.isComplete() && !readAhead(connection, readable)) {
+            onDisconnect.run();
+          }
+        });
+    if (connection.getExtraBytes() == null) {
+      channel.resumeReads();
+    }
+    return true;
   }
 
-  private static void onReadable(
-      HttpServerExchange exchange,
-      HttpServerConnection connection,
-      ConduitStreamSourceChannel channel,
-      Runnable onDisconnect) {
-    if (exchange.isComplete()) {
-      return;
-    }
+  /**
+   * Reads what follows the request; returns whether the caller is still connected. The first bytes
+   * of the next request are kept and end the monitoring; a connection that has ended is closed.
+   */
+  private static boolean readAhead(
+      HttpServerConnection connection, ConduitStreamSourceChannel channel) {
     PooledByteBuffer buffer = connection.getByteBufferPool().allocate();
     boolean kept = false;
     try {
@@ -47,16 +61,18 @@
       if (count < 0) {
         channel.suspendReads();
         IoUtils.safeClose(connection);
-        onDisconnect.run();
-      } else if (count > 0) {
+        return false;
+      }
+      if (count > 0) {
         channel.suspendReads();
         buffer.getBuffer().flip();
         kept = true;
         connection.ungetRequestBytes(buffer);
       }
+      return true;
     } catch (IOException e) {
       IoUtils.safeClose(connection);
-      onDisconnect.run();
+      return false;
     } finally {
       if (!kept) {
         buffer.close();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -37,11 +37,6 @@
   /** Remaining time below which no attempt starts: no upstream could respond in time. */
   private static final long MIN_REMAINING_MILLIS = 20;
 
-  /** Prompt tokens that an engine prefills in the time in which it serves one token. */
-  private static final double PREFILL_TO_SERVED_RATIO = 2;
-
-  private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 25;
-
   private static final long BUSY_RETRY_MILLIS = 400;
 
   /** Lead time of an error response before the caller of a silent stream gives up. */
@@ -49,6 +44,8 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  private static final String CALLER_GONE = "caller-gone";
+
   private enum Phase {
     NOT_SENT,
     AWAITING_RESPONSE,
@@ -172,7 +169,10 @@
       fail(ErrorResponse.notRun("quarantined", "Several upstreams failed on this request.", 0));
       return;
     }
-    CallerDisconnectDetector.start(exchange, this::onCallerDisconnected);
+    if (!CallerDisconnectDetector.start(exchange, this::onCallerDisconnected)) {
+      recordEnd(0, CALLER_GONE, "before the request was read");
+      return;
+    }
     context.retryBudget(service).recordRequest();
     context.admission().recordArrival(admissionRequest());
     long callerWaitMillis = route.callerStallTimeoutMillis() - CALLER_TIMEOUT_MARGIN_MILLIS;
@@ -192,7 +192,8 @@
       return;
     }
     List<Upstream> usable = context.state().usableUpstreams(service, route.isRepeatable());
-    EngineProfile profile = engineProfile(usable.size());
+    EngineProfile profile =
+        EngineProfile.of(view, service, usable.size(), context.estimator(service));
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
     Optional<Selection> selected =
         context.selector().select(usable, head, route.targetMillis(), profile, triedUpstreams);
@@ -219,20 +220,6 @@
     return new AdmissionRequest(route, head, account, view.tokensPerSecond(), remainingMillis());
   }
 
-  private EngineProfile engineProfile(int engines) {
-    long memory =
-        view.service(service)
-            .flatMap(ServiceDefinition::engine)
-            .map(ServiceDefinition.EngineCapacity::memoryTokens)
-            .orElse(0L);
-    return new EngineProfile(context.estimator(service), nominalTokensPerMilli(engines), memory);
-  }
-
-  private double nominalTokensPerMilli(int engines) {
-    double served = view.tokensPerSecond() / 1_000.0 / Math.max(1, engines);
-    return served > 0 ? PREFILL_TO_SERVED_RATIO * served : DEFAULT_PREFILL_TOKENS_PER_MILLI;
-  }
-
   private void send(Selection selected, ErrorResponse fallback) {
     Upstream upstream = selected.upstream();
     triedUpstreams.add(upstream.id());
@@ -316,7 +303,7 @@
       return;
     }
     cancelAttempt();
-    recordEnd(0, "caller-gone", "");
+    recordEnd(0, CALLER_GONE, "");
   }
 
   private void cancelAttempt() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import org.toucansaddle.daemon.gateway.ServiceDefinition;
+import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 
 /**
@@ -37,6 +39,8 @@
   /** Waiting time added to another availability zone. */
   private static final double OTHER_ZONE_PENALTY_MILLIS = 4;
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private final String zone;
 
   /** Creates the selector of a router in an availability zone. */
@@ -81,6 +85,29 @@
   public record EngineProfile(
       FirstTokenEstimator estimator, double nominalTokensPerMilli, long memoryTokens) {
 
+    /** Prompt tokens that an engine prefills in the time in which it serves one token. */
+    private static final double PREFILL_TO_SERVED_RATIO = 2;
+
+    private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 25;
+
+    /**
+     * Returns the profile of the engines of a service.
+     *
+     * @param engines number of usable engines
+     */
+    static EngineProfile of(
+        RoutingView view, String service, int engines, FirstTokenEstimator estimator) {
+      double served = view.tokensPerSecond() / MILLIS_PER_SECOND / Math.max(1, engines);
+      double prefilled =
+          served > 0 ? PREFILL_TO_SERVED_RATIO * served : DEFAULT_PREFILL_TOKENS_PER_MILLI;
+      long memoryTokens =
+          view.service(service)
+              .flatMap(ServiceDefinition::engine)
+              .map(ServiceDefinition.EngineCapacity::memoryTokens)
+              .orElse(0L);
+      return new EngineProfile(estimator, prefilled, memoryTokens);
+    }
+
     double firstTokenMillis(long tokens) {
       return estimator.estimateMillis(tokens, nominalTokensPerMilli);
     }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -37,6 +38,7 @@
 
   private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
   private final List<Socket> sockets = new ArrayList<>();
+  private final List<String> handledPaths = new CopyOnWriteArrayList<>();
   private LocalGateway gateway;
   private Undertow upstream;
   private long sequence;
@@ -49,7 +51,7 @@
             .addHttpListener(0, "127.0.0.1")
             .setIoThreads(1)
             .setWorkerThreads(1)
-            .setHandler(ConnectionUsageTest::handleRequest)
+            .setHandler(this::handleRequest)
             .build();
     upstream.start();
     gateway.awaitServing();
@@ -81,7 +83,8 @@
             limits.tokensPerSecond()));
   }
 
-  private static void handleRequest(HttpServerExchange exchange) {
+  private void handleRequest(HttpServerExchange exchange) {
+    handledPaths.add(exchange.getRequestURI());
     HttpString requestId = new HttpString("X-Request-Id");
     exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
     exchange.getResponseHeaders().put(requestId, exchange.getRequestHeaders().getFirst(requestId));
@@ -106,13 +109,7 @@
 
   /** Sends a request and returns its status; the connection stays open. */
   private static int get(Socket socket) throws IOException {
-    String request =
-        "GET /once/x HTTP/1.1\r\nHost: "
-            + LocalGateway.HOST
-            + "\r\nX-Request-Id: r1\r\nX-Api-Key: "
-            + LocalGateway.API_KEY
-            + "\r\n\r\n";
-    socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    send(socket, "/once/x");
     byte[] response = new byte[4_096];
     int count = socket.getInputStream().read(response);
     if (count < 0) {
@@ -122,6 +119,18 @@
     return Integer.parseInt(text.split(" ", 3)[1]);
   }
 
+  private static void send(Socket socket, String path) throws IOException {
+    String request =
+        "GET "
+            + path
+            + " HTTP/1.1\r\nHost: "
+            + LocalGateway.HOST
+            + "\r\nX-Request-Id: r1\r\nX-Api-Key: "
+            + LocalGateway.API_KEY
+            + "\r\n\r\n";
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+  }
+
   private boolean isServing(String address) {
     try (Socket socket = connect(address)) {
       return get(socket) == 200;
@@ -168,4 +177,23 @@
       }
     }
   }
+
+  /** Guards against requests that run for nobody: a router that was late sent them on. */
+  @Test
+  public void shouldNotSendRequestWhoseCallerLeftBeforeItWasRead() throws Exception {
+    try (RouterProcess router = RouterProcess.startWithDescriptors(gateway, 1_024)) {
+      LocalGateway.await(() -> isServing(router.callerAddress()));
+      router.signal("STOP");
+      for (int caller = 0; caller < 20; caller++) {
+        try (Socket socket = connect(router.callerAddress())) {
+          send(socket, "/once/left");
+        }
+      }
+      Thread.sleep(300);
+      router.signal("CONT");
+      LocalGateway.await(() -> isServing(router.callerAddress()));
+      Thread.sleep(500);
+    }
+    assertThat(handledPaths).doesNotContain("/once/left");
+  }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RouterProcess.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RouterProcess.java
@@ -55,6 +55,11 @@
     return process.logFile();
   }
 
+  /** Sends a signal such as {@code STOP} to the process. */
+  void signal(String name) {
+    process.signal(name);
+  }
+
   @Override
   public void close() {
     process.kill();
