Read what has arrived before an upstream counts as stuck

Cause: an I/O thread that is late runs its timers before it reads its sockets. A check for a stuck upstream then found no answer, though it was waiting to be read, and its finding went to all routers.

Now a check runs one pass over the sockets after it is due.

ConnectionUsageTest.shouldReadWaitingAnswerBeforeUpstreamCountsAsStuck: the router is suspended for 2.5 s while the answer comes after 0.5 s.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
@@ -22,6 +22,9 @@
   /** Interval between checks of an overdue request. */
   private static final long CHECK_INTERVAL_MILLIS = 100;
 
+  /** Delay after which all data that has arrived was read: the next pass over all connections. */
+  private static final long NEXT_PASS_MILLIS = 1;
+
   /** Minimum time until a prompt is overdue: chunks of other prompts may precede it. */
   private static final long MIN_DUE_MILLIS = 400;
 
@@ -96,7 +99,13 @@
   }
 
   private void schedule(long millis) {
-    timer = ioThread.executeAfter(this::check, Math.max(1, millis), TimeUnit.MILLISECONDS);
+    timer =
+        ioThread.executeAfter(this::checkAfterNextPass, Math.max(1, millis), TimeUnit.MILLISECONDS);
+  }
+
+  /** Timers of a late I/O thread run before it reads what has arrived in the meantime. */
+  private void checkAfterNextPass() {
+    timer = ioThread.executeAfter(this::check, NEXT_PASS_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void check() {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
@@ -5,6 +5,7 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -25,7 +26,7 @@
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.xnio.IoUtils;
 
-/** Usage tests of callers that keep their connections open between requests. */
+/** Usage tests of routers that are late, or whose callers keep many connections open. */
 public class ConnectionUsageTest {
 
   private static final int IDLE_TIMEOUT_MILLIS = 1_500;
@@ -85,6 +86,15 @@
 
   private void handleRequest(HttpServerExchange exchange) {
     handledPaths.add(exchange.getRequestURI());
+    if (exchange.getRequestURI().endsWith("/half-second")) {
+      exchange.getIoThread().executeAfter(() -> sendAnswer(exchange), 500, TimeUnit.MILLISECONDS);
+      exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
+    } else {
+      sendAnswer(exchange);
+    }
+  }
+
+  private static void sendAnswer(HttpServerExchange exchange) {
     HttpString requestId = new HttpString("X-Request-Id");
     exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
     exchange.getResponseHeaders().put(requestId, exchange.getRequestHeaders().getFirst(requestId));
@@ -110,6 +120,10 @@
   /** Sends a request and returns its status; the connection stays open. */
   private static int get(Socket socket) throws IOException {
     send(socket, "/once/x");
+    return readStatus(socket);
+  }
+
+  private static int readStatus(Socket socket) throws IOException {
     byte[] response = new byte[4_096];
     int count = socket.getInputStream().read(response);
     if (count < 0) {
@@ -196,4 +210,25 @@
     }
     assertThat(handledPaths).doesNotContain("/once/left");
   }
+
+  /** Guards against a late router that blames its upstreams for answers it has not read yet. */
+  @Test
+  public void shouldReadWaitingAnswerBeforeUpstreamCountsAsStuck() throws Exception {
+    try (RouterProcess router = RouterProcess.startWithDescriptors(gateway, 1_024)) {
+      LocalGateway.await(() -> isServing(router.callerAddress()));
+      try (Socket socket = connect(router.callerAddress())) {
+        for (int i = 0; i < 40; i++) {
+          send(socket, "/repeatable/x");
+          assertThat(readStatus(socket)).isEqualTo(200);
+        }
+        send(socket, "/repeatable/half-second");
+        Thread.sleep(200);
+        router.signal("STOP");
+        Thread.sleep(2_500);
+        router.signal("CONT");
+        assertThat(readStatus(socket)).isEqualTo(200);
+      }
+    }
+    assertThat(handledPaths).containsOnlyOnce("/repeatable/half-second");
+  }
 }
