Do not take the lag of a router for slowness of the engines

Cause: the time to the first token was measured until the router read it. The lag of a busy router raised its estimate by up to 8, and it refused what the engines could serve; refused requests bring no samples, so that the estimate stayed high after the lag was over.

Now the average lag of the I/O threads is subtracted from a sample.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -124,7 +124,8 @@
             System::nanoTime,
             buffers,
             draining::get,
-            connections);
+            connections,
+            ioLag);
     this.handler = new GatewayHandler(context);
     startServers();
     new IoLagMonitor(ioLag, System::nanoTime).start(worker);
@@ -134,6 +135,11 @@
     peers.scheduleRepeatedly(IDLE_SWEEP_MILLIS, context::closeExpiredConnections);
     peers.scheduleRepeatedly(IDLE_SWEEP_MILLIS, this::closeIdleCallers);
     peers.scheduleRepeatedly(LOAD_LOG_MILLIS, this::logLoad);
+    registerGauges();
+    LOG.info("started: router {} for callers at {}", settings.name(), router.callerAddress());
+  }
+
+  private void registerGauges() {
     metrics.registerGauge(
         "toucansaddle_gateway_io_lag_seconds",
         "Average time by which I/O threads are late.",
@@ -146,7 +152,6 @@
         "toucansaddle_gateway_under_way", "Requests under way.", handler::requestsInFlight);
     metrics.registerGauge(
         "toucansaddle_gateway_configuration", "Version in force.", state::version);
-    LOG.info("started: router {} for callers at {}", settings.name(), router.callerAddress());
   }
 
   private void closeIdleCallers() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -190,7 +190,9 @@
     stallDetector.onData();
     if (prefillCounted && prefillTokens > 0) {
       long millis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - sentAtNanos);
-      context.estimator(call.service()).addSample(pendingTokens, nominalTokensPerMilli, millis);
+      context
+          .estimator(call.service())
+          .addSample(pendingTokens, nominalTokensPerMilli, millis, context.ioLag().averageMillis());
     }
     releasePrefillLoad();
     return call.onResponseData(this, data);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/FirstTokenEstimator.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/FirstTokenEstimator.java
@@ -26,9 +26,11 @@
    * @param tokens tokens to prefill before the first token of the response
    * @param nominalTokensPerMilli nominal prefill speed, in tokens per millisecond
    * @param millis observed time until the first token, in milliseconds
+   * @param lagMillis part of it in which the router was late to read the token, in milliseconds
    */
-  public void addSample(long tokens, double nominalTokensPerMilli, long millis) {
-    double sample = millis / nominalMillis(tokens, nominalTokensPerMilli);
+  public void addSample(long tokens, double nominalTokensPerMilli, long millis, double lagMillis) {
+    double engineMillis = Math.max(0, millis - lagMillis);
+    double sample = engineMillis / nominalMillis(tokens, nominalTokensPerMilli);
     double bounded = Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, sample));
     double previous = factor;
     factor = previous + SAMPLE_WEIGHT * (bounded - previous);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -25,6 +25,7 @@
   private final ByteBufferPool bufferPool;
   private final BooleanSupplier closing;
   private final CallerConnections connections;
+  private final IoLag ioLag;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<String, OnTimeRate> onTimeRates = new ConcurrentHashMap<>();
   private final Map<String, FirstTokenEstimator> estimators = new ConcurrentHashMap<>();
@@ -37,6 +38,7 @@
    * @param nanoClock gives nanoseconds
    * @param closing whether the router shuts down
    * @param connections connections of callers
+   * @param ioLag lag of the I/O threads
    */
   public RelayContext(
       RouterState state,
@@ -47,7 +49,8 @@
       LongSupplier nanoClock,
       ByteBufferPool bufferPool,
       BooleanSupplier closing,
-      CallerConnections connections) {
+      CallerConnections connections,
+      IoLag ioLag) {
     this.state = state;
     this.codec = codec;
     this.admission = new AdmissionControl(state.shares());
@@ -58,6 +61,7 @@
     this.bufferPool = bufferPool;
     this.closing = closing;
     this.connections = connections;
+    this.ioLag = ioLag;
   }
 
   RouterState state() {
@@ -84,6 +88,10 @@
     return nanoClock.getAsLong();
   }
 
+  IoLag ioLag() {
+    return ioLag;
+  }
+
   CallerConnections connections() {
     return connections;
   }
