Handle a limited number of new connections between two passes over the open ones

What callers saw: at the router where most callers connect, requests that were under way got no answer for up to 9 s, and streams broke off, while new requests were refused without pause.

Cause: the server library hands accepted connections to an I/O thread by a task that runs again, before the thread reads its sockets, until no connection waits; each one's first request was handled within. While callers connect faster than they are handled, the thread never reads what upstreams answered or callers sent.

Evidence: 'late: io_lag_ms=7520 io_lag_max_ms=7520' at edge-brnik-b-7 at 28.7 s, and no request answered there from 21 to 27 s, though 230 to 550 a second were refused; at 28 s all others ended at once (too late, silent). A thread dump of the router in the test shows the task running itself again.

CallerListener takes all arrived connections at once, handles 16 between two passes and closes those beyond 1,000, so that their callers can go elsewhere at once.

--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/CallerListener.java
@@ -0,0 +1,143 @@
+package org.toucansaddle.daemon.internal.gateway;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * HTTP listener whose new connections share the I/O threads with the open ones.
+ *
+ * <p>Undertow's own listener handles the first request of each new connection before anything else.
+ * While callers connect faster than that, an I/O thread reads neither responses of upstreams nor
+ * requests on open connections. Here a limited number is handled between two passes over the open
+ * connections. Thread-safe.
+ */
+final class CallerListener implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(CallerListener.class);
+
+  /** New connections handled before the I/O thread serves the open ones. */
+  private static final int MAX_HANDLED_PER_PASS = 16;
+
+  /** New connections kept at an I/O thread; more are closed, so that their callers go elsewhere. */
+  private static final int MAX_ARRIVED = 1_000;
+
+  /** Delay until the next pass of the I/O thread over all connections. */
+  private static final long NEXT_PASS_MILLIS = 1;
+
+  /** Connections that wait to be accepted. */
+  private static final int BACKLOG = 1_000;
+
+  private final HttpOpenListener connectionListener;
+  private final AcceptingChannel<StreamConnection> server;
+
+  private final Map<XnioIoThread, ArrivedConnections> arrivedByThread = new ConcurrentHashMap<>();
+
+  /**
+   * Starts a listener.
+   *
+   * @param options options for the HTTP protocol, as in {@link UndertowOptions}
+   * @throws IOException if the address cannot be bound
+   */
+  CallerListener(
+      InetSocketAddress address,
+      HttpHandler handler,
+      XnioWorker worker,
+      ByteBufferPool buffers,
+      OptionMap options)
+      throws IOException {
+    this.connectionListener =
+        new HttpOpenListener(
+            buffers,
+            OptionMap.builder()
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                .addAll(options)
+                .getMap());
+    connectionListener.setRootHandler(handler);
+    OptionMap socketOptions =
+        OptionMap.builder()
+            .set(Options.TCP_NODELAY, true)
+            .set(Options.REUSE_ADDRESSES, true)
+            .set(Options.BACKLOG, BACKLOG)
+            .getMap();
+    this.server = worker.createStreamConnectionServer(address, this::onAccepted, socketOptions);
+    server.resumeAccepts();
+  }
+
+  /**
+   * Takes over all accepted connections. The server calls this again, without a pass over the open
+   * connections, as long as one of them is left.
+   */
+  private void onAccepted(AcceptingChannel<StreamConnection> channel) {
+    ArrivedConnections arrived =
+        arrivedByThread.computeIfAbsent(XnioIoThread.currentThread(), ArrivedConnections::new);
+    try {
+      StreamConnection connection = channel.accept();
+      while (connection != null) {
+        arrived.add(connection);
+        connection = channel.accept();
+      }
+    } catch (IOException e) {
+      LOG.warn("a connection of a caller could not be accepted: {}", e.getMessage());
+    }
+    arrived.startHandling();
+  }
+
+  /** Connections that have arrived at an I/O thread and are not handled yet; confined to it. */
+  private final class ArrivedConnections {
+    private final XnioIoThread thread;
+    private final Queue<StreamConnection> queue = new ArrayDeque<>();
+    private boolean handlingScheduled;
+
+    ArrivedConnections(XnioIoThread thread) {
+      this.thread = thread;
+    }
+
+    void add(StreamConnection connection) {
+      if (queue.size() < MAX_ARRIVED) {
+        queue.add(connection);
+      } else {
+        IoUtils.safeClose(connection);
+      }
+    }
+
+    void startHandling() {
+      if (!handlingScheduled) {
+        handleSome();
+      }
+    }
+
+    private void handleSome() {
+      for (int count = 0; count < MAX_HANDLED_PER_PASS && !queue.isEmpty(); count++) {
+        connectionListener.handleEvent(queue.remove());
+      }
+      handlingScheduled = !queue.isEmpty();
+      if (handlingScheduled) {
+        thread.executeAfter(this::handleSome, NEXT_PASS_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    IoUtils.safeClose(server);
+    connectionListener.closeConnections();
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -1,13 +1,13 @@
 package org.toucansaddle.daemon.internal.gateway;
 
 import io.undertow.Handlers;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,7 +30,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
-import org.xnio.Options;
+import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
 /**
@@ -73,6 +73,17 @@
   private static final int MAX_HEADERS = 200;
   private static final int NO_REQUEST_TIMEOUT_MILLIS = 60_000;
 
+  private static final OptionMap HTTP_OPTIONS =
+      OptionMap.builder()
+          .set(UndertowOptions.DECODE_URL, false)
+          .set(UndertowOptions.ALWAYS_SET_DATE, false)
+          .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+          .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+          .set(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
+          .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+          .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+          .getMap();
+
   private final RouterSettings settings;
   private final GatewayPeers peers;
   private final RouterState state;
@@ -83,7 +94,7 @@
   private final CallerConnections connections;
   private final GatewayHandler handler;
   private final XnioWorker worker;
-  private final List<Undertow> servers = new ArrayList<>();
+  private final List<CallerListener> listeners = new ArrayList<>();
   private final AtomicBoolean draining = new AtomicBoolean();
 
   /** Starts a router and its listeners. */
@@ -127,7 +138,7 @@
             connections,
             ioLag);
     this.handler = new GatewayHandler(context);
-    startServers();
+    startServers(buffers);
     new IoLagMonitor(ioLag, System::nanoTime).start(worker);
     loadConfirmedDocument();
     peers.controlExecutor().execute(follower::step);
@@ -174,45 +185,30 @@
     }
   }
 
-  private void startServers() {
+  private void startServers(ByteBufferPool buffers) throws IOException {
     HttpHandler readiness =
         Handlers.path().addExactPath(settings.readinessPath(), this::handleReadiness);
-    settings
-        .metricsAddress()
-        .ifPresent(
-            address ->
-                servers.add(
-                    listen(address, exchange -> exchange.getResponseSender().send(metrics()))));
+    if (settings.metricsAddress().isPresent()) {
+      HttpHandler handlesMetrics = exchange -> exchange.getResponseSender().send(metrics());
+      listeners.add(listen(settings.metricsAddress().get(), handlesMetrics, buffers));
+    }
     if (settings.readinessAddress().isPresent()) {
-      servers.add(listen(settings.readinessAddress().get(), readiness));
-      servers.add(listen(settings.callerAddress(), handler));
+      listeners.add(listen(settings.readinessAddress().get(), readiness, buffers));
+      listeners.add(listen(settings.callerAddress(), handler, buffers));
     } else {
       HttpHandler combined =
           Handlers.path(handler).addExactPath(settings.readinessPath(), this::handleReadiness);
-      servers.add(listen(settings.callerAddress(), combined));
+      listeners.add(listen(settings.callerAddress(), combined, buffers));
     }
   }
 
-  private Undertow listen(String address, HttpHandler rootHandler) {
+  private CallerListener listen(String address, HttpHandler rootHandler, ByteBufferPool buffers)
+      throws IOException {
     int colon = address.lastIndexOf(':');
-    Undertow server =
-        Undertow.builder()
-            .addHttpListener(
-                Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
-            .setSocketOption(Options.TCP_NODELAY, true)
-            .setSocketOption(Options.REUSE_ADDRESSES, true)
-            .setServerOption(UndertowOptions.DECODE_URL, false)
-            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-            .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
-            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-            .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-            .setWorker(worker)
-            .setHandler(rootHandler)
-            .build();
-    server.start();
-    return server;
+    InetSocketAddress bound =
+        new InetSocketAddress(
+            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    return new CallerListener(bound, rootHandler, worker, buffers, HTTP_OPTIONS);
   }
 
   private void handleReadiness(HttpServerExchange exchange) {
@@ -285,7 +281,7 @@
   public void close() {
     draining.set(true);
     follower.close();
-    servers.forEach(Undertow::stop);
+    listeners.forEach(CallerListener::close);
     worker.shutdownNow();
     peers.close();
   }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
@@ -14,9 +14,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -231,4 +233,41 @@
     }
     assertThat(handledPaths).containsOnlyOnce("/repeatable/half-second");
   }
+
+  /** Guards against a router that reads no answers while new connections keep arriving. */
+  @Test
+  public void shouldAnswerInTimeWhileOthersConnectWithoutPause() throws Exception {
+    int floodingCallers = 40;
+    ExecutorService callers = Executors.newFixedThreadPool(floodingCallers);
+    AtomicBoolean flooding = new AtomicBoolean(true);
+    try (RouterProcess router = RouterProcess.startWithDescriptors(gateway, 4_096)) {
+      LocalGateway.await(() -> isServing(router.callerAddress()));
+      Socket kept = connect(router.callerAddress());
+      assertThat(get(kept)).isEqualTo(200);
+      for (int caller = 0; caller < floodingCallers; caller++) {
+        callers.execute(() -> connectRepeatedly(router.callerAddress(), flooding));
+      }
+      for (int i = 0; i < 6; i++) {
+        send(kept, "/once/half-second");
+        assertThat(readStatus(kept)).isEqualTo(200);
+      }
+    } finally {
+      flooding.set(false);
+      callers.shutdown();
+    }
+  }
+
+  /** Sends requests that are refused, each on a new connection. */
+  private static void connectRepeatedly(String address, AtomicBoolean flooding) {
+    int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    while (flooding.get()) {
+      try (Socket socket = new Socket("127.0.0.1", port)) {
+        socket.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
+        send(socket, "/no-route");
+        readStatus(socket);
+      } catch (IOException e) {
+        Thread.onSpinWait();
+      }
+    }
+  }
 }
