--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.gateway.CallerLimits;
 import org.toucansaddle.daemon.gateway.DocumentException;
@@ -155,6 +156,21 @@
     }
   }
 
+  @DataProvider
+  public static Object[][] invalidHosts() {
+    return new Object[][] {{""}, {"Host: h.example\r\nHost: other.example\r\n"}};
+  }
+
+  /** Guards against requests that a proxy before the router assigns to another host. */
+  @Test(dataProvider = "invalidHosts")
+  public void shouldRefuseRequestWithoutExactlyOneHost(String hostFields) throws Exception {
+    String request = "GET /once/x HTTP/1.1\r\n" + hostFields + "X-Request-Id: r1\r\n\r\n";
+    try (Socket socket = connect(gateway.callerAddress(0))) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      assertThat(readStatus(socket)).isEqualTo(400);
+    }
+  }
+
   /** Guards against idle connections of callers that add up until no descriptor is left. */
   @Test
   public void shouldCloseConnectionThatIsIdleLongerThanDocumentAllows() throws Exception {
