--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/CallerListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/CallerListener.java
@@ -11,6 +11,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -48,6 +49,7 @@
   private final HttpOpenListener connectionListener;
   private final AcceptingChannel<StreamConnection> server;
 
+  private final AtomicBoolean closed = new AtomicBoolean();
   private final Map<XnioIoThread, ArrivedConnections> arrivedByThread = new ConcurrentHashMap<>();
 
   /**
@@ -135,9 +137,12 @@
     }
   }
 
+  /** Closes the listener and its connections, once; a second close would wait for ended threads. */
   @Override
   public void close() {
-    IoUtils.safeClose(server);
-    connectionListener.closeConnections();
+    if (closed.compareAndSet(false, true)) {
+      IoUtils.safeClose(server);
+      connectionListener.closeConnections();
+    }
   }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
@@ -286,4 +286,11 @@
       }
     }
   }
+
+  /** Guards against a stop that waits for I/O threads that have ended. */
+  @Test(timeOut = 20_000)
+  public void shouldCloseAgainAfterShutdown() {
+    gateway.router(1).shutDown();
+    gateway.router(1).close();
+  }
 }
