Log the digest and the strikes of requests that break upstreams

Now attempt_failed and the refusal carry digest and strikes, control daemons log the strikes that routers report, and the gauge toucansaddle_gateway_quarantined counts the digests that a router refuses.

No decision changes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -163,6 +163,10 @@
         "toucansaddle_gateway_under_way", "Requests under way.", handler::requestsInFlight);
     metrics.registerGauge(
         "toucansaddle_gateway_configuration", "Version in force.", state::version);
+    metrics.registerGauge(
+        "toucansaddle_gateway_quarantined",
+        "Requests, by digest, that this router refuses because they crash upstreams.",
+        state.quarantine()::quarantinedCount);
   }
 
   private void closeIdleCallers() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -192,6 +192,9 @@
         routerVersion = Math.max(routerVersion, report.getDocumentVersion());
       }
       boolean strikesAdded = strikes.add(report.getStrikesList());
+      if (strikesAdded) {
+        LOG.info("strikes: {} reported by router {}", report.getStrikesCount(), report.getRouter());
+      }
       if (report.getFirst()) {
         router = report.getRouter();
         followers.add(this);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -13,14 +13,26 @@
 
   static void attemptFailed(RelayedCall call, String upstream, String outcome, String cause) {
     LOG.info(
-        "attempt_failed request={} upstream={} attempt={} outcome={} why=\"{}\"",
+        "attempt_failed request={} upstream={} attempt={} outcome={} digest={} strikes={}"
+            + " why=\"{}\"",
         call.head().requestId(),
         upstream,
         call.attempts(),
         outcome,
+        Long.toHexString(call.requestDigest()),
+        call.strikes(),
         cause);
   }
 
+  /** Logs why a request that crashes upstreams is refused. */
+  static void quarantined(RelayedCall call) {
+    LOG.info(
+        "quarantined request={} digest={} strikes={}",
+        call.head().requestId(),
+        Long.toHexString(call.requestDigest()),
+        call.strikes());
+  }
+
   /** Logs that an upstream does not respond, and whether it is skipped from now on. */
   static void upstreamStuck(
       RelayedCall call, String upstream, Finding finding, long silentMillis, boolean skippedNow) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -127,6 +127,16 @@
     return view.document().version();
   }
 
+  /** Returns the digest by which equal requests are recognized. */
+  long requestDigest() {
+    return requestDigest;
+  }
+
+  /** Returns the upstreams known to have crashed while they ran an equal request. */
+  int strikes() {
+    return context.state().quarantine().strikeCount(requestDigest);
+  }
+
   int attempts() {
     return attempts;
   }
@@ -166,6 +176,7 @@
   /** Sends the request to an upstream or refuses it. */
   void start() {
     if (context.state().quarantine().isQuarantined(requestDigest)) {
+      RelayLog.quarantined(this);
       fail(ErrorResponse.notRun("quarantined", "Several upstreams failed on this request.", 0));
       return;
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RequestQuarantine.java
@@ -71,13 +71,23 @@
 
   /** Returns whether a request is to be refused. */
   public synchronized boolean isQuarantined(long digest) {
+    return strikeCount(digest) >= STRIKE_LIMIT;
+  }
+
+  /** Returns the number of upstreams known to have crashed while they ran a request. */
+  public synchronized int strikeCount(long digest) {
     Map<String, Long> times = strikeTimes.get(digest);
     if (times == null) {
-      return false;
+      return 0;
     }
     long now = clock.getAsLong();
     times.values().removeIf(at -> now - at > STRIKE_EXPIRY_NANOS);
-    return times.size() >= STRIKE_LIMIT;
+    return times.size();
+  }
+
+  /** Returns the number of digests that are refused. */
+  public synchronized int quarantinedCount() {
+    return (int) strikeTimes.keySet().stream().filter(this::isQuarantined).count();
   }
 
   /** Returns recent strikes of this router that other routers may not have received yet. */
