--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -0,0 +1,136 @@
+package org.toucansaddle.usage;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.xnio.IoUtils;
+
+/**
+ * Upstreams of a {@link LocalGateway} that crash when they run a request whose path ends with
+ * {@code /crash}.
+ *
+ * <p>A crash closes the connection; the upstream starts again at once, at the same address. Each
+ * upstream reports to all control daemons every 300 ms. Thread-safe.
+ */
+final class CrashingUpstreams implements AutoCloseable {
+
+  private static final int REPORT_MILLIS = 300;
+
+  /** How an upstream names itself after a crash. */
+  enum Restart {
+    SAME_ID,
+    NEW_ID
+  }
+
+  private final LocalGateway gateway;
+  private final Restart restart;
+  private final List<CrashingUpstream> upstreams = new ArrayList<>();
+  private final AtomicInteger crashes = new AtomicInteger();
+  private final AtomicInteger failures = new AtomicInteger();
+  private final AtomicLong sequence = new AtomicLong();
+  private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
+
+  CrashingUpstreams(LocalGateway gateway, int count, Restart restart) {
+    this.gateway = gateway;
+    this.restart = restart;
+    for (int index = 0; index < count; index++) {
+      upstreams.add(new CrashingUpstream("u" + index));
+    }
+    reports.scheduleWithFixedDelay(this::report, 0, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the number of crashes so far. */
+  int crashes() {
+    return crashes.get();
+  }
+
+  /** Returns how often an upstream answered a request with a failure of its own. */
+  int failures() {
+    return failures.get();
+  }
+
+  /** Makes all upstreams answer with status 500 instead of crashing, or crash again. */
+  void setFailing(boolean failing) {
+    upstreams.forEach(upstream -> upstream.failing = failing);
+  }
+
+  private void report() {
+    long current = sequence.incrementAndGet();
+    for (CrashingUpstream upstream : upstreams) {
+      gateway.reportToAll(upstream.createReport(current));
+    }
+  }
+
+  @Override
+  public void close() {
+    reports.shutdownNow();
+    upstreams.forEach(upstream -> upstream.server.stop());
+  }
+
+  /** One upstream: a server whose number of starts only increases. */
+  private final class CrashingUpstream {
+    private final String name;
+    private final AtomicInteger starts = new AtomicInteger(1);
+    private final Undertow server;
+    private volatile boolean failing;
+
+    CrashingUpstream(String name) {
+      this.name = name;
+      this.server =
+          Undertow.builder()
+              .addHttpListener(0, "127.0.0.1")
+              .setIoThreads(1)
+              .setWorkerThreads(2)
+              .setHandler(this::handle)
+              .build();
+      server.start();
+    }
+
+    private String id(int start) {
+      return restart == Restart.SAME_ID ? name : name + "-" + start;
+    }
+
+    private UpstreamReport createReport(long reportSequence) {
+      InetSocketAddress bound = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+      String address = "127.0.0.1:" + bound.getPort();
+      int start = starts.get();
+      return new UpstreamReport(
+          id(start), "desk", address, "z1", 6, State.READY, start, reportSequence);
+    }
+
+    private void handle(HttpServerExchange exchange) {
+      String expected = exchange.getRequestHeaders().getFirst("X-Expect-Upstream");
+      int start = starts.get();
+      if (!id(start).equals(expected)) {
+        exchange.setStatusCode(421);
+      } else if (!exchange.getRequestURI().endsWith("/crash")) {
+        answer(exchange, 200);
+      } else if (failing) {
+        failures.incrementAndGet();
+        answer(exchange, 500);
+      } else if (starts.compareAndSet(start, start + 1)) {
+        crashes.incrementAndGet();
+        IoUtils.safeClose(exchange.getConnection());
+        reports.execute(CrashingUpstreams.this::report);
+      }
+    }
+
+    private void answer(HttpServerExchange exchange, int status) {
+      exchange.setStatusCode(status);
+      exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
+      String requestId = exchange.getRequestHeaders().getFirst("X-Request-Id");
+      exchange.getResponseHeaders().put(new HttpString("X-Request-Id"), requestId);
+      exchange.getResponseSender().send(name);
+    }
+  }
+}
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -186,6 +186,11 @@
         .report(new UpstreamReport(id, "desk", address, "z1", 6, state, 1, sequence));
   }
 
+  /** Sends the report of an upstream to all control daemons. */
+  void reportToAll(UpstreamReport report) {
+    controls.forEach(control -> control.report(report));
+  }
+
   /** Stores a document and waits until all routers are ready. */
   void awaitServing() throws Exception {
     await(() -> isAccepted(0, 7));
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
@@ -0,0 +1,82 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.util.Headers;
+import java.time.Duration;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.http.HttpRequest;
+import org.toucansaddle.http.HttpResponse;
+import org.toucansaddle.usage.CrashingUpstreams.Restart;
+
+/** Usage tests of a request that crashes each upstream that runs it and is sent repeatedly. */
+public class QuarantineUsageTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  /** Time after the third crash from which no router may send the request to an upstream. */
+  private static final long SPREAD_MILLIS = 3_000;
+
+  private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
+  private LocalGateway gateway;
+  private CrashingUpstreams upstreams;
+
+  @BeforeMethod
+  public void startGateway() throws Exception {
+    gateway = new LocalGateway();
+    gateway.awaitServing();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stopGateway() throws Exception {
+    upstreams.close();
+    gateway.close();
+  }
+
+  private void startUpstreams(Restart restart) throws InterruptedException {
+    upstreams = new CrashingUpstreams(gateway, 3, restart);
+    LocalGateway.await(() -> send(0, "/once/x").status() == 200);
+    LocalGateway.await(() -> send(1, "/once/x").status() == 200);
+  }
+
+  private HttpResponse send(int router, String path) {
+    HttpRequest request =
+        HttpRequest.post(gateway.callerAddress(router), path, "same body")
+            .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
+            .withHeader("X-Request-Id", "r" + path.hashCode())
+            .withHeader("X-Api-Key", LocalGateway.API_KEY);
+    return client.send(request, TIMEOUT).join();
+  }
+
+  /** Sends the crashing request to one router after the other until it crashed three upstreams. */
+  private void crashThreeUpstreams() throws InterruptedException {
+    for (int router = 0; upstreams.crashes() < 3; router = 1 - router) {
+      send(router, "/repeatable/crash");
+    }
+    Thread.sleep(SPREAD_MILLIS);
+  }
+
+  /** Sends the crashing request to all routers and checks that it is refused everywhere. */
+  private void assertQuarantinedEverywhere() {
+    int crashes = upstreams.crashes();
+    for (int i = 0; i < 6; i++) {
+      HttpResponse response = send(i % 2, "/repeatable/crash");
+      assertThat(upstreams.crashes()).as("crashes, request %s", i).isEqualTo(crashes);
+      assertThat(response.status()).as(response.text()).isEqualTo(503);
+      assertThat(response.text()).contains("quarantined");
+    }
+  }
+
+  /** Guards against routers that refuse a request only after they saw three crashes themselves. */
+  @Test
+  public void shouldRefuseRequestAtEveryRouterAfterItCrashedThreeUpstreams() throws Exception {
+    startUpstreams(Restart.NEW_ID);
+    crashThreeUpstreams();
+    assertQuarantinedEverywhere();
+    assertThat(send(0, "/repeatable/x").status()).isEqualTo(200);
+  }
+}
