Report the strikes of a router to all others

Cause: nothing called RequestQuarantine.strikesToReport, so no report to a control daemon carried strikes. Each router had to see three crashes itself: seven routers allow 14 to 21. The parts (router, control daemon, message) each had a test; no test ran two routers with a crashing request.

Ruled out: digests that differ between repeats (283 ordinary requests, 283 digests; the crashing ones are refused as quarantined where three crashes were seen); strikes that come too late as the only cause (sends 50 s after the third crash).

Why this works: a router reports the strikes that a stream has not carried, at once and all of them on a new stream, so that a control daemon that restarted or was cut off learns them again from any router. Control daemons send the strikes of requests at the limit to all routers; single strikes, of which a crash of an engine leaves up to 64, stay there.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -25,6 +25,7 @@
 import org.toucansaddle.daemon.internal.gateway.control.FollowServer;
 import org.toucansaddle.daemon.internal.gateway.control.SeededReplicaSet;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamRegistry;
+import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
 import org.toucansaddle.daemon.internal.peer.PeerIdentity;
 import org.toucansaddle.daemon.internal.peer.PeerServer;
@@ -62,6 +63,7 @@
   private final DocumentFormat format;
   private final GatewayPeers peers;
   private final UpstreamRegistry registry = new UpstreamRegistry(System::nanoTime);
+  private final RequestQuarantine quarantine = new RequestQuarantine(System::nanoTime);
   private final RelayMetrics metrics = new RelayMetrics();
   private final ControlReplica replica;
   private final SeededReplicaSet replicaSet;
@@ -112,6 +114,7 @@
         new FollowServer(
             () -> appliedDocument,
             registry,
+            quarantine,
             replicaSet::addresses,
             System::nanoTime,
             settings.zone());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayPeers.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayPeers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -68,19 +69,27 @@
     return PeerServer.start(address, services, proof, tls, eventLoop);
   }
 
+  /** Runs an action once on the control executor; ignores it after {@link #close}. */
+  void execute(Runnable action) {
+    try {
+      controlExecutor.execute(() -> runLogged(action));
+    } catch (RejectedExecutionException e) {
+      LOG.debug("this daemon is closed; a control task is ignored", e);
+    }
+  }
+
+  private static void runLogged(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.error("a control task failed", e);
+    }
+  }
+
   /** Runs an action repeatedly on the control executor; logs an exception and continues. */
   void scheduleRepeatedly(long delayMillis, Runnable action) {
     controlExecutor.scheduleWithFixedDelay(
-        () -> {
-          try {
-            action.run();
-          } catch (RuntimeException e) {
-            LOG.error("a control task failed; it runs again after its delay", e);
-          }
-        },
-        delayMillis,
-        delayMillis,
-        TimeUnit.MILLISECONDS);
+        () -> runLogged(action), delayMillis, delayMillis, TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -96,6 +96,7 @@
   private final XnioWorker worker;
   private final List<CallerListener> listeners = new ArrayList<>();
   private final AtomicBoolean draining = new AtomicBoolean();
+  private final AtomicBoolean strikeReportPending = new AtomicBoolean();
 
   /** Starts a router and its listeners. */
   public GatewayRouter(GatewaySettings settings, RouterSettings router) throws IOException {
@@ -140,6 +141,7 @@
     this.handler = new GatewayHandler(context);
     startServers(buffers);
     new IoLagMonitor(ioLag, System::nanoTime).start(worker);
+    state.quarantine().onStrike(this::reportStrikes);
     loadConfirmedDocument();
     peers.controlExecutor().execute(follower::step);
     peers.scheduleRepeatedly(REPORT_MILLIS, follower::step);
@@ -150,6 +152,17 @@
     LOG.info("started: router {} for callers at {}", settings.name(), router.callerAddress());
   }
 
+  /** Reports strikes at once rather than with the next periodic report. */
+  private void reportStrikes() {
+    if (strikeReportPending.compareAndSet(false, true)) {
+      peers.execute(
+          () -> {
+            strikeReportPending.set(false);
+            follower.step();
+          });
+    }
+  }
+
   private void registerGauges() {
     metrics.registerGauge(
         "toucansaddle_gateway_io_lag_seconds",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
@@ -51,12 +52,13 @@
   private volatile long documentChangedAtNanos;
   private volatile StoredDocumentMessage lastEncoded = StoredDocumentMessage.getDefaultInstance();
   private final Set<Follower> followers = ConcurrentHashMap.newKeySet();
-  private final RecentStrikes strikes;
+  private final RequestQuarantine quarantine;
 
   /**
    * Creates a server without followers.
    *
    * @param document supplies the document in force
+   * @param quarantine strikes of all routers
    * @param controlAddresses supplies the peer addresses of the control daemons
    * @param clock supplies nanoseconds of a monotonic clock
    * @param zone availability zone of this daemon
@@ -64,6 +66,7 @@
   public FollowServer(
       Supplier<StoredDocument> document,
       UpstreamRegistry registry,
+      RequestQuarantine quarantine,
       Supplier<List<String>> controlAddresses,
       LongSupplier clock,
       String zone) {
@@ -72,7 +75,7 @@
     this.registry = registry;
     this.controlAddresses = controlAddresses;
     this.clock = clock;
-    this.strikes = new RecentStrikes(clock);
+    this.quarantine = quarantine;
   }
 
   /** Accepts a router's update stream and returns the observer of its reports. */
@@ -191,7 +194,7 @@
       synchronized (this) {
         routerVersion = Math.max(routerVersion, report.getDocumentVersion());
       }
-      boolean strikesAdded = strikes.add(report.getStrikesList());
+      boolean strikesAdded = quarantine.merge(report.getStrikesList());
       if (strikesAdded) {
         LOG.info("strikes: {} reported by router {}", report.getStrikesCount(), report.getRouter());
       }
@@ -228,7 +231,7 @@
       boolean changed =
           isDocumentDue(current)
               || registry.lastChange() > lastSentChange
-              || strikes.lastSequence() > lastSentStrike;
+              || quarantine.lastQuarantineChange() > lastSentStrike;
       if (changed || !initialUpdateSent) {
         send(FleetUpdate.newBuilder(), current);
       }
@@ -268,8 +271,8 @@
       long change = registry.lastChange();
       registry.changedAfter(lastSentChange).forEach(entry -> update.addUpstreams(encode(entry)));
       lastSentChange = change;
-      long strike = strikes.lastSequence();
-      update.addAllStrikes(strikes.after(lastSentStrike));
+      long strike = quarantine.lastChange();
+      update.addAllStrikes(quarantine.quarantinedAfter(lastSentStrike));
       lastSentStrike = strike;
       initialUpdateSent = true;
       updates.onNext(update.build());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.peer.PeerClients;
 import org.toucansaddle.protocol.GatewayMethods;
 import org.toucansaddle.protocol.generated.FleetUpdate;
@@ -67,7 +68,7 @@
       dropStream();
       clients.reconnect(address);
     } else if (current.hasUpdate) {
-      current.reports.onNext(report.clone().setRouter(self).build());
+      current.send(report.clone());
     }
   }
 
@@ -77,7 +78,7 @@
     current = stream;
     stream.reports = clients.openStream(address, GatewayMethods.FOLLOW, stream);
     if (current == stream) {
-      stream.reports.onNext(report.clone().setRouter(self).setFirst(true).build());
+      stream.send(report.clone().setFirst(true));
     }
   }
 
@@ -109,11 +110,21 @@
     private StreamObserver<FollowerReport> reports;
     private volatile long lastUpdateAt;
     private volatile boolean hasUpdate;
+    private long lastSentStrike;
 
     UpdateStream(long openedAtNanos) {
       this.lastUpdateAt = openedAtNanos;
     }
 
+    /** Sends a report with the strikes that were not sent on this stream. */
+    private void send(FollowerReport.Builder report) {
+      RequestQuarantine quarantine = state.quarantine();
+      long strike = quarantine.lastChange();
+      report.addAllStrikes(quarantine.strikesAfter(lastSentStrike));
+      lastSentStrike = strike;
+      reports.onNext(report.setRouter(self).build());
+    }
+
     @Override
     public void onNext(FleetUpdate update) {
       lastUpdateAt = clock.getAsLong();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -17,6 +17,7 @@
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentCodec;
+import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
@@ -170,6 +171,7 @@
     if (update.hasDocument()) {
       applyIfNewer(DocumentCodec.decode(update.getDocument()));
     }
+    quarantine.merge(update.getStrikesList());
     for (UpstreamMessage message : update.getUpstreamsList()) {
       long reportedAt = now - TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis());
       UpstreamReport report = decode(message);
@@ -185,7 +187,6 @@
             source);
       }
     }
-    quarantine.merge(update.getStrikesList());
     if (update.getComplete()) {
       upstreamsCompleteAt = now;
     }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -1,4 +1,4 @@
-package org.toucansaddle.daemon.internal.gateway.routing;
+package org.toucansaddle.daemon.internal.gateway.quarantine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -30,7 +30,7 @@
     remote.recordStrike(DIGEST, "u3");
     assertThat(local.isQuarantined(DIGEST)).isFalse();
 
-    local.merge(remote.strikesToReport());
+    local.merge(remote.strikesAfter(0));
     assertThat(local.isQuarantined(DIGEST)).isTrue();
   }
 
@@ -38,7 +38,7 @@
   public void shouldCountAnUpstreamOnceWhenItsStrikeIsReportedRepeatedly() {
     for (int i = 0; i < 5; i++) {
       local.recordStrike(DIGEST, "u1");
-      remote.merge(local.strikesToReport());
+      remote.merge(local.strikesAfter(0));
     }
     assertThat(remote.isQuarantined(DIGEST)).isFalse();
   }
