Clear the strikes of a request by success only, and at all daemons

What callers would see: a router that refuses a request because it crashes upstreams sends it on again after an equal one in flight got the upstream's own 500; and, once strikes are shared, a request that was merely running when three upstreams crashed is refused by all routers although one of them has just served it.

Cause: the end of any complete response cleared the strikes, also of a failure, and only at the router that got it. Control daemons and other routers kept the strikes of a request that succeeded.

Why this works: a success proves that the request does not crash upstreams, so it clears the strikes at the router, which reports it; control daemons clear theirs and tell the others. To notice a success, a router must know the strikes: control daemons now send them from two strikes on. Successes are not repeated on a new stream, since strikes may have followed; one that is lost leaves strikes until they expire.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -194,6 +194,7 @@
       synchronized (this) {
         routerVersion = Math.max(routerVersion, report.getDocumentVersion());
       }
+      quarantine.mergeSuccesses(report.getSuccessesList());
       boolean strikesAdded = quarantine.merge(report.getStrikesList());
       if (strikesAdded) {
         LOG.info("strikes: {} reported by router {}", report.getStrikesCount(), report.getRouter());
@@ -231,7 +232,7 @@
       boolean changed =
           isDocumentDue(current)
               || registry.lastChange() > lastSentChange
-              || quarantine.lastQuarantineChange() > lastSentStrike;
+              || quarantine.lastSpreadChange() > lastSentStrike;
       if (changed || !initialUpdateSent) {
         send(FleetUpdate.newBuilder(), current);
       }
@@ -272,7 +273,10 @@
       registry.changedAfter(lastSentChange).forEach(entry -> update.addUpstreams(encode(entry)));
       lastSentChange = change;
       long strike = quarantine.lastChange();
-      update.addAllStrikes(quarantine.quarantinedAfter(lastSentStrike));
+      update.addAllStrikes(quarantine.spreadStrikesAfter(lastSentStrike));
+      if (initialUpdateSent) {
+        update.addAllSuccesses(quarantine.successesAfter(lastSentStrike));
+      }
       lastSentStrike = strike;
       initialUpdateSent = true;
       updates.onNext(update.build());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -14,12 +14,13 @@
  * Quarantines requests that crash upstreams, by content digest and across all routers.
  *
  * <p>A strike is an upstream that crashed while it ran a request. A request with strikes from
- * several upstreams is refused for some time. A request that completes loses its strikes at this
- * router.
+ * several upstreams is refused for some time. A request that succeeds loses its strikes at all
+ * daemons.
  *
- * <p>Routers and control daemons hold one each and exchange strikes: routers report all of them,
- * control daemons send those of quarantined requests to all routers. Each new strike gets the next
- * change number, so that a peer is sent what it has not received. Thread-safe.
+ * <p>Routers and control daemons hold one each and exchange strikes and successes: routers report
+ * all of them, control daemons send those of requests near the limit to all routers. Each new
+ * strike or success gets the next change number, so that a peer is sent what it has not received.
+ * Thread-safe.
  */
 public final class RequestQuarantine {
 
@@ -28,10 +29,14 @@
   /** Crashed upstreams from which a request is refused; three are unlikely to be a coincidence. */
   private static final int STRIKE_LIMIT = 3;
 
+  /** Strikes from which all routers know them, to notice when the request succeeds. */
+  private static final int SPREAD_LIMIT = 2;
+
   /** Time after which a strike expires. */
   private static final long STRIKE_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   private static final int MAX_DIGESTS = 5_000;
+  private static final int MAX_SUCCESSES = 1_000;
 
   /** Strikes of one digest. */
   private static final class Entry {
@@ -42,15 +47,25 @@
       timesByUpstream.values().removeIf(at -> now - at > STRIKE_EXPIRY_NANOS);
     }
 
-    private boolean isAtLimit() {
-      return timesByUpstream.size() >= STRIKE_LIMIT;
+    private boolean hasStrikes(int count) {
+      return timesByUpstream.size() >= count;
     }
   }
 
   private final LongSupplier clock;
   private final Map<Long, Entry> entries = new LinkedHashMap<>();
+
+  /** Change number of each digest whose strikes were cleared, oldest first. */
+  private final Map<Long, Long> successes =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+          return size() > MAX_SUCCESSES;
+        }
+      };
+
   private long lastChange;
-  private long lastQuarantineChange;
+  private long lastSpreadChange;
   private volatile Runnable strikeListener = () -> {};
 
   /** Creates an empty quarantine; {@code clock} returns nanoseconds. */
@@ -98,8 +113,10 @@
     }
     entry.timesByUpstream.put(strike.getUpstream(), struckAt);
     entry.change = ++lastChange;
-    if (entry.isAtLimit()) {
-      lastQuarantineChange = lastChange;
+    if (entry.hasStrikes(SPREAD_LIMIT)) {
+      lastSpreadChange = lastChange;
+    }
+    if (entry.hasStrikes(STRIKE_LIMIT)) {
       LOG.info(
           "quarantine digest={} upstreams={}",
           Long.toHexString(strike.getDigest()),
@@ -113,13 +130,19 @@
     entries.values().removeIf(entry -> entry.timesByUpstream.isEmpty());
   }
 
-  /** Removes the strikes of a request that completed. */
-  public synchronized void clear(long digest) {
-    if (!entries.isEmpty()) {
-      entries.remove(digest);
+  /** Clears the strikes of a request that succeeded; other daemons clear them as well. */
+  public synchronized void recordSuccess(long digest) {
+    if (!entries.isEmpty() && entries.remove(digest) != null) {
+      successes.remove(digest);
+      successes.put(digest, ++lastChange);
     }
   }
 
+  /** Clears the strikes of requests whose success another daemon reported. */
+  public void mergeSuccesses(List<Long> digests) {
+    digests.forEach(this::recordSuccess);
+  }
+
   /** Returns whether a request is to be refused. */
   public synchronized boolean isQuarantined(long digest) {
     return strikeCount(digest) >= STRIKE_LIMIT;
@@ -138,7 +161,7 @@
   /** Returns the number of digests that are refused. */
   public synchronized int quarantinedCount() {
     evictExpired(clock.getAsLong());
-    return (int) entries.values().stream().filter(Entry::isAtLimit).count();
+    return (int) entries.values().stream().filter(entry -> entry.hasStrikes(STRIKE_LIMIT)).count();
   }
 
   /** Returns the number of the last change; 0 before the first one. */
@@ -146,9 +169,9 @@
     return lastChange;
   }
 
-  /** Returns the number of the last change of a quarantined request; 0 before the first one. */
-  public synchronized long lastQuarantineChange() {
-    return lastQuarantineChange;
+  /** Returns the number of the last strike that all routers are to know; 0 before the first one. */
+  public synchronized long lastSpreadChange() {
+    return lastSpreadChange;
   }
 
   /** Returns all strikes of the digests that changed after the given change. */
@@ -156,9 +179,20 @@
     return encode(change, 0);
   }
 
-  /** Returns all strikes of the quarantined digests that changed after the given change. */
-  public synchronized List<DigestStrike> quarantinedAfter(long change) {
-    return encode(change, STRIKE_LIMIT);
+  /** Returns those of {@link #strikesAfter} that all routers are to know. */
+  public synchronized List<DigestStrike> spreadStrikesAfter(long change) {
+    return encode(change, SPREAD_LIMIT);
+  }
+
+  /** Returns the digests whose strikes were cleared after the given change. */
+  public synchronized List<Long> successesAfter(long change) {
+    if (change >= lastChange) {
+      return List.of();
+    }
+    return successes.entrySet().stream()
+        .filter(success -> success.getValue() > change)
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   private List<DigestStrike> encode(long change, int minStrikes) {
@@ -169,7 +203,7 @@
     List<DigestStrike> encoded = new ArrayList<>();
     entries.forEach(
         (digest, entry) -> {
-          if (entry.change > change && entry.timesByUpstream.size() >= minStrikes) {
+          if (entry.change > change && entry.hasStrikes(minStrikes)) {
             entry.timesByUpstream.forEach(
                 (upstream, struckAt) -> encoded.add(strike(digest, upstream, now - struckAt)));
           }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -488,7 +488,9 @@
   void onResponseComplete() {
     currentAttempt = null;
     context.metrics().recordAttempt("whole");
-    context.state().quarantine().clear(requestDigest);
+    if (CallAttempt.isSuccess(exchange.getStatusCode())) {
+      context.state().quarantine().recordSuccess(requestDigest);
+    }
     if (eventSplitter != null && eventSplitter.hasPartialEvent()) {
       response.write(ByteBuffer.wrap(eventSplitter.drainPartialEvent()));
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
@@ -121,6 +121,9 @@
       RequestQuarantine quarantine = state.quarantine();
       long strike = quarantine.lastChange();
       report.addAllStrikes(quarantine.strikesAfter(lastSentStrike));
+      if (!report.getFirst()) {
+        report.addAllSuccesses(quarantine.successesAfter(lastSentStrike));
+      }
       lastSentStrike = strike;
       reports.onNext(report.setRouter(self).build());
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -171,6 +171,7 @@
     if (update.hasDocument()) {
       applyIfNewer(DocumentCodec.decode(update.getDocument()));
     }
+    quarantine.mergeSuccesses(update.getSuccessesList());
     quarantine.merge(update.getStrikesList());
     for (UpstreamMessage message : update.getUpstreamsList()) {
       long reportedAt = now - TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis());
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -44,14 +44,39 @@
   }
 
   @Test
-  public void shouldRemoveTheStrikesOfACompletedRequest() {
+  public void shouldRemoveTheStrikesOfARequestThatSucceeded() {
     local.recordStrike(DIGEST, "u1");
     local.recordStrike(DIGEST, "u2");
-    local.clear(DIGEST);
+    local.recordSuccess(DIGEST);
     local.recordStrike(DIGEST, "u3");
     assertThat(local.isQuarantined(DIGEST)).isFalse();
   }
 
+  @Test
+  public void shouldRemoveTheStrikesOfARequestThatSucceededAtAnotherRouter() {
+    local.recordStrike(DIGEST, "u1");
+    local.recordStrike(DIGEST, "u2");
+    remote.merge(local.spreadStrikesAfter(0));
+    long change = remote.lastChange();
+    remote.recordSuccess(DIGEST);
+    local.mergeSuccesses(remote.successesAfter(change));
+    assertThat(local.strikeCount(DIGEST)).isZero();
+  }
+
+  @Test
+  public void shouldReportNoSuccessOfARequestWithoutStrikes() {
+    local.recordSuccess(DIGEST);
+    assertThat(local.successesAfter(0)).isEmpty();
+  }
+
+  @Test
+  public void shouldSpreadOnlyStrikesNearTheLimit() {
+    local.recordStrike(DIGEST, "u1");
+    assertThat(local.spreadStrikesAfter(0)).isEmpty();
+    local.recordStrike(DIGEST, "u2");
+    assertThat(local.spreadStrikesAfter(0)).hasSize(2);
+  }
+
   @Test
   public void shouldEndTheQuarantineWhenTheStrikesExpire() {
     local.recordStrike(DIGEST, "u1");
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -3,9 +3,12 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -36,8 +39,9 @@
   private final Restart restart;
   private final List<CrashingUpstream> upstreams = new ArrayList<>();
   private final AtomicInteger crashes = new AtomicInteger();
-  private final AtomicInteger failures = new AtomicInteger();
+  private final Queue<HttpServerExchange> heldRequests = new ConcurrentLinkedQueue<>();
   private final AtomicLong sequence = new AtomicLong();
+  private volatile boolean holding;
   private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
 
   CrashingUpstreams(LocalGateway gateway, int count, Restart restart) {
@@ -54,14 +58,22 @@
     return crashes.get();
   }
 
-  /** Returns how often an upstream answered a request with a failure of its own. */
-  int failures() {
-    return failures.get();
+  /** Sets whether a request that would crash an upstream is held instead. */
+  void setHolding(boolean value) {
+    holding = value;
   }
 
-  /** Makes all upstreams answer with status 500 instead of crashing, or crash again. */
-  void setFailing(boolean failing) {
-    upstreams.forEach(upstream -> upstream.failing = failing);
+  /** Returns the number of held requests. */
+  int heldRequests() {
+    return heldRequests.size();
+  }
+
+  /** Answers the held requests with a status. */
+  void answerHeldRequests(int status) {
+    for (HttpServerExchange held = heldRequests.poll(); held != null; held = heldRequests.poll()) {
+      HttpServerExchange exchange = held;
+      exchange.getIoThread().execute(() -> answer(exchange, status));
+    }
   }
 
   private void report() {
@@ -82,7 +94,6 @@
     private final String name;
     private final AtomicInteger starts = new AtomicInteger(1);
     private final Undertow server;
-    private volatile boolean failing;
 
     CrashingUpstream(String name) {
       this.name = name;
@@ -115,22 +126,21 @@
         exchange.setStatusCode(421);
       } else if (!exchange.getRequestURI().endsWith("/crash")) {
         answer(exchange, 200);
-      } else if (failing) {
-        failures.incrementAndGet();
-        answer(exchange, 500);
+      } else if (holding) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> heldRequests.add(exchange));
       } else if (starts.compareAndSet(start, start + 1)) {
         crashes.incrementAndGet();
         IoUtils.safeClose(exchange.getConnection());
         reports.execute(CrashingUpstreams.this::report);
       }
     }
+  }
 
-    private void answer(HttpServerExchange exchange, int status) {
-      exchange.setStatusCode(status);
-      exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
-      String requestId = exchange.getRequestHeaders().getFirst("X-Request-Id");
-      exchange.getResponseHeaders().put(new HttpString("X-Request-Id"), requestId);
-      exchange.getResponseSender().send(name);
-    }
+  private static void answer(HttpServerExchange exchange, int status) {
+    exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
+    String requestId = exchange.getRequestHeaders().getFirst("X-Request-Id");
+    exchange.getResponseHeaders().put(new HttpString("X-Request-Id"), requestId);
+    exchange.getResponseSender().send("answer");
   }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
@@ -4,6 +4,7 @@
 
 import io.undertow.util.Headers;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -44,27 +45,31 @@
   }
 
   private HttpResponse send(int router, String path) {
+    return sendAsync(router, path).join();
+  }
+
+  private CompletableFuture<HttpResponse> sendAsync(int router, String path) {
     HttpRequest request =
         HttpRequest.post(gateway.callerAddress(router), path, "same body")
             .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
             .withHeader("X-Request-Id", "r" + path.hashCode())
             .withHeader("X-Api-Key", LocalGateway.API_KEY);
-    return client.send(request, TIMEOUT).join();
+    return client.send(request, TIMEOUT);
   }
 
   /** Sends the crashing request to one router after the other until it crashed three upstreams. */
-  private void crashThreeUpstreams() throws InterruptedException {
+  private void crashThreeUpstreams(String path) throws InterruptedException {
     for (int router = 0; upstreams.crashes() < 3; router = 1 - router) {
-      send(router, "/repeatable/crash");
+      send(router, path);
     }
     Thread.sleep(SPREAD_MILLIS);
   }
 
   /** Sends the crashing request to all routers and checks that it is refused everywhere. */
-  private void assertQuarantinedEverywhere() {
+  private void assertQuarantinedEverywhere(String path) {
     int crashes = upstreams.crashes();
     for (int i = 0; i < 6; i++) {
-      HttpResponse response = send(i % 2, "/repeatable/crash");
+      HttpResponse response = send(i % 2, path);
       assertThat(upstreams.crashes()).as("crashes, request %s", i).isEqualTo(crashes);
       assertThat(response.status()).as(response.text()).isEqualTo(503);
       assertThat(response.text()).contains("quarantined");
@@ -75,8 +80,43 @@
   @Test
   public void shouldRefuseRequestAtEveryRouterAfterItCrashedThreeUpstreams() throws Exception {
     startUpstreams(Restart.NEW_ID);
-    crashThreeUpstreams();
-    assertQuarantinedEverywhere();
+    crashThreeUpstreams("/repeatable/crash");
+    assertQuarantinedEverywhere("/repeatable/crash");
     assertThat(send(0, "/repeatable/x").status()).isEqualTo(200);
   }
+
+  /**
+   * Guards against an upstream's own failure that ends the quarantine at the router that got it.
+   */
+  @Test
+  public void shouldStayInQuarantineWhenEqualRequestInFlightFails() throws Exception {
+    startUpstreams(Restart.NEW_ID);
+    upstreams.setHolding(true);
+    CompletableFuture<HttpResponse> inFlight = sendAsync(0, "/once/crash");
+    LocalGateway.await(() -> upstreams.heldRequests() == 1);
+    upstreams.setHolding(false);
+    crashThreeUpstreams("/once/crash");
+    upstreams.answerHeldRequests(500);
+    assertThat(inFlight.join().status()).isEqualTo(500);
+    assertQuarantinedEverywhere("/once/crash");
+  }
+
+  /** Guards against strikes that outlive the proof that a request does not crash upstreams. */
+  @Test
+  public void shouldForgetStrikesAtEveryRouterWhenEqualRequestInFlightSucceeds() throws Exception {
+    startUpstreams(Restart.NEW_ID);
+    upstreams.setHolding(true);
+    CompletableFuture<HttpResponse> inFlight = sendAsync(0, "/once/crash");
+    LocalGateway.await(() -> upstreams.heldRequests() == 1);
+    upstreams.setHolding(false);
+    crashThreeUpstreams("/once/crash");
+    upstreams.answerHeldRequests(200);
+    assertThat(inFlight.join().status()).isEqualTo(200);
+    Thread.sleep(SPREAD_MILLIS);
+    upstreams.setHolding(true);
+    CompletableFuture<HttpResponse> repeat = sendAsync(1, "/once/crash");
+    LocalGateway.await(() -> upstreams.heldRequests() == 1);
+    upstreams.answerHeldRequests(200);
+    assertThat(repeat.join().status()).isEqualTo(200);
+  }
 }
