Count each crash of an upstream that starts again under its id

What callers would see: with two upstreams that come back under their ids, as PROTOCOL.md allows, a request that crashes them is sent on for ever: two ids never make three strikes.

Cause: a strike was counted once for each id.

Why this works: a strike names the incarnation, id and start. An upstream that only closes connections still counts once.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -219,7 +219,7 @@
     if (!responseAccepted) {
       upstream.markUnreachable(context.nowNanos());
     }
-    call.recordStrike(upstream.id());
+    call.recordStrike(upstream.incarnation());
     fail("broken", cause);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -99,14 +98,7 @@
     this.startNanos = startNanos;
     this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis(route));
     this.service = WeightedService.draw(route.services(), ThreadLocalRandom.current());
-    this.requestDigest =
-        Hashing.komihash5_0()
-            .hashStream()
-            .putString(head.host())
-            .putString(head.path())
-            .putString(account)
-            .putByteArray(body)
-            .getAsLong();
+    this.requestDigest = RequestDigest.of(head, account, body);
     this.response = new CallerResponse(exchange, this::resumeAttempt, this::onCallerDisconnected);
     this.eventSplitter = route.isStream() && route.resumable() ? new EventSplitter() : null;
   }
@@ -395,9 +387,11 @@
         && hasAttemptsLeft();
   }
 
-  /** Records that an upstream's connection broke while it had the request. */
-  void recordStrike(String upstream) {
-    context.state().quarantine().recordStrike(requestDigest, upstream);
+  /**
+   * Records that the connection to an incarnation of an upstream broke while it had the request.
+   */
+  void recordStrike(String incarnation) {
+    context.state().quarantine().recordStrike(requestDigest, incarnation);
   }
 
   /** Retries a request that an upstream reported as not executed. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -53,6 +53,11 @@
     return startedAtMillis;
   }
 
+  /** Returns a name of this incarnation; an upstream may start again under its id. */
+  public String incarnation() {
+    return id + "@" + startedAtMillis;
+  }
+
   /** Returns the last report of the upstream. */
   public UpstreamReport report() {
     return report;
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
@@ -38,8 +38,8 @@
     gateway.close();
   }
 
-  private void startUpstreams(Restart restart) throws InterruptedException {
-    upstreams = new CrashingUpstreams(gateway, 3, restart);
+  private void startUpstreams(int count, Restart restart) throws InterruptedException {
+    upstreams = new CrashingUpstreams(gateway, count, restart);
     LocalGateway.await(() -> send(0, "/once/x").status() == 200);
     LocalGateway.await(() -> send(1, "/once/x").status() == 200);
   }
@@ -79,18 +79,26 @@
   /** Guards against routers that refuse a request only after they saw three crashes themselves. */
   @Test
   public void shouldRefuseRequestAtEveryRouterAfterItCrashedThreeUpstreams() throws Exception {
-    startUpstreams(Restart.NEW_ID);
+    startUpstreams(3, Restart.NEW_ID);
     crashThreeUpstreams("/repeatable/crash");
     assertQuarantinedEverywhere("/repeatable/crash");
     assertThat(send(0, "/repeatable/x").status()).isEqualTo(200);
   }
 
+  /** Guards against counting an upstream once that starts again under its id after each crash. */
+  @Test
+  public void shouldCountEachCrashOfUpstreamThatStartsAgainUnderItsId() throws Exception {
+    startUpstreams(2, Restart.SAME_ID);
+    crashThreeUpstreams("/once/crash");
+    assertQuarantinedEverywhere("/once/crash");
+  }
+
   /**
    * Guards against an upstream's own failure that ends the quarantine at the router that got it.
    */
   @Test
   public void shouldStayInQuarantineWhenEqualRequestInFlightFails() throws Exception {
-    startUpstreams(Restart.NEW_ID);
+    startUpstreams(3, Restart.NEW_ID);
     upstreams.setHolding(true);
     CompletableFuture<HttpResponse> inFlight = sendAsync(0, "/once/crash");
     LocalGateway.await(() -> upstreams.heldRequests() == 1);
@@ -104,7 +112,7 @@
   /** Guards against strikes that outlive the proof that a request does not crash upstreams. */
   @Test
   public void shouldForgetStrikesAtEveryRouterWhenEqualRequestInFlightSucceeds() throws Exception {
-    startUpstreams(Restart.NEW_ID);
+    startUpstreams(3, Restart.NEW_ID);
     upstreams.setHolding(true);
     CompletableFuture<HttpResponse> inFlight = sendAsync(0, "/once/crash");
     LocalGateway.await(() -> upstreams.heldRequests() == 1);
