Remember strikes for an hour and keep them apart from a flood of others

What callers would see: a request that crashes upstreams every 35 s is never refused, since each strike expired after 60 s; one that is refused is sent on three times more each minute; and after crashes of busy engines, which leave a strike for each running request, the table of 5,000 digests was full, so that no new strike counted for a minute.

Cause: one expiry for single strikes and for the quarantine, and a limit that dropped what came last.

Evidence: five of the tests in RequestQuarantineTest failed before (rare request not refused; third one renewed by one crash; the 20,999th digest had no strike; strikes passed on after 6 minutes not accepted) and pass now.

shouldEndTheQuarantineWhenTheStrikesExpire asked for an end within 61 s. It is replaced by shouldEndTheQuarantineTenMinutesAfterTheLastStrike, which checks both sides of the new bound.

Why this works: the quarantine ends ten minutes after the last strike; the strikes stay for an hour, so one crash renews it. A request that was refused by coincidence gets its second chance after ten minutes. Requests below the limit are bounded apart from those at it, and the oldest give way.

--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
@@ -0,0 +1,76 @@
+package org.toucansaddle.daemon.internal.gateway.quarantine;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/**
+ * Strikes of the requests with one digest: the incarnations of upstreams that crashed while they
+ * ran one, each with its time in nanoseconds.
+ *
+ * <p>The time of a strike never changes. Not thread-safe.
+ */
+final class DigestStrikes {
+
+  /** Crashed upstreams from which a request is refused; three are unlikely to be a coincidence. */
+  static final int LIMIT = 3;
+
+  /** Time after the last strike for which a request at the limit is refused. */
+  private static final long QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+  /**
+   * Time after the last strike until the strikes are forgotten. After the quarantine a single
+   * strike renews it.
+   */
+  private static final long RETENTION_NANOS = TimeUnit.HOURS.toNanos(1);
+
+  private final Map<String, Long> timesByUpstream = new LinkedHashMap<>();
+  private long lastStrikeAt;
+  private long change;
+
+  /** Returns whether a strike at the given time would be forgotten by now. */
+  static boolean isForgotten(long struckAt, long now) {
+    return now - struckAt > RETENTION_NANOS;
+  }
+
+  /** Adds a strike; returns whether it was unknown. */
+  boolean add(String upstream, long struckAt, long newChange) {
+    if (timesByUpstream.putIfAbsent(upstream, struckAt) != null) {
+      return false;
+    }
+    boolean isLatest = timesByUpstream.size() == 1 || struckAt - lastStrikeAt > 0;
+    lastStrikeAt = isLatest ? struckAt : lastStrikeAt;
+    change = newChange;
+    return true;
+  }
+
+  /** Returns the number of strikes. */
+  int count() {
+    return timesByUpstream.size();
+  }
+
+  /** Returns the number of the change that added the last strike. */
+  long change() {
+    return change;
+  }
+
+  /** Returns the crashed incarnations. */
+  Set<String> upstreams() {
+    return timesByUpstream.keySet();
+  }
+
+  boolean isForgotten(long now) {
+    return isForgotten(lastStrikeAt, now);
+  }
+
+  boolean isQuarantined(long now) {
+    return count() >= LIMIT && now - lastStrikeAt <= QUARANTINE_NANOS;
+  }
+
+  /** Passes each incarnation and the time of its strike to a consumer. */
+  void forEach(BiConsumer<String, Long> consumer) {
+    timesByUpstream.forEach(consumer);
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -1,10 +1,13 @@
 package org.toucansaddle.daemon.internal.gateway.quarantine;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,8 +17,8 @@
  * Quarantines requests that crash upstreams, by content digest and across all routers.
  *
  * <p>A strike is an upstream that crashed while it ran a request. A request with strikes from
- * several upstreams is refused for some time. A request that succeeds loses its strikes at all
- * daemons.
+ * several upstreams is refused for some time after the last one. A request that succeeds loses its
+ * strikes at all daemons.
  *
  * <p>Routers and control daemons hold one each and exchange strikes and successes: routers report
  * all of them, control daemons send those of requests near the limit to all routers. Each new
@@ -26,43 +29,28 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(RequestQuarantine.class);
 
-  /** Crashed upstreams from which a request is refused; three are unlikely to be a coincidence. */
-  private static final int STRIKE_LIMIT = 3;
-
   /** Strikes from which all routers know them, to notice when the request succeeds. */
   private static final int SPREAD_LIMIT = 2;
 
-  /** Time after which a strike expires. */
-  private static final long STRIKE_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(60);
+  /**
+   * Digests below the limit. A crash leaves a strike for each request that was running, so these
+   * are bounded apart from those at the limit.
+   */
+  private static final int MAX_SUSPECTS = 5_000;
 
-  private static final int MAX_DIGESTS = 5_000;
+  private static final int MAX_AT_LIMIT = 1_000;
   private static final int MAX_SUCCESSES = 1_000;
 
-  /** Strikes of one digest. */
-  private static final class Entry {
-    private final Map<String, Long> timesByUpstream = new LinkedHashMap<>();
-    private long change;
-
-    private void expire(long now) {
-      timesByUpstream.values().removeIf(at -> now - at > STRIKE_EXPIRY_NANOS);
-    }
+  private final LongSupplier clock;
 
-    private boolean hasStrikes(int count) {
-      return timesByUpstream.size() >= count;
-    }
-  }
+  /** Strikes below the limit, those with the latest strike last. */
+  private final Map<Long, DigestStrikes> suspects = new BoundedMap<>(MAX_SUSPECTS);
 
-  private final LongSupplier clock;
-  private final Map<Long, Entry> entries = new LinkedHashMap<>();
+  /** Strikes at the limit, those with the latest strike last. */
+  private final Map<Long, DigestStrikes> atLimit = new BoundedMap<>(MAX_AT_LIMIT);
 
-  /** Change number of each digest whose strikes were cleared, oldest first. */
-  private final Map<Long, Long> successes =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-          return size() > MAX_SUCCESSES;
-        }
-      };
+  /** Change number of each digest whose strikes were cleared, the latest last. */
+  private final Map<Long, Long> successes = new BoundedMap<>(MAX_SUCCESSES);
 
   private long lastChange;
   private long lastSpreadChange;
@@ -98,41 +86,51 @@
     return anyAdded;
   }
 
-  private boolean add(DigestStrike strike) {
+  private boolean add(DigestStrike reported) {
     long now = clock.getAsLong();
-    long struckAt = now - TimeUnit.MILLISECONDS.toNanos(strike.getAgeMillis());
-    evictExpired(now);
-    Entry entry = entries.get(strike.getDigest());
-    if (entry == null && entries.size() < MAX_DIGESTS) {
-      entry = new Entry();
-      entries.put(strike.getDigest(), entry);
+    long struckAt = now - TimeUnit.MILLISECONDS.toNanos(reported.getAgeMillis());
+    evictForgotten(suspects, now);
+    evictForgotten(atLimit, now);
+    if (DigestStrikes.isForgotten(struckAt, now)) {
+      return false;
     }
-    boolean expired = now - struckAt > STRIKE_EXPIRY_NANOS;
-    if (entry == null || expired || entry.timesByUpstream.containsKey(strike.getUpstream())) {
+    long digest = reported.getDigest();
+    DigestStrikes strikes = find(digest).orElseGet(DigestStrikes::new);
+    if (!strikes.add(reported.getUpstream(), struckAt, lastChange + 1)) {
       return false;
     }
-    entry.timesByUpstream.put(strike.getUpstream(), struckAt);
-    entry.change = ++lastChange;
-    if (entry.hasStrikes(SPREAD_LIMIT)) {
+    lastChange++;
+    remove(digest);
+    (strikes.count() < DigestStrikes.LIMIT ? suspects : atLimit).put(digest, strikes);
+    if (strikes.count() >= SPREAD_LIMIT) {
       lastSpreadChange = lastChange;
     }
-    if (entry.hasStrikes(STRIKE_LIMIT)) {
-      LOG.info(
-          "quarantine digest={} upstreams={}",
-          Long.toHexString(strike.getDigest()),
-          entry.timesByUpstream.keySet());
+    if (strikes.count() >= DigestStrikes.LIMIT) {
+      LOG.info("quarantine digest={} upstreams={}", Long.toHexString(digest), strikes.upstreams());
     }
     return true;
   }
 
-  private void evictExpired(long now) {
-    entries.values().forEach(entry -> entry.expire(now));
-    entries.values().removeIf(entry -> entry.timesByUpstream.isEmpty());
+  private static void evictForgotten(Map<Long, DigestStrikes> strikes, long now) {
+    Iterator<DigestStrikes> oldestFirst = strikes.values().iterator();
+    while (oldestFirst.hasNext() && oldestFirst.next().isForgotten(now)) {
+      oldestFirst.remove();
+    }
+  }
+
+  private Optional<DigestStrikes> find(long digest) {
+    DigestStrikes found = atLimit.get(digest);
+    return Optional.ofNullable(found == null ? suspects.get(digest) : found);
+  }
+
+  private boolean remove(long digest) {
+    boolean wasSuspect = suspects.remove(digest) != null;
+    return atLimit.remove(digest) != null || wasSuspect;
   }
 
   /** Clears the strikes of a request that succeeded; other daemons clear them as well. */
   public synchronized void recordSuccess(long digest) {
-    if (!entries.isEmpty() && entries.remove(digest) != null) {
+    if (remove(digest)) {
       successes.remove(digest);
       successes.put(digest, ++lastChange);
     }
@@ -145,23 +143,19 @@
 
   /** Returns whether a request is to be refused. */
   public synchronized boolean isQuarantined(long digest) {
-    return strikeCount(digest) >= STRIKE_LIMIT;
+    DigestStrikes strikes = atLimit.get(digest);
+    return strikes != null && strikes.isQuarantined(clock.getAsLong());
   }
 
   /** Returns the number of upstreams known to have crashed while they ran a request. */
   public synchronized int strikeCount(long digest) {
-    Entry entry = entries.get(digest);
-    if (entry == null) {
-      return 0;
-    }
-    entry.expire(clock.getAsLong());
-    return entry.timesByUpstream.size();
+    return find(digest).map(DigestStrikes::count).orElse(0);
   }
 
   /** Returns the number of digests that are refused. */
   public synchronized int quarantinedCount() {
-    evictExpired(clock.getAsLong());
-    return (int) entries.values().stream().filter(entry -> entry.hasStrikes(STRIKE_LIMIT)).count();
+    long now = clock.getAsLong();
+    return (int) atLimit.values().stream().filter(strikes -> strikes.isQuarantined(now)).count();
   }
 
   /** Returns the number of the last change; 0 before the first one. */
@@ -201,13 +195,14 @@
     }
     long now = clock.getAsLong();
     List<DigestStrike> encoded = new ArrayList<>();
-    entries.forEach(
-        (digest, entry) -> {
-          if (entry.change > change && entry.hasStrikes(minStrikes)) {
-            entry.timesByUpstream.forEach(
-                (upstream, struckAt) -> encoded.add(strike(digest, upstream, now - struckAt)));
+    BiConsumer<Long, DigestStrikes> encoder =
+        (digest, strikes) -> {
+          if (strikes.change() > change && strikes.count() >= minStrikes) {
+            strikes.forEach((name, at) -> encoded.add(strike(digest, name, now - at)));
           }
-        });
+        };
+    suspects.forEach(encoder);
+    atLimit.forEach(encoder);
     return encoded;
   }
 
@@ -218,4 +213,20 @@
         .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(ageNanos))
         .build();
   }
+
+  /** A map that evicts the entry that was added first when it exceeds its capacity. */
+  private static final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
+    private static final long serialVersionUID = 1;
+
+    private final int capacity;
+
+    BoundedMap(int capacity) {
+      this.capacity = capacity;
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+      return size() > capacity;
+    }
+  }
 }
