Keep the quarantine of requests across the loss of power of all daemons

Cause: the strikes were in the memory of routers and control daemons only.

The tests of one router that starts again, and of control daemons that lose their disks one after the other, passed before: a new stream carries all strikes, and routers tell control daemons what others taught them.

Why this works: each control daemon writes the strikes of requests at the limit, a few hundred bytes, within 200 ms to a file that is replaced as a whole, on a thread of its own, so that a slow or full disk delays nothing. With two disks lost the others have it. Replacing a file durably moves out of ReplicaIdentityFile, which does the same.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ReplicaIdentityFile.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/control/ReplicaIdentityFile.java
@@ -1,15 +1,13 @@
 package org.toucansaddle.daemon.internal.control;
 
 import java.io.IOException;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
 import org.toucansaddle.coordination.replication.ReplicaId;
 import org.toucansaddle.coordination.replication.StorageException;
+import org.toucansaddle.daemon.internal.DurableFile;
 
 /**
  * File in a replica's data folder that holds the replica's identity.
@@ -31,7 +29,7 @@
     try {
       Files.createDirectories(folder);
       if (!Files.exists(file)) {
-        create(folder, file, new SecureRandom().nextLong());
+        create(file, new SecureRandom().nextLong());
       }
       String text = Files.readString(file).trim();
       return new ReplicaId(name, Long.parseUnsignedLong(text, 16));
@@ -48,18 +46,7 @@
     }
   }
 
-  private static void create(Path folder, Path file, long folderId) throws IOException {
-    Path temporary = folder.resolve("identity.new");
-    byte[] text = Long.toHexString(folderId).getBytes(StandardCharsets.US_ASCII);
-    Files.write(temporary, text);
-    sync(temporary, StandardOpenOption.WRITE);
-    Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
-    sync(folder, StandardOpenOption.READ);
-  }
-
-  private static void sync(Path path, StandardOpenOption option) throws IOException {
-    try (FileChannel channel = FileChannel.open(path, option)) {
-      channel.force(true);
-    }
+  private static void create(Path file, long folderId) throws IOException {
+    DurableFile.replace(file, Long.toHexString(folderId).getBytes(StandardCharsets.US_ASCII));
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -25,6 +25,7 @@
 import org.toucansaddle.daemon.internal.gateway.control.FollowServer;
 import org.toucansaddle.daemon.internal.gateway.control.SeededReplicaSet;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamRegistry;
+import org.toucansaddle.daemon.internal.gateway.quarantine.QuarantineStore;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
 import org.toucansaddle.daemon.internal.peer.PeerIdentity;
@@ -68,6 +69,7 @@
   private final ControlReplica replica;
   private final SeededReplicaSet replicaSet;
   private final DocumentStore store;
+  private final QuarantineStore quarantineStore;
   private final FollowServer followers;
   private final PeerServer server;
   private volatile StoredDocument appliedDocument = StoredDocument.none();
@@ -110,6 +112,8 @@
             peers.clients(),
             replicaSet::addresses,
             peers.controlExecutor());
+    this.quarantineStore =
+        QuarantineStore.open(control.dataFolder().resolve("quarantine"), quarantine);
     this.followers =
         new FollowServer(
             () -> appliedDocument,
@@ -238,6 +242,7 @@
   public void close() {
     server.close();
     replica.close();
+    quarantineStore.close();
     peers.close();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -54,6 +54,7 @@
 
   private long lastChange;
   private long lastSpreadChange;
+  private long lastLimitChange;
   private volatile Runnable strikeListener = () -> {};
 
   /** Creates an empty quarantine; {@code clock} returns nanoseconds. */
@@ -106,6 +107,7 @@
       lastSpreadChange = lastChange;
     }
     if (strikes.count() >= DigestStrikes.LIMIT) {
+      lastLimitChange = lastChange;
       LOG.info("quarantine digest={} upstreams={}", Long.toHexString(digest), strikes.upstreams());
     }
     return true;
@@ -130,9 +132,11 @@
 
   /** Clears the strikes of a request that succeeded; other daemons clear them as well. */
   public synchronized void recordSuccess(long digest) {
+    boolean wasAtLimit = atLimit.containsKey(digest);
     if (remove(digest)) {
       successes.remove(digest);
       successes.put(digest, ++lastChange);
+      lastLimitChange = wasAtLimit ? lastChange : lastLimitChange;
     }
   }
 
@@ -168,6 +172,16 @@
     return lastSpreadChange;
   }
 
+  /** Returns the number of the last change of a request at the limit; 0 before the first one. */
+  public synchronized long lastLimitChange() {
+    return lastLimitChange;
+  }
+
+  /** Returns all strikes of the digests at the limit. */
+  synchronized List<DigestStrike> strikesAtLimit() {
+    return encode(0, DigestStrikes.LIMIT);
+  }
+
   /** Returns all strikes of the digests that changed after the given change. */
   public synchronized List<DigestStrike> strikesAfter(long change) {
     return encode(change, 0);
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -73,6 +73,7 @@
       controls.add(startControl(index, true));
     }
     for (int index = 0; index < ROUTER_COUNT; index++) {
+      callerAddresses.add(allocateAddress());
       routers.add(startRouter(index));
     }
   }
@@ -96,11 +97,9 @@
   }
 
   private RouterGateway startRouter(int index) throws IOException {
-    String callerAddress = allocateAddress();
-    callerAddresses.add(callerAddress);
     return RouterGateway.start(
         settings("router" + index, allocateAddress()),
-        routerSettings(callerAddress, MAX_DESCRIPTORS));
+        routerSettings(callerAddresses.get(index), MAX_DESCRIPTORS));
   }
 
   /** Returns an unused address on loopback. */
@@ -227,6 +226,20 @@
     }
   }
 
+  /** Stops all control daemons and starts them again with their disks. */
+  void restartControls() throws IOException {
+    controls.forEach(ControlGateway::close);
+    for (int index = 0; index < CONTROL_COUNT; index++) {
+      controls.set(index, startControl(index, false));
+    }
+  }
+
+  /** Stops a router and starts it again at the same address for callers. */
+  void restartRouter(int index) throws IOException {
+    routers.get(index).close();
+    routers.set(index, startRouter(index));
+  }
+
   String callerAddress(int router) {
     return callerAddresses.get(router);
   }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
@@ -127,4 +127,44 @@
     upstreams.answerHeldRequests(200);
     assertThat(repeat.join().status()).isEqualTo(200);
   }
+
+  /** Guards against a quarantine that only running daemons remember: all of them lose power. */
+  @Test
+  public void shouldStayInQuarantineWhenAllDaemonsStartAgain() throws Exception {
+    startUpstreams(3, Restart.NEW_ID);
+    crashThreeUpstreams("/repeatable/crash");
+    gateway.restartControls();
+    gateway.restartRouter(0);
+    gateway.restartRouter(1);
+    LocalGateway.await(() -> send(0, "/once/x").status() == 200);
+    LocalGateway.await(() -> send(1, "/once/x").status() == 200);
+    assertQuarantinedEverywhere("/repeatable/crash");
+  }
+
+  /** Guards against a router that starts again and has forgotten the quarantine. */
+  @Test
+  public void shouldStayInQuarantineAtRouterThatStartsAgain() throws Exception {
+    startUpstreams(3, Restart.NEW_ID);
+    crashThreeUpstreams("/repeatable/crash");
+    gateway.restartRouter(0);
+    LocalGateway.await(() -> send(0, "/once/x").status() == 200);
+    assertQuarantinedEverywhere("/repeatable/crash");
+  }
+
+  /** Guards against control daemons that lost their disks and are not told the strikes again. */
+  @Test
+  public void shouldStayInQuarantineWhenControlDaemonsLoseTheirDisksBeforeRouterStartsAgain()
+      throws Exception {
+    startUpstreams(3, Restart.NEW_ID);
+    crashThreeUpstreams("/repeatable/crash");
+    gateway.restartWithEmptyDisks(0, 1);
+    Thread.sleep(SPREAD_MILLIS);
+    gateway.restartWithEmptyDisks(2, 3);
+    Thread.sleep(SPREAD_MILLIS);
+    gateway.restartWithEmptyDisks(4);
+    Thread.sleep(SPREAD_MILLIS);
+    gateway.restartRouter(0);
+    LocalGateway.await(() -> send(0, "/once/x").status() == 200);
+    assertQuarantinedEverywhere("/repeatable/crash");
+  }
 }
