Soak the quarantine while routers and control daemons restart in series

A request that crashes upstreams is sent to random routers, now and then to three at once, for 20 s a seed, while routers restart, control daemons restart with their disks or lose one or two of them, and both overlap. No router that nothing disturbed for 3 s may send it on 3 s after the third crash. Three seeds in the build, others with -Dsoak.firstSeed and -Dsoak.seeds.

Links are not cut here.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,12 @@
 
   private static final int REPORT_MILLIS = 300;
 
+  /** Header in which a caller names the router that it sends the request to. */
+  static final String SENT_TO = "X-Sent-To";
+
+  /** A crash at a time of {@link System#nanoTime} under a request sent to a router. Immutable. */
+  record Crash(long atNanos, String sentTo) {}
+
   /** How an upstream names itself after a crash. */
   enum Restart {
     SAME_ID,
@@ -38,7 +45,7 @@
   private final LocalGateway gateway;
   private final Restart restart;
   private final List<CrashingUpstream> upstreams = new ArrayList<>();
-  private final AtomicInteger crashes = new AtomicInteger();
+  private final List<Crash> crashes = new CopyOnWriteArrayList<>();
   private final Queue<HttpServerExchange> heldRequests = new ConcurrentLinkedQueue<>();
   private final AtomicLong sequence = new AtomicLong();
   private volatile boolean holding;
@@ -55,7 +62,12 @@
 
   /** Returns the number of crashes so far. */
   int crashes() {
-    return crashes.get();
+    return crashes.size();
+  }
+
+  /** Returns all crashes so far, in order. */
+  List<Crash> crashLog() {
+    return crashes;
   }
 
   /** Sets whether a request that would crash an upstream is held instead. */
@@ -129,7 +141,8 @@
       } else if (holding) {
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> heldRequests.add(exchange));
       } else if (starts.compareAndSet(start, start + 1)) {
-        crashes.incrementAndGet();
+        String sentTo = exchange.getRequestHeaders().getFirst(SENT_TO);
+        crashes.add(new Crash(System.nanoTime(), sentTo == null ? "" : sentTo));
         IoUtils.safeClose(exchange.getConnection());
         reports.execute(CrashingUpstreams.this::report);
       }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -34,17 +35,17 @@
 import org.toucansaddle.standins.fleet.PortAllocator;
 
 /**
- * Gateway on loopback with five control daemons, of which three are seeds, and two routers.
+ * Gateway on loopback with five control daemons, of which three are seeds, and two routers or more.
  *
  * <p>In the default format a document is the decimal text of its version, and all versions have the
- * same routes. Used by one thread.
+ * same routes. Used by one thread, but {@link #reportToAll} and {@link #callerAddress} by any.
  */
 final class LocalGateway implements AutoCloseable {
 
   static final String HOST = "h.example";
   static final String API_KEY = "key-of-captain";
 
-  private static final int CONTROL_COUNT = 5;
+  static final int CONTROL_COUNT = 5;
   private static final int SEED_COUNT = 3;
   private static final int ROUTER_COUNT = 2;
   private static final int MAX_DESCRIPTORS = 4_096;
@@ -55,7 +56,7 @@
   private final Path folder;
   private final DocumentFormat format;
   private final List<String> peerAddresses = new ArrayList<>();
-  private final List<ControlGateway> controls = new ArrayList<>();
+  private final List<ControlGateway> controls = new CopyOnWriteArrayList<>();
   private final List<RouterGateway> routers = new ArrayList<>();
   private final List<String> callerAddresses = new ArrayList<>();
 
@@ -64,6 +65,10 @@
   }
 
   LocalGateway(DocumentFormat format) throws IOException {
+    this(format, ROUTER_COUNT);
+  }
+
+  LocalGateway(DocumentFormat format, int routerCount) throws IOException {
     this.format = format;
     folder = Files.createTempDirectory("gateway");
     for (int index = 0; index < CONTROL_COUNT; index++) {
@@ -72,7 +77,7 @@
     for (int index = 0; index < CONTROL_COUNT; index++) {
       controls.add(startControl(index, true));
     }
-    for (int index = 0; index < ROUTER_COUNT; index++) {
+    for (int index = 0; index < routerCount; index++) {
       callerAddresses.add(allocateAddress());
       routers.add(startRouter(index));
     }
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineSoakTest.java
@@ -0,0 +1,214 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.util.Headers;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.http.HttpClient;
+import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.http.HttpRequest;
+import org.toucansaddle.http.HttpResponse;
+import org.toucansaddle.usage.CrashingUpstreams.Crash;
+import org.toucansaddle.usage.CrashingUpstreams.Restart;
+
+/**
+ * Soak of a request that crashes upstreams and comes again and again, at any router, while routers
+ * and control daemons restart, lose their disks and lose power in series.
+ *
+ * <p>The seed decides the sequence of restarts. {@code -Dsoak.firstSeed=100 -Dsoak.seeds=50} runs
+ * other seeds than the few of the build.
+ */
+public class QuarantineSoakTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final int RUN_MILLIS = 20_000;
+
+  /** Time without a restart after which a router is expected to know what all others know. */
+  private static final long STABLE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /** Pause that lets few routers see three crashes themselves. */
+  private static final int MAX_SEND_PAUSE_MILLIS = 800;
+
+  /** One in so many times, equal requests are sent to several routers at once. */
+  private static final int RARELY_TOGETHER = 8;
+
+  private static final int MAX_RESTART_PAUSE_MILLIS = 2_500;
+
+  /** Minimum pause between restarts of control daemons, so that some of the run is undisturbed. */
+  private static final int CONTROL_PAUSE_MILLIS = 4_000;
+
+  @DataProvider
+  public Object[][] seeds() {
+    int first = Integer.getInteger("soak.firstSeed", 1);
+    return IntStream.range(first, first + Integer.getInteger("soak.seeds", 3))
+        .mapToObj(seed -> new Object[] {seed})
+        .toArray(Object[][]::new);
+  }
+
+  @Test(dataProvider = "seeds")
+  public void shouldSendNoCrashingRequestAfterItCrashedThreeUpstreams(int seed) throws Exception {
+    Random random = new Random(seed);
+    int routers = 4 + random.nextInt(4);
+    int upstreamCount = 2 + random.nextInt(3);
+    Restart restart = Restart.values()[random.nextInt(Restart.values().length)];
+    try (LocalGateway gateway = new LocalGateway(LocalGateway::parseDocument, routers);
+        CrashingUpstreams upstreams = startUpstreams(gateway, upstreamCount, restart);
+        Soak soak = new Soak(gateway, routers, seed)) {
+      soak.run();
+      assertThat(upstreams.crashes()).as("seed %s: crashes", seed).isGreaterThanOrEqualTo(3);
+      assertThat(soak.lateCrashes(upstreams.crashLog()))
+          .as("seed %s: crashes under requests of routers that should know", seed)
+          .isEmpty();
+      assertThat(soak.served()).as("seed %s: other requests served", seed).isPositive();
+    }
+  }
+
+  private static CrashingUpstreams startUpstreams(LocalGateway gateway, int count, Restart restart)
+      throws Exception {
+    gateway.awaitServing();
+    return new CrashingUpstreams(gateway, count, restart);
+  }
+
+  /** Time in which a daemon was stopped and started; {@code router} is negative for the others. */
+  private record Outage(int router, long startNanos, long endNanos) {
+
+    boolean disturbs(Crash crash) {
+      boolean concerns = router < 0 || router == Integer.parseInt(crash.sentTo());
+      return concerns
+          && startNanos - crash.atNanos() <= 0
+          && endNanos + STABLE_NANOS - crash.atNanos() >= 0;
+    }
+  }
+
+  /** An action on a daemon that may fail. */
+  private interface Action {
+    void run() throws Exception;
+  }
+
+  /** Callers, restarts of routers and restarts of control daemons of one run, a thread each. */
+  private static final class Soak implements AutoCloseable {
+    private final LocalGateway gateway;
+    private final int routers;
+    private final int seed;
+    private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
+    private final List<Outage> outages = new CopyOnWriteArrayList<>();
+    private final AtomicInteger served = new AtomicInteger();
+    private volatile boolean stopped;
+
+    Soak(LocalGateway gateway, int routers, int seed) {
+      this.gateway = gateway;
+      this.routers = routers;
+      this.seed = seed;
+    }
+
+    /** Runs all threads for the time of a run and rethrows the failure of one. */
+    void run() throws Exception {
+      ExecutorService threads = Executors.newFixedThreadPool(3);
+      try {
+        List<Future<?>> tasks =
+            List.of(
+                threads.submit(() -> repeat(new Random(seed), this::sendToRandomRouters)),
+                threads.submit(() -> repeat(new Random(seed + 1L), this::restartRouter)),
+                threads.submit(() -> repeat(new Random(seed + 2L), this::restartControls)));
+        Thread.sleep(RUN_MILLIS);
+        stopped = true;
+        for (Future<?> task : tasks) {
+          task.get();
+        }
+      } finally {
+        stopped = true;
+        threads.shutdown();
+      }
+    }
+
+    private Void repeat(Random random, RandomAction action) throws Exception {
+      while (!stopped) {
+        action.run(random);
+      }
+      return null;
+    }
+
+    private void sendToRandomRouters(Random random) throws InterruptedException {
+      int together = random.nextInt(RARELY_TOGETHER) == 0 ? 3 : 1;
+      for (int i = 0; i < together; i++) {
+        send(random.nextInt(routers), "/repeatable/crash");
+      }
+      send(random.nextInt(routers), "/once/x")
+          .thenAccept(response -> served.addAndGet(response.status() == 200 ? 1 : 0));
+      Thread.sleep(random.nextInt(MAX_SEND_PAUSE_MILLIS));
+    }
+
+    private CompletableFuture<HttpResponse> send(int router, String path) {
+      HttpRequest request =
+          HttpRequest.post(gateway.callerAddress(router), path, "same body")
+              .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
+              .withHeader("X-Request-Id", "r" + path.hashCode())
+              .withHeader("X-Api-Key", LocalGateway.API_KEY)
+              .withHeader(CrashingUpstreams.SENT_TO, Integer.toString(router));
+      return client.send(request, TIMEOUT);
+    }
+
+    private void restartRouter(Random random) throws Exception {
+      Thread.sleep(random.nextInt(MAX_RESTART_PAUSE_MILLIS));
+      int router = random.nextInt(routers);
+      recordOutage(router, () -> gateway.restartRouter(router));
+    }
+
+    /** Restarts all control daemons with their disks, or one or two of them without. */
+    private void restartControls(Random random) throws Exception {
+      Thread.sleep(CONTROL_PAUSE_MILLIS + random.nextInt(MAX_RESTART_PAUSE_MILLIS));
+      int lost = random.nextInt(3);
+      int first = random.nextInt(LocalGateway.CONTROL_COUNT);
+      int second = (first + 1) % LocalGateway.CONTROL_COUNT;
+      if (lost == 0) {
+        recordOutage(-1, gateway::restartControls);
+      } else if (lost == 1) {
+        recordOutage(-1, () -> gateway.restartWithEmptyDisks(first));
+      } else {
+        recordOutage(-1, () -> gateway.restartWithEmptyDisks(first, second));
+      }
+      LocalGateway.await(gateway::isFullyReplicated);
+    }
+
+    private void recordOutage(int router, Action action) throws Exception {
+      long startNanos = System.nanoTime();
+      action.run();
+      outages.add(new Outage(router, startNanos, System.nanoTime()));
+    }
+
+    /** Returns the crashes long after the third one by a router that nothing disturbed lately. */
+    List<Crash> lateCrashes(List<Crash> crashes) {
+      long thirdAtNanos = crashes.get(2).atNanos();
+      return crashes.stream()
+          .filter(crash -> crash.atNanos() - thirdAtNanos > STABLE_NANOS)
+          .filter(crash -> outages.stream().noneMatch(outage -> outage.disturbs(crash)))
+          .toList();
+    }
+
+    int served() {
+      return served.get();
+    }
+
+    @Override
+    public void close() {
+      client.close();
+    }
+  }
+
+  /** A step of a thread of the soak. */
+  private interface RandomAction {
+    void run(Random random) throws Exception;
+  }
+}
