Remove four methods that nothing calls

IssuedOrder.fencing and JoinRequest.sender_initialized and sender_in_new_fleet are sent and never read; Demand.unreachable is neither. They stay, since old daemons send them.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotGrants.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/sharing/SlotGrants.java
@@ -32,10 +32,6 @@
     }
   }
 
-  boolean hasFreeSlots() {
-    return !freeByUpstream.isEmpty();
-  }
-
   /** Grants free slots to routers below their target, one at a time in turn. */
   void grantUpTo(Map<String, Integer> targets) {
     boolean granted = true;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
@@ -37,10 +37,6 @@
     this.onDisconnect = onDisconnect;
   }
 
-  boolean isDone() {
-    return done;
-  }
-
   /** Writes content and buffers the rest. Returns whether everything was written. */
   boolean write(ByteBuffer data) {
     if (done) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/problem/Problem.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/problem/Problem.java
@@ -23,9 +23,4 @@
   public Problem withRetryAfter(int seconds) {
     return new Problem(status, type, detail, runState, OptionalInt.of(Math.max(1, seconds)));
   }
-
-  /** Returns a copy with another run state. */
-  public Problem withRunState(RunState newState) {
-    return new Problem(status, type, detail, newState, retryAfterSeconds);
-  }
 }
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/AdminApiClient.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/AdminApiClient.java
@@ -47,10 +47,6 @@
     boolean isAccepted() {
       return status == 200;
     }
-
-    boolean isConflict() {
-      return status == 409;
-    }
   }
 
   private Optional<JsonNode> get(String adminAddress, String path) {
