Check the quarantine before each attempt

What callers would see: a request whose connection to one upstream is refused while it waits goes on to the next one although the quarantine began meanwhile; the check came before the first attempt and before a retry after a lost response, not after a failed connection.

Found by reading, not seen in a record; the window is the time of a connection attempt. No test reaches it: the upstreams of the tests refuse connections at once. The tests of the quarantine, of the gateway and of stuck upstreams pass as before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -219,7 +219,7 @@
     if (!responseAccepted) {
       upstream.markUnreachable(context.nowNanos());
     }
-    call.recordStrike(upstream.incarnation());
+    call.quarantine().recordStrike(upstream);
     fail("broken", cause);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -62,6 +62,10 @@
     return notRun("target-cannot-be-met", detail, retryAfterMillis);
   }
 
+  static ErrorResponse quarantined() {
+    return notRun("quarantined", "Several upstreams failed on this request.", 0);
+  }
+
   static ErrorResponse notRun(String type, String detail, long retryAfterMillis) {
     return new ErrorResponse(503, type, RunState.NOT_RUN, detail, retryAfterMillis);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -19,8 +19,8 @@
         upstream,
         call.attempts(),
         outcome,
-        Long.toHexString(call.requestDigest()),
-        call.strikes(),
+        Long.toHexString(call.quarantine().digest()),
+        call.quarantine().strikes(),
         cause);
   }
 
@@ -29,8 +29,8 @@
     LOG.info(
         "quarantined request={} digest={} strikes={}",
         call.head().requestId(),
-        Long.toHexString(call.requestDigest()),
-        call.strikes());
+        Long.toHexString(call.quarantine().digest()),
+        call.quarantine().strikes());
   }
 
   /** Logs that an upstream does not respond, and whether it is skipped from now on. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -60,7 +60,7 @@
   private final String account;
   private final String service;
   private final byte[] body;
-  private final long requestDigest;
+  private final CallQuarantine quarantine;
   private final long startNanos;
   private final long deadlineNanos;
   private final Set<String> triedUpstreams = new HashSet<>();
@@ -98,7 +98,8 @@
     this.startNanos = startNanos;
     this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis(route));
     this.service = WeightedService.draw(route.services(), ThreadLocalRandom.current());
-    this.requestDigest = RequestDigest.of(head, account, body);
+    this.quarantine =
+        new CallQuarantine(context.state().quarantine(), RequestDigest.of(head, account, body));
     this.response = new CallerResponse(exchange, this::resumeAttempt, this::onCallerDisconnected);
     this.eventSplitter = route.isStream() && route.resumable() ? new EventSplitter() : null;
   }
@@ -119,14 +120,8 @@
     return view.document().version();
   }
 
-  /** Returns the digest by which equal requests are recognized. */
-  long requestDigest() {
-    return requestDigest;
-  }
-
-  /** Returns the upstreams known to have crashed while they ran an equal request. */
-  int strikes() {
-    return context.state().quarantine().strikeCount(requestDigest);
+  CallQuarantine quarantine() {
+    return quarantine;
   }
 
   int attempts() {
@@ -167,9 +162,7 @@
 
   /** Sends the request to an upstream or refuses it. */
   void start() {
-    if (context.state().quarantine().isQuarantined(requestDigest)) {
-      RelayLog.quarantined(this);
-      fail(ErrorResponse.notRun("quarantined", "Several upstreams failed on this request.", 0));
+    if (refuseIfQuarantined()) {
       return;
     }
     if (!CallerDisconnectDetector.start(exchange, this::onCallerDisconnected)) {
@@ -183,6 +176,15 @@
     tryUpstream(ErrorResponse.notRun("no-upstream", "No upstream of the service is ready.", 500));
   }
 
+  private boolean refuseIfQuarantined() {
+    if (!quarantine.isActive()) {
+      return false;
+    }
+    RelayLog.quarantined(this);
+    fail(ErrorResponse.quarantined());
+    return true;
+  }
+
   private void setTimer(long millis) {
     long wait = Math.max(1, millis);
     timer = exchange.getIoThread().executeAfter(this::onTimer, wait, TimeUnit.MILLISECONDS);
@@ -190,6 +192,9 @@
 
   /** Tries one more upstream; responds with {@code fallback} if there is none. */
   private void tryUpstream(ErrorResponse fallback) {
+    if (refuseIfQuarantined()) {
+      return;
+    }
     if (remainingMillis() < MIN_REMAINING_MILLIS) {
       endOnTimeout(false);
       return;
@@ -387,13 +392,6 @@
         && hasAttemptsLeft();
   }
 
-  /**
-   * Records that the connection to an incarnation of an upstream broke while it had the request.
-   */
-  void recordStrike(String incarnation) {
-    context.state().quarantine().recordStrike(requestDigest, incarnation);
-  }
-
   /** Retries a request that an upstream reported as not executed. */
   void onNotExecuted(CallAttempt attempt, int status) {
     if (status == HeaderCodec.MISDIRECTED_REQUEST) {
@@ -421,8 +419,7 @@
 
   private void retry(ErrorResponse fallback, boolean allowed) {
     currentAttempt = null;
-    boolean mayRetry =
-        allowed && hasAttemptsLeft() && !context.state().quarantine().isQuarantined(requestDigest);
+    boolean mayRetry = allowed && hasAttemptsLeft() && !quarantine.isActive();
     if (mayRetry && context.retryBudget(service).tryAcquireRetry()) {
       tryUpstream(fallback);
     } else {
@@ -483,7 +480,7 @@
     currentAttempt = null;
     context.metrics().recordAttempt("whole");
     if (CallAttempt.isSuccess(exchange.getStatusCode())) {
-      context.state().quarantine().recordSuccess(requestDigest);
+      quarantine.recordSuccess();
     }
     if (eventSplitter != null && eventSplitter.hasPartialEvent()) {
       response.write(ByteBuffer.wrap(eventSplitter.drainPartialEvent()));
