--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -94,7 +94,7 @@
   private final CallerConnections connections;
   private final GatewayHandler handler;
   private final XnioWorker worker;
-  private final List<CallerListener> listeners = new ArrayList<>();
+  private final List<PacedHttpListener> listeners = new ArrayList<>();
   private final AtomicBoolean draining = new AtomicBoolean();
   private final AtomicBoolean strikeReportPending = new AtomicBoolean();
 
@@ -219,13 +219,13 @@
     }
   }
 
-  private CallerListener listen(String address, HttpHandler rootHandler, ByteBufferPool buffers)
+  private PacedHttpListener listen(String address, HttpHandler rootHandler, ByteBufferPool buffers)
       throws IOException {
     int colon = address.lastIndexOf(':');
     InetSocketAddress bound =
         new InetSocketAddress(
             address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    return new CallerListener(bound, rootHandler, worker, buffers, HTTP_OPTIONS);
+    return new PacedHttpListener(bound, rootHandler, worker, buffers, HTTP_OPTIONS);
   }
 
   private void handleReadiness(HttpServerExchange exchange) {
@@ -298,7 +298,7 @@
   public void close() {
     draining.set(true);
     follower.close();
-    listeners.forEach(CallerListener::close);
+    listeners.forEach(PacedHttpListener::close);
     worker.shutdownNow();
     peers.close();
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/CallerListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -30,9 +30,9 @@
  * requests on open connections. Here a limited number is handled between two passes over the open
  * connections. Thread-safe.
  */
-final class CallerListener implements AutoCloseable {
+final class PacedHttpListener implements AutoCloseable {
 
-  private static final Logger LOG = LoggerFactory.getLogger(CallerListener.class);
+  private static final Logger LOG = LoggerFactory.getLogger(PacedHttpListener.class);
 
   /** New connections handled before the I/O thread serves the open ones. */
   private static final int MAX_HANDLED_PER_PASS = 16;
@@ -58,7 +58,7 @@
    * @param options options for the HTTP protocol, as in {@link UndertowOptions}
    * @throws IOException if the address cannot be bound
    */
-  CallerListener(
+  PacedHttpListener(
       InetSocketAddress address,
       HttpHandler handler,
       XnioWorker worker,
