Count and log the new connections that a router closes because too many wait

The listener closed connections beyond 1,000 that wait at an I/O thread without a trace.

Now toucansaddle_gateway_rejected_connections counts them and a line a second names their number and the limit. What is closed is as before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -61,6 +61,9 @@
    */
   private static final double MAX_CALLER_DESCRIPTOR_FRACTION = 0.45;
 
+  /** New connections that may wait at an I/O thread. */
+  private static final int MAX_ARRIVED_CONNECTIONS = 1_000;
+
   private static final int LOAD_LOG_MILLIS = 1_000;
 
   /** Lag of the I/O threads from which the load is logged, in milliseconds. */
@@ -96,6 +99,10 @@
   private final XnioWorker worker;
   private final List<PacedHttpListener> listeners = new ArrayList<>();
   private final AtomicBoolean draining = new AtomicBoolean();
+
+  /** Rejected connections up to the last log line; used on the control executor only. */
+  private long loggedRejections;
+
   private final AtomicBoolean strikeReportPending = new AtomicBoolean();
 
   /** Starts a router and its listeners. */
@@ -172,6 +179,10 @@
         "toucansaddle_gateway_caller_connections",
         "Open connections of callers.",
         connections::openCount);
+    metrics.registerGauge(
+        "toucansaddle_gateway_rejected_connections",
+        "New connections closed since the start because too many waited.",
+        this::rejectedConnections);
     metrics.registerGauge(
         "toucansaddle_gateway_under_way", "Requests under way.", handler::requestsInFlight);
     metrics.registerGauge(
@@ -190,7 +201,19 @@
             millis -> connections.closeIdleFor(TimeUnit.MILLISECONDS.toNanos((long) millis)));
   }
 
+  private long rejectedConnections() {
+    return listeners.stream().mapToLong(PacedHttpListener::rejectedCount).sum();
+  }
+
   private void logLoad() {
+    long rejected = rejectedConnections();
+    if (rejected > loggedRejections) {
+      LOG.warn(
+          "{} new connections closed, since {} waited at an I/O thread; add routers",
+          rejected - loggedRejections,
+          MAX_ARRIVED_CONNECTIONS);
+      loggedRejections = rejected;
+    }
     double maxLagMillis = ioLag.drainMaxMillis();
     if (maxLagMillis >= LOGGED_LAG_MILLIS) {
       LOG.info(
@@ -225,7 +248,8 @@
     InetSocketAddress bound =
         new InetSocketAddress(
             address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    return new PacedHttpListener(bound, rootHandler, worker, buffers, HTTP_OPTIONS);
+    return new PacedHttpListener(
+        bound, rootHandler, worker, buffers, HTTP_OPTIONS, MAX_ARRIVED_CONNECTIONS);
   }
 
   private void handleReadiness(HttpServerExchange exchange) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -37,9 +38,6 @@
   /** New connections handled before the I/O thread serves the open ones. */
   private static final int MAX_HANDLED_PER_PASS = 16;
 
-  /** New connections kept at an I/O thread; more are closed, so that their callers go elsewhere. */
-  private static final int MAX_ARRIVED = 1_000;
-
   /** Delay until the next pass of the I/O thread over all connections. */
   private static final long NEXT_PASS_MILLIS = 1;
 
@@ -51,11 +49,15 @@
 
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Map<XnioIoThread, ArrivedConnections> arrivedByThread = new ConcurrentHashMap<>();
+  private final int maxArrived;
+  private final AtomicLong rejected = new AtomicLong();
 
   /**
    * Starts a listener.
    *
    * @param options options for the HTTP protocol, as in {@link UndertowOptions}
+   * @param maxArrived new connections that may wait at an I/O thread; more are closed, so that
+   *     their callers go elsewhere
    * @throws IOException if the address cannot be bound
    */
   PacedHttpListener(
@@ -63,8 +65,10 @@
       HttpHandler handler,
       XnioWorker worker,
       ByteBufferPool buffers,
-      OptionMap options)
+      OptionMap options,
+      int maxArrived)
       throws IOException {
+    this.maxArrived = maxArrived;
     this.connectionListener =
         new HttpOpenListener(
             buffers,
@@ -102,6 +106,11 @@
     arrived.startHandling();
   }
 
+  /** Returns the number of connections closed since too many waited. */
+  long rejectedCount() {
+    return rejected.get();
+  }
+
   /** Connections that have arrived at an I/O thread and are not handled yet; confined to it. */
   private final class ArrivedConnections {
     private final XnioIoThread thread;
@@ -113,9 +122,10 @@
     }
 
     void add(StreamConnection connection) {
-      if (queue.size() < MAX_ARRIVED) {
+      if (queue.size() < maxArrived) {
         queue.add(connection);
       } else {
+        rejected.incrementAndGet();
         IoUtils.safeClose(connection);
       }
     }
