--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -38,7 +38,8 @@
  * Gateway on loopback with five control daemons, of which three are seeds, and two routers or more.
  *
  * <p>In the default format a document is the decimal text of its version, and all versions have the
- * same routes. Used by one thread, but {@link #reportToAll} and {@link #callerAddress} by any.
+ * same routes. Used by one thread, but {@link #reportToAll} and {@link #callerAddress} by any;
+ * {@link #restartRouter} and restarts of control daemons may overlap.
  */
 final class LocalGateway implements AutoCloseable {
 
