Test the count of closed connections with all of them arriving at once

Callers saw nothing.

Cause: the test, not the listener. It blocked the I/O thread until 30 clients had connected, but a client is connected before the server's accept thread has taken its connection over. When the I/O thread was released after 16 of 30 had arrived, 11 were closed and the other 14 arrived at an empty queue and were handled, which is right.

The test now passes 30 accepted connections to the listener in one action of the I/O thread, so the number does not depend on the accept thread.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -83,22 +83,29 @@
             .set(Options.REUSE_ADDRESSES, true)
             .set(Options.BACKLOG, BACKLOG)
             .getMap();
-    this.server = worker.createStreamConnectionServer(address, this::onAccepted, socketOptions);
+    this.server =
+        worker.createStreamConnectionServer(
+            address, channel -> takeOver(channel::accept), socketOptions);
     server.resumeAccepts();
   }
 
+  /** New connections of an I/O thread; null if none is left. */
+  interface AcceptQueue {
+    StreamConnection poll() throws IOException;
+  }
+
   /**
    * Takes over all accepted connections. The server calls this again, without a pass over the open
-   * connections, as long as one of them is left.
+   * connections, as long as one of them is left. Called by I/O threads only.
    */
-  private void onAccepted(AcceptingChannel<StreamConnection> channel) {
+  void takeOver(AcceptQueue accepted) {
     ArrivedConnections arrived =
         arrivedByThread.computeIfAbsent(XnioIoThread.currentThread(), ArrivedConnections::new);
     try {
-      StreamConnection connection = channel.accept();
+      StreamConnection connection = accepted.poll();
       while (connection != null) {
         arrived.add(connection);
-        connection = channel.accept();
+        connection = accepted.poll();
       }
     } catch (IOException e) {
       LOG.warn("a connection of a caller could not be accepted: {}", e.getMessage());
