Bound the strikes that are kept of one request

What callers saw: nothing yet; found by reading. A request that crashes an upstream every hour gathered strikes without end, because each strike renews all, and each change sent all of them to every daemon.

Cause: DigestStrikes was bounded in time only.

Fix: eight strikes a digest. At capacity only a strike from after the end of the quarantine is added, and the oldest gives way. A first form, which added any strike that was later than all others, made daemons that kept different ones exchange them without end, since a strike looks younger by its time on the way; the second test below failed with it (more than 10 rounds). Within the quarantine a further strike decides nothing.

Evidence: RequestQuarantineTest.shouldBoundTheStrikesOfARequestThatCrashesUpstreamsForDays failed before ("to be less than or equal to 8 but was 200"); RequestQuarantineTest and QuarantineStoreTest now pass, 16 of 16.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.quarantine;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -7,8 +8,8 @@
 import java.util.function.BiConsumer;
 
 /**
- * Strikes of the requests with one digest: the incarnations of upstreams that crashed while they
- * ran one, each with its time in nanoseconds.
+ * Latest strikes of the requests with one digest: the incarnations of upstreams that crashed while
+ * they ran one, each with its time in nanoseconds.
  *
  * <p>The time of a strike never changes. Not thread-safe.
  */
@@ -17,6 +18,9 @@
   /** Crashed upstreams from which a request is refused; three are unlikely to be a coincidence. */
   static final int LIMIT = 3;
 
+  /** Strikes kept. They only need to reach the limit; more of them show operators the upstreams. */
+  private static final int CAPACITY = 8;
+
   /** Time after the last strike for which a request at the limit is refused. */
   private static final long QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(10);
 
@@ -27,7 +31,6 @@
   private static final long RETENTION_NANOS = TimeUnit.HOURS.toNanos(1);
 
   private final Map<String, Long> timesByUpstream = new LinkedHashMap<>();
-  private long lastStrikeAt;
   private long change;
 
   /** Returns whether a strike at the given time would be forgotten by now. */
@@ -35,17 +38,29 @@
     return now - struckAt > RETENTION_NANOS;
   }
 
-  /** Adds a strike; returns whether it was unknown. */
+  /**
+   * Adds a strike; returns whether it was added. At capacity only one from after the quarantine
+   * replaces the oldest; otherwise daemons that keep different ones would exchange them endlessly.
+   */
   boolean add(String upstream, long struckAt, long newChange) {
-    if (timesByUpstream.putIfAbsent(upstream, struckAt) != null) {
+    if (timesByUpstream.containsKey(upstream)) {
       return false;
     }
-    boolean isLatest = timesByUpstream.size() == 1 || struckAt - lastStrikeAt > 0;
-    lastStrikeAt = isLatest ? struckAt : lastStrikeAt;
+    if (count() == CAPACITY) {
+      if (isQuarantined(struckAt)) {
+        return false;
+      }
+      timesByUpstream.values().remove(Collections.min(timesByUpstream.values()));
+    }
+    timesByUpstream.put(upstream, struckAt);
     change = newChange;
     return true;
   }
 
+  private long lastStrikeAt() {
+    return Collections.max(timesByUpstream.values());
+  }
+
   /** Returns the number of strikes. */
   int count() {
     return timesByUpstream.size();
@@ -62,11 +77,11 @@
   }
 
   boolean isForgotten(long now) {
-    return isForgotten(lastStrikeAt, now);
+    return isForgotten(lastStrikeAt(), now);
   }
 
   boolean isQuarantined(long now) {
-    return count() >= LIMIT && now - lastStrikeAt <= QUARANTINE_NANOS;
+    return count() >= LIMIT && now - lastStrikeAt() <= QUARANTINE_NANOS;
   }
 
   /** Passes each incarnation and the time of its strike to a consumer. */
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.toucansaddle.protocol.generated.DigestStrike;
 
 /** Tests of {@link RequestQuarantine}. */
 public class RequestQuarantineTest {
@@ -138,4 +140,38 @@
     assertThat(remote.isQuarantined(DIGEST)).isFalse();
     assertThat(remote.merge(local.strikesAfter(0))).isFalse();
   }
+
+  /** Guards against a request that gathers strikes without end because each one renews all. */
+  @Test
+  public void shouldBoundTheStrikesOfARequestThatCrashesUpstreamsForDays() {
+    for (int i = 0; i < 200; i++) {
+      clock.addAndGet(TimeUnit.MINUTES.toNanos(50));
+      local.recordStrike(DIGEST, "u" + i);
+      remote.merge(local.strikesAfter(remote.lastChange()));
+    }
+    assertThat(local.strikesAfter(0)).hasSizeLessThanOrEqualTo(8);
+    assertThat(remote.strikesAfter(0)).hasSizeLessThanOrEqualTo(8);
+    assertThat(local.isQuarantined(DIGEST)).isTrue();
+    assertThat(remote.isQuarantined(DIGEST)).isTrue();
+  }
+
+  /** Guards against daemons that send each other strikes without end, each dropping others. */
+  @Test
+  public void shouldStopExchangingStrikesOfManyUpstreamsThatCrashTogether() {
+    for (int i = 0; i < 20; i++) {
+      clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(1));
+      (i % 2 == 0 ? local : remote).recordStrike(DIGEST, "u" + i);
+    }
+    int rounds = 0;
+    boolean changed = true;
+    while (changed) {
+      List<DigestStrike> toRemote = local.strikesAfter(0);
+      List<DigestStrike> toLocal = remote.strikesAfter(0);
+      clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+      changed = remote.merge(toRemote) | local.merge(toLocal);
+      assertThat(++rounds).isLessThan(10);
+    }
+    assertThat(local.isQuarantined(DIGEST)).isTrue();
+    assertThat(remote.isQuarantined(DIGEST)).isTrue();
+  }
 }
