Let the quarantine age over restarts of control daemons

What callers saw: a harmless request in quarantine is refused longer than ten minutes if control daemons restart meanwhile, without end if they do so every few minutes. Found by reading.

Cause: the file holds the age that strikes had when the file was last written, and it was written at changes only; and a daemon that knew a strike kept its own time when routers reported an older one.

Fix: the file is written again every 30 s while it holds strikes, and the oldest known time of a strike counts, as delays only make strikes look younger. The time of day is not used, because it may jump on a machine, which could end a quarantine early. Strikes that are forgotten are no longer encoded, so the file becomes empty in the end.

What remains: the time without power does not count, and restarts of all daemons within 30 s of each other do not age the quarantine; both refuse longer, never too short.

Evidence: both tests failed before. RequestQuarantineTest. shouldTakeOverTheOlderTimeOfAStrikeThatAnotherDaemonKnows: "Expecting value to be false but was true"; QuarantineStoreTest.shouldStoreTheAgeOfStrikesThatDoNotChange: no new age within 10 s.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -113,7 +113,8 @@
             replicaSet::addresses,
             peers.controlExecutor());
     this.quarantineStore =
-        QuarantineStore.open(control.dataFolder().resolve("quarantine"), quarantine);
+        QuarantineStore.open(
+            control.dataFolder().resolve("quarantine"), quarantine, System::nanoTime);
     this.followers =
         new FollowServer(
             () -> appliedDocument,
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
@@ -11,7 +11,8 @@
  * Latest strikes of the requests with one digest: the incarnations of upstreams that crashed while
  * they ran one, each with its time in nanoseconds.
  *
- * <p>The time of a strike never changes. Not thread-safe.
+ * <p>A strike looks younger by the time that it spent on its way or in a file, so the oldest time
+ * that is known of it counts. Not thread-safe.
  */
 final class DigestStrikes {
 
@@ -44,6 +45,7 @@
    */
   boolean add(String upstream, long struckAt, long newChange) {
     if (timesByUpstream.containsKey(upstream)) {
+      timesByUpstream.merge(upstream, struckAt, Math::min);
       return false;
     }
     if (count() == CAPACITY) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStore.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.internal.DurableFile;
@@ -17,8 +18,9 @@
  * all daemons.
  *
  * <p>A thread of its own writes the file soon after each change, so that a slow disk delays nothing
- * else. Strikes keep the age that they had when the file was written; the time without power does
- * not count. Thread-safe.
+ * else. Strikes are read with the age that they had when the file was written, since the time of
+ * day may jump; the file is written again while they age. The time without power does not count.
+ * Thread-safe.
  */
 public final class QuarantineStore implements AutoCloseable {
 
@@ -27,8 +29,12 @@
   private static final int WRITE_DELAY_MILLIS = 200;
   private static final long RETRY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+  /** Largest difference between the age of a strike and the age that is stored. */
+  private static final long MAX_AGE_ERROR_NANOS = TimeUnit.SECONDS.toNanos(30);
+
   private final Path file;
   private final RequestQuarantine quarantine;
+  private final LongSupplier clock;
   private final ScheduledExecutorService writer =
       Executors.newSingleThreadScheduledExecutor(
           action -> {
@@ -37,28 +43,36 @@
             return thread;
           });
   private long writtenChange;
+  private long writtenAtNanos;
+  private boolean hasStoredStrikes;
   private long failedAtNanos;
   private boolean lastWriteFailed;
 
-  private QuarantineStore(Path file, RequestQuarantine quarantine) {
+  private QuarantineStore(Path file, RequestQuarantine quarantine, LongSupplier clock) {
     this.file = file;
     this.quarantine = quarantine;
+    this.clock = clock;
   }
 
-  /** Adds the stored strikes to a quarantine and stores its changes from now on. */
-  public static QuarantineStore open(Path file, RequestQuarantine quarantine) {
-    QuarantineStore store = new QuarantineStore(file, quarantine);
+  /**
+   * Adds the stored strikes to a quarantine and stores its changes from now on.
+   *
+   * @param clock the clock of the quarantine, in nanoseconds
+   */
+  public static QuarantineStore open(Path file, RequestQuarantine quarantine, LongSupplier clock) {
+    QuarantineStore store = new QuarantineStore(file, quarantine, clock);
     store.load();
     store.writer.scheduleWithFixedDelay(
-        store::writeIfChanged, 0, WRITE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        store::writeIfOutdated, 0, WRITE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     return store;
   }
 
   private void load() {
     try {
       if (Files.exists(file)) {
-        quarantine.merge(StoredStrikes.parseFrom(Files.readAllBytes(file)).getStrikesList());
-        writtenChange = quarantine.lastLimitChange();
+        StoredStrikes stored = StoredStrikes.parseFrom(Files.readAllBytes(file));
+        quarantine.merge(stored.getStrikesList());
+        recordStored(quarantine.lastLimitChange(), stored);
         LOG.info(
             "start: {} requests in quarantine read from {}", quarantine.quarantinedCount(), file);
       }
@@ -69,25 +83,35 @@
     }
   }
 
-  private void writeIfChanged() {
+  private void recordStored(long change, StoredStrikes stored) {
+    writtenChange = change;
+    writtenAtNanos = clock.getAsLong();
+    hasStoredStrikes = stored.getStrikesCount() > 0;
+  }
+
+  private void writeIfOutdated() {
     long change = quarantine.lastLimitChange();
-    boolean waits = lastWriteFailed && System.nanoTime() - failedAtNanos < RETRY_DELAY_NANOS;
-    if (change == writtenChange || waits) {
+    boolean waits = lastWriteFailed && clock.getAsLong() - failedAtNanos < RETRY_DELAY_NANOS;
+    if (waits || (change == writtenChange && !areStoredAgesOutdated())) {
       return;
     }
     try {
       StoredStrikes strikes =
           StoredStrikes.newBuilder().addAllStrikes(quarantine.strikesAtLimit()).build();
       DurableFile.replace(file, strikes.toByteArray());
-      writtenChange = change;
+      recordStored(change, strikes);
       lastWriteFailed = false;
     } catch (IOException | RuntimeException e) {
       lastWriteFailed = true;
-      failedAtNanos = System.nanoTime();
+      failedAtNanos = clock.getAsLong();
       LOG.warn("{} cannot be written; tried again in 5 s: {}", file, e.toString());
     }
   }
 
+  private boolean areStoredAgesOutdated() {
+    return hasStoredStrikes && clock.getAsLong() - writtenAtNanos >= MAX_AGE_ERROR_NANOS;
+  }
+
   @Override
   public void close() {
     writer.shutdownNow();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -211,7 +211,8 @@
     List<DigestStrike> encoded = new ArrayList<>();
     BiConsumer<Long, DigestStrikes> encoder =
         (digest, strikes) -> {
-          if (strikes.change() > change && strikes.count() >= minStrikes) {
+          boolean isWanted = strikes.change() > change && strikes.count() >= minStrikes;
+          if (isWanted && !strikes.isForgotten(now)) {
             strikes.forEach((name, at) -> encoded.add(strike(digest, name, now - at)));
           }
         };
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStoreTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStoreTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -52,9 +53,17 @@
     }
   }
 
+  private long storedAgeMillis() {
+    try {
+      return StoredStrikes.parseFrom(Files.readAllBytes(file)).getStrikes(0).getAgeMillis();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private void storeQuarantine() throws InterruptedException {
     RequestQuarantine quarantine = createQuarantine();
-    try (QuarantineStore store = QuarantineStore.open(file, quarantine)) {
+    try (QuarantineStore store = QuarantineStore.open(file, quarantine, System::nanoTime)) {
       quarantine.recordStrike(DIGEST, "u1");
       quarantine.recordStrike(DIGEST, "u2");
       quarantine.recordStrike(DIGEST, "u3");
@@ -67,7 +76,7 @@
   public void shouldRestoreQuarantinedRequestsOnly() throws Exception {
     storeQuarantine();
     RequestQuarantine restored = createQuarantine();
-    QuarantineStore.open(file, restored).close();
+    QuarantineStore.open(file, restored, System::nanoTime).close();
     assertThat(restored.isQuarantined(DIGEST)).isTrue();
     assertThat(restored.strikeCount(8)).isZero();
   }
@@ -76,7 +85,7 @@
   public void shouldRemoveRequestThatSucceeded() throws Exception {
     storeQuarantine();
     RequestQuarantine restored = createQuarantine();
-    try (QuarantineStore store = QuarantineStore.open(file, restored)) {
+    try (QuarantineStore store = QuarantineStore.open(file, restored, System::nanoTime)) {
       restored.recordSuccess(DIGEST);
       await(() -> storedStrikes() == 0);
     }
@@ -86,7 +95,24 @@
   public void shouldStartWithoutStrikesIfTheFileIsDamaged() throws Exception {
     Files.write(file, new byte[] {1, 2, 3});
     RequestQuarantine restored = createQuarantine();
-    QuarantineStore.open(file, restored).close();
+    QuarantineStore.open(file, restored, System::nanoTime).close();
     assertThat(restored.quarantinedCount()).isZero();
   }
+
+  /** Guards against restarts in series that each start the quarantine from its beginning. */
+  @Test
+  public void shouldStoreTheAgeOfStrikesThatDoNotChange() throws Exception {
+    AtomicLong clock = new AtomicLong();
+    RequestQuarantine quarantine = new RequestQuarantine(clock::get);
+    try (QuarantineStore store = QuarantineStore.open(file, quarantine, clock::get)) {
+      quarantine.recordStrike(DIGEST, "u1");
+      quarantine.recordStrike(DIGEST, "u2");
+      quarantine.recordStrike(DIGEST, "u3");
+      await(() -> storedStrikes() == 3);
+      clock.addAndGet(TimeUnit.MINUTES.toNanos(9));
+      await(() -> storedAgeMillis() == TimeUnit.MINUTES.toMillis(9));
+      clock.addAndGet(TimeUnit.HOURS.toNanos(1));
+      await(() -> storedStrikes() == 0);
+    }
+  }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -174,4 +174,18 @@
     assertThat(local.isQuarantined(DIGEST)).isTrue();
     assertThat(remote.isQuarantined(DIGEST)).isTrue();
   }
+
+  /** Guards against a restart that prolongs the quarantine by the age that a file did not have. */
+  @Test
+  public void shouldTakeOverTheOlderTimeOfAStrikeThatAnotherDaemonKnows() {
+    for (int i = 0; i < 3; i++) {
+      local.recordStrike(DIGEST, "u" + i);
+    }
+    List<DigestStrike> stored = local.strikesAtLimit();
+    clock.addAndGet(TimeUnit.MINUTES.toNanos(9));
+    remote.merge(stored);
+    assertThat(remote.merge(local.strikesAfter(0))).isFalse();
+    clock.addAndGet(TimeUnit.MINUTES.toNanos(2));
+    assertThat(remote.isQuarantined(DIGEST)).isFalse();
+  }
 }
