Date stored strikes by the time at which they were encoded

What was seen: QuarantineStoreTest.shouldStoreTheAgeOfStrikesThatDoNotChange failed once, in its second run (await of an empty file, 10 s), and passed in its first.

Cause: the clock was read after the file was replaced. The test advanced its clock by an hour in between, so the store took the new file for an hour younger than it is and did not write it again. In a daemon the stored age is wrong by the time of the write.

Fix: the clock is read before the strikes are encoded.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStore.java
@@ -43,7 +43,7 @@
             return thread;
           });
   private long writtenChange;
-  private long writtenAtNanos;
+  private long storedAtNanos;
   private boolean hasStoredStrikes;
   private long failedAtNanos;
   private boolean lastWriteFailed;
@@ -72,7 +72,7 @@
       if (Files.exists(file)) {
         StoredStrikes stored = StoredStrikes.parseFrom(Files.readAllBytes(file));
         quarantine.merge(stored.getStrikesList());
-        recordStored(quarantine.lastLimitChange(), stored);
+        recordStored(quarantine.lastLimitChange(), clock.getAsLong(), stored);
         LOG.info(
             "start: {} requests in quarantine read from {}", quarantine.quarantinedCount(), file);
       }
@@ -83,9 +83,9 @@
     }
   }
 
-  private void recordStored(long change, StoredStrikes stored) {
+  private void recordStored(long change, long encodedAtNanos, StoredStrikes stored) {
     writtenChange = change;
-    writtenAtNanos = clock.getAsLong();
+    storedAtNanos = encodedAtNanos;
     hasStoredStrikes = stored.getStrikesCount() > 0;
   }
 
@@ -95,11 +95,12 @@
     if (waits || (change == writtenChange && !areStoredAgesOutdated())) {
       return;
     }
+    long now = clock.getAsLong();
     try {
       StoredStrikes strikes =
           StoredStrikes.newBuilder().addAllStrikes(quarantine.strikesAtLimit()).build();
       DurableFile.replace(file, strikes.toByteArray());
-      recordStored(change, strikes);
+      recordStored(change, now, strikes);
       lastWriteFailed = false;
     } catch (IOException | RuntimeException e) {
       lastWriteFailed = true;
@@ -109,7 +110,7 @@
   }
 
   private boolean areStoredAgesOutdated() {
-    return hasStoredStrikes && clock.getAsLong() - writtenAtNanos >= MAX_AGE_ERROR_NANOS;
+    return hasStoredStrikes && clock.getAsLong() - storedAtNanos >= MAX_AGE_ERROR_NANOS;
   }
 
   @Override
