Store strikes that are new when a control daemon stops

What was seen: "strikes cannot be written; tried again in 5 s: ClosedByInterruptException" at each stop that met a write, in the log of QuarantineStoreTest; and a strike of the last 200 ms was not stored. After a stop of all daemons the request can crash upstreams again.

Cause: close() interrupted the thread that writes the file.

Fix: close() has the thread write what is new and waits for it, for a second at most, so that a slow disk does not hold up the stop.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStore.java
@@ -27,6 +27,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(QuarantineStore.class);
 
   private static final int WRITE_DELAY_MILLIS = 200;
+  private static final int CLOSE_TIMEOUT_MILLIS = 1_000;
   private static final long RETRY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   /** Largest difference between the age of a strike and the age that is stored. */
@@ -113,8 +114,17 @@
     return hasStoredStrikes && clock.getAsLong() - storedAtNanos >= MAX_AGE_ERROR_NANOS;
   }
 
+  /** Stores what is new, and waits for that for a short time. */
   @Override
   public void close() {
-    writer.shutdownNow();
+    writer.execute(this::writeIfOutdated);
+    writer.shutdown();
+    try {
+      if (!writer.awaitTermination(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+        LOG.warn("{} is still being written after {} ms", file, CLOSE_TIMEOUT_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStoreTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStoreTest.java
@@ -72,6 +72,18 @@
     }
   }
 
+  /** Guards against a daemon that is stopped just after a strike and does not store it. */
+  @Test
+  public void shouldStoreStrikesThatAreNewWhenItIsClosed() throws Exception {
+    RequestQuarantine quarantine = createQuarantine();
+    try (QuarantineStore store = QuarantineStore.open(file, quarantine, System::nanoTime)) {
+      quarantine.recordStrike(DIGEST, "u1");
+      quarantine.recordStrike(DIGEST, "u2");
+      quarantine.recordStrike(DIGEST, "u3");
+    }
+    assertThat(storedStrikes()).isEqualTo(3);
+  }
+
   @Test
   public void shouldRestoreQuarantinedRequestsOnly() throws Exception {
     storeQuarantine();
