Keep the old strikes of a request that crashes upstreams rarely

What callers saw: nothing yet; found by reading. A request that crashes one upstream every 40 minutes is refused by the daemons that saw the crashes, and sent to upstreams by each daemon that learns of them at once: after a restart, or when it meets its first control daemon.

Cause: strikes are forgotten an hour after the last one of the request, but a strike from another daemon was dropped by its own age, so two of three remained.

Fix: strikes that arrive together are added youngest first, and only those of a request whose last strike is forgotten are dropped.

Evidence: RequestQuarantineTest. shouldQuarantineAtAllDaemonsARequestThatCrashesUpstreamsEveryFortyMinutes failed before ("Expecting value to be true but was false"). RequestQuarantineTest and QuarantineStoreTest now pass, 20 of 20.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
@@ -34,11 +34,6 @@
   private final Map<String, Long> timesByUpstream = new LinkedHashMap<>();
   private long change;
 
-  /** Returns whether a strike at the given time would be forgotten by now. */
-  static boolean isForgotten(long struckAt, long now) {
-    return now - struckAt > RETENTION_NANOS;
-  }
-
   /**
    * Adds a strike; returns whether it was added. At capacity only one from after the quarantine
    * replaces the oldest; otherwise daemons that keep different ones would exchange them endlessly.
@@ -78,10 +73,12 @@
     return timesByUpstream.keySet();
   }
 
+  /** Returns whether all strikes are forgotten because the last one is old. */
   boolean isForgotten(long now) {
-    return isForgotten(lastStrikeAt(), now);
+    return now - lastStrikeAt() > RETENTION_NANOS;
   }
 
+  /** Returns whether requests with this digest are refused. */
   boolean isQuarantined(long now) {
     return count() >= LIMIT && now - lastStrikeAt() <= QUARANTINE_NANOS;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.quarantine;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -81,23 +82,26 @@
    */
   public synchronized boolean merge(List<DigestStrike> strikes) {
     boolean anyAdded = false;
-    for (DigestStrike strike : strikes) {
+    for (DigestStrike strike : youngestFirst(strikes)) {
       anyAdded |= add(strike);
     }
     return anyAdded;
   }
 
+  /** Orders strikes so that an old one arrives after the later one that keeps it in memory. */
+  private static List<DigestStrike> youngestFirst(List<DigestStrike> strikes) {
+    return strikes.stream().sorted(Comparator.comparingInt(DigestStrike::getAgeMillis)).toList();
+  }
+
   private boolean add(DigestStrike reported) {
     long now = clock.getAsLong();
     long struckAt = now - TimeUnit.MILLISECONDS.toNanos(reported.getAgeMillis());
     evictForgotten(suspects, now);
     evictForgotten(atLimit, now);
-    if (DigestStrikes.isForgotten(struckAt, now)) {
-      return false;
-    }
     long digest = reported.getDigest();
     DigestStrikes strikes = find(digest).orElseGet(DigestStrikes::new);
-    if (!strikes.add(reported.getUpstream(), struckAt, lastChange + 1)) {
+    boolean isAdded = strikes.add(reported.getUpstream(), struckAt, lastChange + 1);
+    if (!isAdded || strikes.isForgotten(now)) {
       return false;
     }
     lastChange++;
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -188,4 +188,15 @@
     clock.addAndGet(TimeUnit.MINUTES.toNanos(2));
     assertThat(remote.isQuarantined(DIGEST)).isFalse();
   }
+
+  /** Guards against other daemons that drop the oldest of three strikes, so that two remain. */
+  @Test
+  public void shouldQuarantineAtAllDaemonsARequestThatCrashesUpstreamsEveryFortyMinutes() {
+    for (int i = 0; i < 3; i++) {
+      clock.addAndGet(TimeUnit.MINUTES.toNanos(40));
+      local.recordStrike(DIGEST, "u" + i);
+    }
+    remote.merge(local.strikesAfter(0));
+    assertThat(remote.isQuarantined(DIGEST)).isTrue();
+  }
 }
