Tell callers when the quarantine of their request ends

What callers saw: 503 "quarantined" without Retry-After, though the request has not run and the end of the quarantine is known. Callers that repeat such a request at once do so in vain.

Cause: the refusal was built with a delay of 0, which means that a retry does not help.

Evidence: QuarantineUsageTest checks the header at each refusal of its seven tests; shouldRefuseRequestAtEveryRouterAfterItCrashedThreeUpstreams failed before ("Expecting Optional to contain a value but it was empty").

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
@@ -83,6 +83,11 @@
     return count() >= LIMIT && now - lastStrikeAt() <= QUARANTINE_NANOS;
   }
 
+  /** Returns the time until requests are no longer refused, in nanoseconds; 0 if they are not. */
+  long remainingNanos(long now) {
+    return isQuarantined(now) ? lastStrikeAt() + QUARANTINE_NANOS - now : 0;
+  }
+
   /** Passes each incarnation and the time of its strike to a consumer. */
   void forEach(BiConsumer<String, Long> consumer) {
     timesByUpstream.forEach(consumer);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -155,6 +155,13 @@
     return strikes != null && strikes.isQuarantined(clock.getAsLong());
   }
 
+  /** Returns the time until a request is no longer refused, in milliseconds; 0 if it is not. */
+  public synchronized long remainingMillis(long digest) {
+    DigestStrikes strikes = atLimit.get(digest);
+    long nanos = strikes == null ? 0 : strikes.remainingNanos(clock.getAsLong());
+    return TimeUnit.NANOSECONDS.toMillis(nanos);
+  }
+
   /** Returns the number of upstreams known to have crashed while they ran a request. */
   public synchronized int strikeCount(long digest) {
     return find(digest).map(DigestStrikes::count).orElse(0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallQuarantine.java
@@ -16,6 +16,11 @@
     return quarantine.isQuarantined(digest);
   }
 
+  /** Returns the time until equal requests are no longer refused, in milliseconds. */
+  long remainingMillis() {
+    return quarantine.remainingMillis(digest);
+  }
+
   /** Returns the number of upstreams known to have crashed while they ran an equal request. */
   int strikes() {
     return quarantine.strikeCount(digest);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.ShareCheck;
 import org.toucansaddle.daemon.internal.problem.RunState;
@@ -62,8 +63,11 @@
     return notRun("target-cannot-be-met", detail, retryAfterMillis);
   }
 
-  static ErrorResponse quarantined() {
-    return notRun("quarantined", "Several upstreams failed on this request.", 0);
+  static ErrorResponse quarantined(long remainingMillis) {
+    String detail =
+        "Several upstreams crashed while they ran this request. It is refused for %d s."
+            .formatted(TimeUnit.MILLISECONDS.toSeconds(remainingMillis));
+    return notRun("quarantined", detail, remainingMillis);
   }
 
   static ErrorResponse notRun(String type, String detail, long retryAfterMillis) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -181,7 +181,7 @@
       return false;
     }
     RelayLog.quarantined(this);
-    fail(ErrorResponse.quarantined());
+    fail(ErrorResponse.quarantined(quarantine.remainingMillis()));
     return true;
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -199,4 +199,14 @@
     remote.merge(local.strikesAfter(0));
     assertThat(remote.isQuarantined(DIGEST)).isTrue();
   }
+
+  @Test
+  public void shouldTellTheTimeUntilTheQuarantineEnds() {
+    local.recordStrike(DIGEST, "u1");
+    local.recordStrike(DIGEST, "u2");
+    assertThat(local.remainingMillis(DIGEST)).isZero();
+    local.recordStrike(DIGEST, "u3");
+    clock.addAndGet(TimeUnit.MINUTES.toNanos(4));
+    assertThat(local.remainingMillis(DIGEST)).isEqualTo(TimeUnit.MINUTES.toMillis(6));
+  }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineUsageTest.java
@@ -22,6 +22,9 @@
   /** Time after the third crash from which no router may send the request to an upstream. */
   private static final long SPREAD_MILLIS = 3_000;
 
+  /** Largest time after which a caller may be asked to send the request again. */
+  private static final double QUARANTINE_SECONDS = 600;
+
   private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
   private LocalGateway gateway;
   private CrashingUpstreams upstreams;
@@ -73,6 +76,9 @@
       assertThat(upstreams.crashes()).as("crashes, request %s", i).isEqualTo(crashes);
       assertThat(response.status()).as(response.text()).isEqualTo(503);
       assertThat(response.text()).contains("quarantined");
+      assertThat(response.header(Headers.RETRY_AFTER_STRING)).isPresent();
+      double retryAfterSeconds = Double.parseDouble(response.header("Retry-After").get());
+      assertThat(retryAfterSeconds).isBetween(1.0, QUARANTINE_SECONDS);
     }
   }
 
