Ask callers of full upstreams to return within the target of their route

What callers saw: 503 "upstreams-busy", "upstream-full" or "connections-used" with Retry-After 0.400, always.

Cause: a constant delay, while refusals by AdmissionControl already use a random part of the target (RetryAfter).

Fix: the same for these three.

Evidence: GatewayUsageTest.shouldSpreadRetriesOfCallersOfFullUpstreamsWithinTarget failed before (1 delay for 20 callers).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -36,8 +36,6 @@
   /** Remaining time below which no attempt starts: no upstream could respond in time. */
   private static final long MIN_REMAINING_MILLIS = 20;
 
-  private static final long BUSY_RETRY_MILLIS = 400;
-
   /** Lead time of an error response before the caller of a silent stream gives up. */
   private static final long CALLER_TIMEOUT_MARGIN_MILLIS = 300;
 
@@ -207,10 +205,7 @@
         context.selector().select(usable, head, route.targetMillis(), profile, triedUpstreams);
     if (selected.isEmpty()) {
       boolean busy = triedUpstreams.isEmpty() && !usable.isEmpty();
-      fail(
-          busy
-              ? ErrorResponse.notRun("upstreams-busy", "All upstreams are busy.", BUSY_RETRY_MILLIS)
-              : fallback);
+      fail(busy ? retryLater("upstreams-busy", "All upstreams are busy.") : fallback);
       return;
     }
     expectedFirstTokenMillis = selected.get().expectedFirstTokenMillis();
@@ -224,6 +219,10 @@
     send(selected.get(), fallback);
   }
 
+  private ErrorResponse retryLater(String type, String detail) {
+    return ErrorResponse.notRun(type, detail, RetryAfter.randomDelayMillis(route.targetMillis()));
+  }
+
   private AdmissionRequest admissionRequest() {
     return new AdmissionRequest(route, head, account, view.tokensPerSecond(), remainingMillis());
   }
@@ -246,9 +245,7 @@
     }
     if (pool.openCount(address) >= maxConnections()) {
       attempt.releaseLoad();
-      tryUpstream(
-          ErrorResponse.notRun(
-              "connections-used", "All connections are in use.", BUSY_RETRY_MILLIS));
+      tryUpstream(retryLater("connections-used", "All connections are in use."));
       return;
     }
     pool.connect(
@@ -399,8 +396,7 @@
     }
     context.metrics().recordAttempt("not-executed");
     RelayLog.attemptFailed(this, attempt.upstream().id(), "not-executed", "status " + status);
-    String cause = "The upstream did not run the request.";
-    retry(ErrorResponse.notRun("upstream-full", cause, BUSY_RETRY_MILLIS), true);
+    retry(retryLater("upstream-full", "The upstream did not run the request."), true);
   }
 
   /** Retries, if allowed, a request whose response was lost; it may have run. */
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -13,7 +13,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
@@ -112,6 +114,9 @@
       exchange.dispatch(() -> requestArrived.countDown());
     } else if (path.contains("/resume-")) {
       exchange.dispatch(() -> resumeOrAbort(exchange, path.endsWith("ok")));
+    } else if (path.endsWith("/full")) {
+      exchange.getResponseHeaders().put(new HttpString("X-Not-Run"), "1");
+      exchange.setStatusCode(503).endExchange();
     } else if (path.endsWith("/unsealed")) {
       exchange.getResponseHeaders().remove("X-Answer-Seal");
       exchange.getResponseSender().send("unsealed");
@@ -249,6 +254,23 @@
     return runtime.totalMemory() - runtime.freeMemory();
   }
 
+  /**
+   * Guards against callers that full upstreams refused and that all return together, so late that
+   * no response to a retry can meet the target of its route.
+   */
+  @Test
+  public void shouldSpreadRetriesOfCallersOfFullUpstreamsWithinTarget() {
+    Set<Double> delays = new HashSet<>();
+    for (int i = 0; i < 20; i++) {
+      HttpResponse response = post(i % 2, "/once/full", "");
+      assertThat(response.text()).contains("upstream-full");
+      double seconds = Double.parseDouble(response.header("Retry-After").orElseThrow());
+      assertThat(seconds).isLessThanOrEqualTo(LocalGateway.TARGET_MILLIS / 2_000.0);
+      delays.add(seconds);
+    }
+    assertThat(delays).hasSizeGreaterThan(10);
+  }
+
   @Test
   public void shouldNotRelayUnsealedSuccess() {
     HttpResponse response = post(0, "/once/unsealed", "");
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -46,6 +46,9 @@
   static final String HOST = "h.example";
   static final String API_KEY = "key-of-captain";
 
+  /** Target of all routes. */
+  static final int TARGET_MILLIS = 1_000;
+
   static final int CONTROL_COUNT = 5;
   private static final int SEED_COUNT = 3;
   private static final int ROUTER_COUNT = 2;
@@ -158,7 +161,7 @@
         "/" + name + "/",
         repetition,
         8_000,
-        1_000,
+        TARGET_MILLIS,
         400,
         1,
         List.of(new WeightedService("desk", 1)),
