Admit the part of a service's requests that its upstreams can serve

Cause: a router knows the load of the 82 others as of their last report, up to 0.8 s ago, and an upstream empties and fills several times in that time. All of them see free places at the same time and fill every queue, then all see none.

Fix: each router admits a part of its service calls (ServiceThrottle). The part shrinks in proportion to the excess while the fleet has more than 1.4 requests a slot under way, and grows by steps below. Calls that are not admitted are refused at once with Retry-After. Prompts keep their own admission by expected time.

Ruled out: other routers' requests counted more often, since an upstream turns over 2.7 times in a report interval; a smaller queue, which refuses bursts that could be served.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -29,6 +29,7 @@
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<String, OnTimeRate> onTimeRates = new ConcurrentHashMap<>();
   private final Map<String, FirstTokenEstimator> estimators = new ConcurrentHashMap<>();
+  private final Map<String, ServiceThrottle> throttles = new ConcurrentHashMap<>();
   private final Map<XnioIoThread, UpstreamConnectionPool> connectionPools =
       new ConcurrentHashMap<>();
 
@@ -125,6 +126,10 @@
     return estimators.computeIfAbsent(service, name -> new FirstTokenEstimator());
   }
 
+  ServiceThrottle throttle(String service) {
+    return throttles.computeIfAbsent(service, name -> new ServiceThrottle(nanoClock));
+  }
+
   UpstreamConnectionPool connectionPool(XnioIoThread ioThread) {
     return connectionPools.computeIfAbsent(
         ioThread, t -> new UpstreamConnectionPool(t, bufferPool));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -203,7 +203,7 @@
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
     Optional<Selection> selected =
         context.selector().select(usable, head, route.targetMillis(), profile, triedUpstreams);
-    if (selected.isEmpty()) {
+    if (selected.isEmpty() || isThrottled(usable)) {
       boolean busy = triedUpstreams.isEmpty() && !usable.isEmpty();
       fail(busy ? retryLater("upstreams-busy", "All upstreams are busy.") : fallback);
       return;
@@ -219,6 +219,13 @@
     send(selected.get(), fallback);
   }
 
+  /** Engines are not throttled: their admission follows from the expected time. */
+  private boolean isThrottled(List<Upstream> usable) {
+    return triedUpstreams.isEmpty()
+        && head.promptTokens() == 0
+        && !context.throttle(service).admits(usable);
+  }
+
   private ErrorResponse retryLater(String type, String detail) {
     return ErrorResponse.notRun(type, detail, RetryAfter.randomDelayMillis(route.targetMillis()));
   }
