Wait in GatewayUsageTest until each router knows each upstream

What was seen: shouldDetectCallerDisconnectWhileUpstreamIsSilent failed in 3 of 16 runs of the class today (one by Maven, two by hand): no request arrived within 5 s.

Cause, from the log of the third: router 0 refused the request with "no-upstream" at 10:04:54.114 and heard of both upstreams at 54.211, when its streams to the control daemons that had their reports opened. The set-up waited until any router had used both upstreams; router 1 had.

The set-up now waits for both at each router.

Open: a router says that it is ready as soon as one control daemon has sent its list of upstreams, though others may know more.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -57,7 +57,8 @@
     secondUpstream = startUpstream("u2");
     gateway.awaitServing();
     reportExecutor.scheduleWithFixedDelay(this::reportUpstreams, 0, 500, TimeUnit.MILLISECONDS);
-    LocalGateway.await(() -> isServedBy("u1") && isServedBy("u2"));
+    LocalGateway.await(() -> isServedBy(0, "u1") && isServedBy(0, "u2"));
+    LocalGateway.await(() -> isServedBy(1, "u1") && isServedBy(1, "u2"));
   }
 
   @AfterClass(alwaysRun = true)
@@ -76,10 +77,13 @@
     gateway.reportUpstream(4, "u2", address(secondUpstream), State.READY, sequence);
   }
 
-  private boolean isServedBy(String upstream) {
-    post(0, "/once/warm", "x");
-    post(1, "/once/warm", "x");
-    return handledRequests.stream().anyMatch(line -> line.startsWith(upstream));
+  private boolean isServedBy(int router, String upstream) {
+    for (int i = 0; i < 10; i++) {
+      if (post(router, "/once/warm", "x").text().endsWith(upstream)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private static String address(Undertow server) {
