Add up the strikes that several routers record at the same time

Cause: routers exchanged counts and kept the higher one, so three routers with a strike each counted one; and a strike was sent with the next probe unless it reached the limit.

Fix: a strike has a random id; tables are merged by union, and each strike is broadcast at once. The time of known strikes does not change when they come back from others. Daemons without ids beside new ones keep the higher count, as before.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/retry/StrikeTable.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/retry/StrikeTable.java
@@ -4,26 +4,57 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Strikes against requests, by content digest: one for each upstream that failed while running it.
  *
  * <p>The strikes of a request are cleared when it completes. A request at the limit is refused
- * until its quarantine ends. Tables of several routers are merged by the higher count. Thread-safe.
+ * until its quarantine ends. Each strike has a random id, so that strikes of several routers add up
+ * and one that is reported repeatedly counts once. Thread-safe.
  */
 public final class StrikeTable {
 
   private static final int MAX_ENTRIES = 10_000;
 
+  /** Ids kept of one digest; above any useful limit. */
+  private static final int MAX_IDS = 32;
+
   /**
-   * Strikes of one digest.
+   * Strikes of one digest. Immutable.
    *
    * @param digest content digest
-   * @param count number of strikes
+   * @param count number of strikes; higher than the number of ids if a router reported no ids
    * @param atMillis time of the last strike, in milliseconds
+   * @param ids random ids of the strikes
    */
-  public record Strikes(long digest, int count, long atMillis) {}
+  public record Strikes(long digest, int count, long atMillis, Set<Long> ids) {
+
+    /** Copies the ids. */
+    public Strikes {
+      ids = Set.copyOf(ids);
+    }
+
+    /**
+     * Returns the strikes of both. The time of these changes with a new strike only, since reports
+     * that go back and forth look younger each time.
+     */
+    Strikes union(Strikes reported) {
+      Set<Long> union =
+          Stream.concat(ids.stream(), reported.ids.stream())
+              .distinct()
+              .limit(MAX_IDS)
+              .collect(Collectors.toSet());
+      int total = Math.max(Math.max(count, reported.count), union.size());
+      boolean hasNew = total > count || union.size() > ids.size();
+      long last = hasNew ? Math.max(atMillis, reported.atMillis) : atMillis;
+      return new Strikes(digest, total, last, union);
+    }
+  }
 
   private final int limit;
   private final long quarantineMillis;
@@ -43,15 +74,19 @@
 
   /** Records a strike and returns the new count. */
   public int recordStrike(long digest, long nowMillis) {
-    Strikes updated =
-        byDigest.merge(
-            digest,
-            new Strikes(digest, 1, nowMillis),
-            (existing, added) -> new Strikes(digest, existing.count() + 1, nowMillis));
+    Strikes first =
+        new Strikes(digest, 1, nowMillis, Set.of(ThreadLocalRandom.current().nextLong()));
+    Strikes updated = byDigest.merge(digest, first, StrikeTable::addOne);
     evictExpired(nowMillis);
     return updated.count();
   }
 
+  private static Strikes addOne(Strikes existing, Strikes added) {
+    Strikes union = existing.union(added);
+    int count = Math.max(existing.count() + 1, union.count());
+    return new Strikes(union.digest(), count, union.atMillis(), union.ids());
+  }
+
   /** Clears the strikes of a request that completed. */
   public void clear(long digest) {
     byDigest.remove(digest);
@@ -77,12 +112,9 @@
     return Math.max(0, strikes.atMillis() + quarantineMillis - nowMillis);
   }
 
-  /** Merges the strikes counted by another router; the higher count is kept. */
-  public void merge(long digest, int count, long atMillis, long nowMillis) {
-    byDigest.merge(
-        digest,
-        new Strikes(digest, count, atMillis),
-        (existing, received) -> received.count() > existing.count() ? received : existing);
+  /** Adds the strikes that another router reported. */
+  public void merge(Strikes reported, long nowMillis) {
+    byDigest.merge(reported.digest(), reported, Strikes::union);
     evictExpired(nowMillis);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/ControlPlane.java
@@ -263,7 +263,7 @@
     return sharing;
   }
 
-  /** Broadcasts to all live daemons that a request reached the strike limit. */
+  /** Broadcasts the strikes of a request to all live daemons. */
   void announceStrikes(long digest) {
     controlExecutor.execute(() -> membership.broadcastStrikes(digest));
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/membership/MembershipController.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/membership/MembershipController.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -109,6 +110,7 @@
         .setDigest(strikes.digest())
         .setCount(strikes.count())
         .setAgeMillis((int) (nowMillis - strikes.atMillis()))
+        .addAllIds(strikes.ids())
         .build();
   }
 
@@ -136,8 +138,9 @@
 
   private void mergeStrikes(List<Strike> reported, long nowMillis) {
     for (Strike strike : reported) {
-      strikes.merge(
-          strike.getDigest(), strike.getCount(), nowMillis - strike.getAgeMillis(), nowMillis);
+      long atMillis = nowMillis - strike.getAgeMillis();
+      Set<Long> ids = Set.copyOf(strike.getIdsList());
+      strikes.merge(new Strikes(strike.getDigest(), strike.getCount(), atMillis, ids), nowMillis);
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/ModelRequest.java
@@ -263,6 +263,7 @@
     }
     if (outcome == AttemptOutcome.BROKEN) {
       context.strikes().recordStrike(request.digest(), nowMillis);
+      context.onStrike().accept(request.digest());
     }
     DecisionLog.attemptFailed(request, upstream.id(), attempt.id(), outcome.name());
     if (outcome != AttemptOutcome.CANCELLED) {
@@ -277,7 +278,6 @@
   private void retryOrFail(AttemptOutcome outcome, long nowMillis) {
     long quarantineMillis = context.strikes().refusedForMillis(request.digest(), nowMillis);
     if (quarantineMillis > 0) {
-      context.onQuarantine().accept(request.digest());
       int retryAfterSeconds = (int) (quarantineMillis / 1_000) + 1;
       fail(Problems.quarantined(runState(), retryAfterSeconds).problem());
       return;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/RelayContext.java
@@ -24,7 +24,7 @@
  * @param scheduler runs retries after their backoff
  * @param clock supplies monotonic milliseconds
  * @param stallMillis longest time without data from an upstream, in milliseconds
- * @param onQuarantine receives the digest of a request that reached the strike limit
+ * @param onStrike receives the digest of a request after each strike
  */
 public record RelayContext(
     HttpClient client,
@@ -38,4 +38,4 @@
     ScheduledExecutorService scheduler,
     LongSupplier clock,
     int stallMillis,
-    LongConsumer onQuarantine) {}
+    LongConsumer onStrike) {}
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
@@ -152,6 +152,33 @@
     }
   }
 
+  /** Guards against routers that each see three crashes before they refuse a request. */
+  @Test
+  public void shouldCountCrashesUnderEqualRequestsOfSeveralRoutersTogether() {
+    for (int i = 1; i <= 10; i++) {
+      fleet.startEngine("engine-" + i, 4);
+    }
+    for (int i = 0; i < 3; i++) {
+      int router = i;
+      fleet.await(() -> fleet.sendModelRequest(router, "warm up").outcome() == Outcome.WHOLE);
+    }
+    LocalFleet.sleep(1_500);
+    String crashingPrompt = "poison [crash]";
+    List<CompletableFuture<Caller.Result>> results = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      String router = fleet.callerAddress(i);
+      results.add(
+          fleet
+              .caller()
+              .sendModelRequest(router, LocalFleet.API_KEY, "summary", crashingPrompt, ""));
+    }
+    for (CompletableFuture<Caller.Result> result : results) {
+      assertThat(result.join().text()).contains("quarantined");
+    }
+    // Three crashes, and one more run that each router may have started before it knew of them.
+    assertThat(countStarts(crashingPrompt)).isLessThanOrEqualTo(6);
+  }
+
   /** A refused connection executes nothing, so it must not use up the retry budget. */
   @Test
   public void shouldAnswerAllRequestsWhileMostEnginesRefuseConnections() {
