--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -60,9 +60,9 @@
     admitted = Math.max(MIN_ADMITTED, admitted * REJECTION_FACTOR);
   }
 
-  /** Describes the admitted part and the load that it follows, for people. */
+  /** Returns the admitted part and the load that it follows, for people. */
   synchronized String describe() {
-    return "The upstreams have %.0f%% of their target of requests; %.0f%% of new ones are admitted."
+    return "The upstreams have %.0f%% of the requests that they are meant to have; %.0f%% are admitted."
         .formatted(100 * load, 100 * admitted);
   }
 
