Revert "Admit fewer service calls after an upstream rejects one"

Twenty requests that an upstream says it did not run lowered the part to 34% at a load of 6%, and calls of other tests were refused (the log has the text). In production one caller whose requests are rejected for a reason of their own would have had the calls of all others refused.

A next form has to count a rejection only if it says that the upstream is full, and once in a report interval.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -1,7 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.concurrent.TimeUnit;
-import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.ShareCheck;
 import org.toucansaddle.daemon.internal.problem.RunState;
@@ -71,11 +70,6 @@
     return notRun("quarantined", detail, remainingMillis);
   }
 
-  /** Refuses a request whose retry may still be answered within the target of its route. */
-  static ErrorResponse retryLater(Route route, String type, String detail) {
-    return notRun(type, detail, RetryAfter.randomDelayMillis(route.targetMillis()));
-  }
-
   static ErrorResponse notRun(String type, String detail, long retryAfterMillis) {
     return new ErrorResponse(503, type, RunState.NOT_RUN, detail, retryAfterMillis);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -15,8 +15,7 @@
  * routers use them, queues at the upstreams are either full or empty. Each router therefore admits
  * a part of its requests, which shrinks in proportion while the upstreams have too many requests
  * and grows by steps while they have fewer. Since a larger part shrinks more, the routers come to
- * admit the same part. It shrinks as well when an upstream rejects a request, which tells of a full
- * queue while reports are late. Thread-safe.
+ * admit the same part. Thread-safe.
  */
 final class ServiceThrottle {
 
@@ -32,16 +31,12 @@
   /** Part of the excess over the target by which the admitted part shrinks in a step. */
   private static final double DECREASE_FACTOR = 0.5;
 
-  /** Factor of the admitted part after an upstream rejected a request. */
-  private static final double REJECTION_FACTOR = 0.7;
-
   /** Smallest part, so that a router notices when the upstreams have room again. */
   private static final double MIN_ADMITTED = 0.02;
 
   private final LongSupplier clock;
   private final DoubleSupplier random;
   private double admitted = 1;
-  private double load;
   private long lastStepAt;
 
   /** Creates a throttle that admits all requests; {@code clock} returns nanoseconds. */
@@ -55,17 +50,6 @@
     this.lastStepAt = clock.getAsLong();
   }
 
-  /** Records that an upstream rejected a request because it has too many. */
-  synchronized void recordRejection() {
-    admitted = Math.max(MIN_ADMITTED, admitted * REJECTION_FACTOR);
-  }
-
-  /** Returns the admitted part and the load that it follows, for people. */
-  synchronized String describe() {
-    return "The upstreams have %.0f%% of the requests that they are meant to have; %.0f%% are admitted."
-        .formatted(100 * load, 100 * admitted);
-  }
-
   /** Returns whether a request to one of these upstreams is admitted. */
   boolean admits(Collection<Upstream> upstreams) {
     int requests = upstreams.stream().mapToInt(Upstream::requests).sum();
@@ -84,13 +68,13 @@
     double steps = (now - lastStepAt) / (double) STEP_NANOS;
     if (steps >= 1) {
       lastStepAt = now;
-      load = requests / Math.max(1, slots * TARGET_REQUESTS_PER_SLOT);
-      adjust(steps);
+      adjust(requests / Math.max(1, slots * TARGET_REQUESTS_PER_SLOT), steps);
     }
     return admitted >= 1 || random.getAsDouble() < admitted;
   }
 
-  private void adjust(double steps) {
+  /** Adjusts the admitted part to a load, as a fraction of the target. */
+  private void adjust(double load, double steps) {
     if (load < 1) {
       admitted = Math.min(1, admitted + MAX_INCREASE * (1 - load) * steps);
     } else {
