Log how an upstream marked the end of its response

The line ended now has framing=LENGTH, CHUNKED or CONNECTION_END. The head of the response is set by CallerResponse, which already writes the rest of it. No decision changes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
@@ -1,6 +1,10 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -37,6 +41,33 @@
     this.onDisconnect = onDisconnect;
   }
 
+  /**
+   * Sets the head of the response, which is sent with the first content.
+   *
+   * @param headers header fields of the upstream's response
+   * @param length length of the content as a header value; empty if it is not known
+   */
+  void start(RelayContext context, int status, HeaderMap headers, String length) {
+    exchange.setStatusCode(status);
+    HeaderMap responseHeaders = exchange.getResponseHeaders();
+    context.codec().copyResponseHeaders(headers, responseHeaders);
+    if (!length.isEmpty()) {
+      responseHeaders.put(Headers.CONTENT_LENGTH, length);
+    } else if (exchange.isHttp11() && mayHaveBody(status)) {
+      // If the end of the connection marked the end, a truncated response would look complete.
+      responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked");
+    }
+    if (context.closesConnections()) {
+      responseHeaders.put(Headers.CONNECTION, "close");
+    }
+  }
+
+  private boolean mayHaveBody(int status) {
+    return status != StatusCodes.NO_CONTENT
+        && status != StatusCodes.NOT_MODIFIED
+        && !exchange.getRequestMethod().equals(Methods.HEAD);
+  }
+
   /** Writes content and buffers the rest. Returns whether everything was written. */
   boolean write(ByteBuffer data) {
     if (done) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -51,8 +51,8 @@
   static void requestEnded(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} status={} outcome={} upstream={}"
-            + " reason={} heard_ms_ago={} attempts={} first_ms={} total_ms={} prompt={} wait_ms={}"
-            + " detail=\"{}\"",
+            + " reason={} heard_ms_ago={} attempts={} framing={} first_ms={} total_ms={} prompt={}"
+            + " wait_ms={} detail=\"{}\"",
         call.head().requestId(),
         call.route() == null ? "" : call.route().name(),
         call.account(),
@@ -63,6 +63,7 @@
         call.selectionReason(),
         call.reportAgeMillis(),
         call.attempts(),
+        call.framing(),
         call.firstByteMillis(),
         call.elapsedMillis(),
         call.head().promptTokens(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -3,8 +3,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import io.undertow.util.Methods;
-import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
@@ -76,6 +74,7 @@
   private String lastUpstream = "";
   private String selectionReason = "";
   private long reportAgeMillis = -1;
+  private ResponseFraming framing = ResponseFraming.NONE;
 
   RelayedCall(
       RelayContext context,
@@ -142,6 +141,11 @@
     return reportAgeMillis;
   }
 
+  /** Returns the framing of the last response of an upstream. */
+  ResponseFraming framing() {
+    return framing;
+  }
+
   double expectedFirstTokenMillis() {
     return expectedFirstTokenMillis;
   }
@@ -432,28 +436,14 @@
 
   /** Starts the response to the caller; does nothing if a stream is being resumed. */
   void onResponseHead(int status, HeaderMap headers) {
+    framing = ResponseFraming.of(headers);
     if (phase == Phase.RESPONDING) {
       return;
     }
     phase = Phase.RESPONDING;
-    exchange.setStatusCode(status);
-    context.codec().copyResponseHeaders(headers, exchange.getResponseHeaders());
-    String length = headers.getFirst(Headers.CONTENT_LENGTH);
-    if (length != null && eventSplitter == null) {
-      exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
-    } else if (exchange.isHttp11() && mayHaveBody(status)) {
-      // If the end of the connection marked the end, a truncated response would look complete.
-      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
-    }
-    if (context.closesConnections()) {
-      exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-    }
-  }
-
-  private boolean mayHaveBody(int status) {
-    return status != StatusCodes.NO_CONTENT
-        && status != StatusCodes.NOT_MODIFIED
-        && !exchange.getRequestMethod().equals(Methods.HEAD);
+    boolean keepsLength = framing == ResponseFraming.LENGTH && eventSplitter == null;
+    String length = keepsLength ? headers.getFirst(Headers.CONTENT_LENGTH) : "";
+    response.start(context, status, headers, length);
   }
 
   /** Relays content; returns whether the caller can accept more. */
