--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -0,0 +1,212 @@
+package org.toucansaddle.usage;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+
+/**
+ * Upstreams of a {@link LocalGateway} on plain sockets, whose answers are the bytes that a script
+ * writes.
+ *
+ * <p>Each upstream reports to all control daemons every 300 ms. Thread-safe.
+ */
+final class ScriptedUpstreams implements AutoCloseable {
+
+  private static final int REPORT_MILLIS = 300;
+  private static final int DELIVERY_MILLIS = 100;
+
+  /** Writes the answer to one request; the connection stays open unless the script closes it. */
+  @FunctionalInterface
+  interface Script {
+    void answer(Exchange exchange) throws IOException;
+  }
+
+  private final LocalGateway gateway;
+  private final Script script;
+  private final List<ScriptedUpstream> upstreams = new ArrayList<>();
+  private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
+  private final AtomicLong sequence = new AtomicLong();
+  private final ExecutorService connections = Executors.newCachedThreadPool();
+  private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
+
+  ScriptedUpstreams(LocalGateway gateway, int count, Script script) throws IOException {
+    this.gateway = gateway;
+    this.script = script;
+    for (int index = 0; index < count; index++) {
+      upstreams.add(new ScriptedUpstream("u" + index));
+    }
+    reports.scheduleWithFixedDelay(this::report, 0, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void report() {
+    long current = sequence.incrementAndGet();
+    upstreams.forEach(upstream -> gateway.reportToAll(upstream.createReport(current)));
+  }
+
+  @Override
+  public void close() throws IOException {
+    reports.shutdownNow();
+    for (ScriptedUpstream upstream : upstreams) {
+      upstream.listener.close();
+    }
+    for (Socket socket : openSockets) {
+      socket.close();
+    }
+    connections.shutdownNow();
+  }
+
+  /** A request that an upstream received, and the connection on which it is answered. */
+  static final class Exchange {
+    private final String path;
+    private final Map<String, String> headers;
+    private final Socket socket;
+
+    private Exchange(String path, Map<String, String> headers, Socket socket) {
+      this.path = path;
+      this.headers = headers;
+      this.socket = socket;
+    }
+
+    String path() {
+      return path;
+    }
+
+    /** Returns a header of the request; empty if it is absent. */
+    String header(String name) {
+      return headers.getOrDefault(name, "");
+    }
+
+    /** Writes the head of an answer, with the fields that a gateway requires of an upstream. */
+    void writeHead(int status, String... fields) throws IOException {
+      StringBuilder head = new StringBuilder("HTTP/1.1 ").append(status).append(" Status\r\n");
+      head.append("X-Answer-Seal: seal\r\nX-Request-Id: ").append(header("X-Request-Id"));
+      for (String field : fields) {
+        head.append("\r\n").append(field);
+      }
+      write(head.append("\r\n\r\n").toString());
+    }
+
+    /** Writes one chunk of a body with chunked encoding; the last one is empty. */
+    void writeChunk(String content) throws IOException {
+      write(Integer.toHexString(content.length()) + "\r\n" + content + "\r\n");
+    }
+
+    /** Writes an answer with its length. */
+    void writeAnswer(int status, String content) throws IOException {
+      writeHead(status, "Content-Length: " + content.length());
+      write(content);
+    }
+
+    void write(String text) throws IOException {
+      OutputStream out = socket.getOutputStream();
+      out.write(text.getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+    }
+
+    /** Closes the connection in order. */
+    void close() throws IOException {
+      socket.close();
+    }
+
+    /** Resets the connection once the gateway has most likely read what was written. */
+    void resetAfterDelivery() throws IOException {
+      try {
+        Thread.sleep(DELIVERY_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
+  /** One upstream, with a thread for each connection. */
+  private final class ScriptedUpstream {
+    private final String id;
+    private final ServerSocket listener;
+
+    ScriptedUpstream(String id) throws IOException {
+      this.id = id;
+      this.listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+      connections.execute(this::accept);
+    }
+
+    private UpstreamReport createReport(long reportSequence) {
+      String address = "127.0.0.1:" + listener.getLocalPort();
+      return new UpstreamReport(id, "desk", address, "z1", 6, State.READY, 1, reportSequence);
+    }
+
+    private void accept() {
+      try {
+        while (true) {
+          Socket socket = listener.accept();
+          openSockets.add(socket);
+          connections.execute(() -> serve(socket));
+        }
+      } catch (IOException e) {
+        if (!listener.isClosed()) {
+          throw new UncheckedIOException(e);
+        }
+      }
+    }
+
+    private void serve(Socket socket) {
+      try (socket) {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
+          Exchange exchange = new Exchange(line.split(" ")[1], readFields(in), socket);
+          String length = exchange.header("Content-Length");
+          in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+          script.answer(exchange);
+          if (socket.isClosed()) {
+            return;
+          }
+        }
+      } catch (IOException e) {
+        // The gateway has closed the connection, which is how it cancels a request.
+        return;
+      } finally {
+        openSockets.remove(socket);
+      }
+    }
+  }
+
+  private static Map<String, String> readFields(InputStream in) throws IOException {
+    Map<String, String> fields = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+    for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
+      int colon = line.indexOf(':');
+      fields.put(line.substring(0, colon), line.substring(colon + 1).trim());
+    }
+    return fields;
+  }
+
+  /** Reads a line without its end; empty at the end of the connection. */
+  private static String readLine(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int c = in.read(); c >= 0 && c != '\n'; c = in.read()) {
+      if (c != '\r') {
+        line.append((char) c);
+      }
+    }
+    return line.toString();
+  }
+}
