Reset the connection of a broken response without framing

What callers saw: an HTTP/1.0 caller got a broken stream as complete, whichever way its upstream had framed it. Cause: HTTP/1.0 has no chunks and a stream has no length, so that the end of the connection marks the end of the response, and a router closed it in order. Evidence: TruncatedStreamUsageTest.shouldResetConnectionOfHttp10Caller...; its cases [CHUNKS, CLOSED_EARLY], [CHUNKS, RESET] and [CONNECTION, RESET] failed on and pass now. Why it works: a reset is an error to any reader; a connection whose response has a length or chunks is closed in order as before, so that what was sent still arrives and can be resumed. Ruled out: closing all broken responses by a reset, which discards events that are on their way.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
@@ -9,18 +9,23 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
  * Streams a response to its caller. Confined to the caller's I/O thread.
  *
- * <p>A response that cannot be completed is ended by closing the connection, so that it never looks
- * complete.
+ * <p>A response that cannot be completed is ended by closing or resetting the connection, so that
+ * it never looks complete.
  */
 final class CallerResponse {
 
+  private static final Logger LOG = LoggerFactory.getLogger(CallerResponse.class);
+
   private final HttpServerExchange exchange;
   private final Runnable onWritable;
   private final Runnable onDisconnect;
@@ -173,9 +178,26 @@
     }
   }
 
-  /** Closes the connection, so that the caller sees an incomplete response. */
+  /**
+   * Closes the connection, so that the caller sees an incomplete response. The connection is reset
+   * if its orderly end would mark the end of the response.
+   */
   void abort() {
     done = true;
+    HeaderMap headers = exchange.getResponseHeaders();
+    boolean framed =
+        headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
+    if (!framed) {
+      resetOnClose();
+    }
     IoUtils.safeClose(exchange.getConnection());
   }
+
+  private void resetOnClose() {
+    try {
+      exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+    } catch (IOException e) {
+      LOG.warn("a broken response may look complete to its caller: {}", e.getMessage());
+    }
+  }
 }
