Take a stream that stops within an event for broken off

Cause: a router judged a response by its framing alone. The end of the connection (of an answer with neither a length nor chunks), the last chunk and the announced length all counted as the end of a stream, wherever it was. It also counted as a success, which cleared the strikes of crashes. Why it works: a scanner finds the ends of events in every stream. A stream that ends within one is lost like one whose connection was reset: it is resumed at another upstream if its route allows that, otherwise its caller sees an incomplete response; it is a strike and no success. A stream that ends with its connection before its first event is lost as well. Streams get no Content-Length, since their last announced byte would end them. Errors and other content on routes of streams are relayed as they are. A response of which the caller has received nothing gives way to another upstream's, or to a 502, instead of a closed connection; before, the headers of the first upstream stayed. Extracted: CallTimes and Dispatch, which RelayedCall and its log share.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -7,6 +7,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
@@ -203,6 +204,11 @@
     call.flush();
   }
 
+  @Override
+  public Optional<String> findTruncation() {
+    return call.isCurrent(this) ? call.findTruncation() : Optional.empty();
+  }
+
   @Override
   public void onResponseComplete() {
     if (call.isCurrent(this)) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
@@ -67,7 +67,18 @@
     }
   }
 
-  private boolean mayHaveBody(int status) {
+  /** Clears the head of a response that has not been sent, so that another can take its place. */
+  void discardHead() {
+    exchange.getResponseHeaders().clear();
+  }
+
+  /** Returns whether the head of the response was sent. */
+  boolean isHeadSent() {
+    return exchange.isResponseStarted();
+  }
+
+  /** Returns whether a response with this status has content. */
+  boolean mayHaveBody(int status) {
     return status != StatusCodes.NO_CONTENT
         && status != StatusCodes.NOT_MODIFIED
         && !exchange.getRequestMethod().equals(Methods.HEAD);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 /**
  * Splits a stream of server-sent events into complete events and tracks their ids.
@@ -11,10 +12,11 @@
  * Events up to the last forwarded id are dropped, so that a stream resumed at another upstream
  * contains no duplicates. Not thread-safe.
  */
-final class EventSplitter {
+final class EventSplitter implements ResponseContent {
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+  private final EventScanner scanner = new EventScanner();
   private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
   private long lastEventId = -1;
   private boolean gap;
@@ -32,57 +34,47 @@
   /** Discards a truncated event and a gap before another upstream resumes the stream. */
   void prepareResume() {
     partialEvent.reset();
+    scanner.reset();
     gap = false;
   }
 
-  /** Returns whether an incomplete event is buffered. */
-  boolean hasPartialEvent() {
-    return partialEvent.size() > 0;
+  @Override
+  public Optional<String> findTruncation(ResponseFraming framing) {
+    return scanner.findTruncation(framing);
   }
 
-  /** Removes and returns the buffered bytes. */
-  byte[] drainPartialEvent() {
+  /** Removes and returns the bytes after the last event: blank lines and comments. */
+  @Override
+  public ByteBuffer drain() {
     byte[] remainder = partialEvent.toByteArray();
     partialEvent.reset();
-    return remainder;
+    return ByteBuffer.wrap(remainder);
   }
 
   /** Consumes bytes and returns the events that they complete. */
-  ByteBuffer accept(ByteBuffer data) {
-    byte[] bytes = new byte[data.remaining()];
-    data.get(bytes);
-    partialEvent.writeBytes(bytes);
-    byte[] all = partialEvent.toByteArray();
-    ByteArrayOutputStream complete = new ByteArrayOutputStream(all.length);
-    int start = 0;
-    for (int end = endOfEvent(all, start); end > 0; end = endOfEvent(all, start)) {
-      if (acceptEvent(all, start, end)) {
-        complete.write(all, start, end - start);
+  @Override
+  public ByteBuffer accept(ByteBuffer data) {
+    ByteArrayOutputStream complete =
+        new ByteArrayOutputStream(partialEvent.size() + data.remaining());
+    while (data.hasRemaining()) {
+      ByteBuffer scanned = data.duplicate();
+      boolean ended = scanner.advanceToEnd(scanned);
+      byte[] bytes = new byte[scanned.position() - data.position()];
+      data.get(bytes);
+      partialEvent.writeBytes(bytes);
+      if (ended) {
+        byte[] event = partialEvent.toByteArray();
+        partialEvent.reset();
+        if (acceptEvent(event)) {
+          complete.writeBytes(event);
+        }
       }
-      start = end;
     }
-    partialEvent.reset();
-    partialEvent.write(all, start, all.length - start);
     return ByteBuffer.wrap(complete.toByteArray());
   }
 
-  private static int endOfEvent(byte[] bytes, int from) {
-    int lineStart = from;
-    for (int i = from; i < bytes.length; i++) {
-      if (bytes[i] != '\n') {
-        continue;
-      }
-      int length = i - lineStart - (i > lineStart && bytes[i - 1] == '\r' ? 1 : 0);
-      if (length == 0 && lineStart > from) {
-        return i + 1;
-      }
-      lineStart = i + 1;
-    }
-    return -1;
-  }
-
-  private boolean acceptEvent(byte[] bytes, int start, int end) {
-    long id = parseEventId(bytes, start, end);
+  private boolean acceptEvent(byte[] event) {
+    long id = parseEventId(event);
     if (id < 0) {
       return true;
     }
@@ -99,28 +91,28 @@
     return true;
   }
 
-  private static long parseEventId(byte[] bytes, int start, int end) {
+  private static long parseEventId(byte[] event) {
     boolean atLineStart = true;
-    for (int i = start; i + ID_FIELD.length < end; i++) {
+    for (int i = 0; i + ID_FIELD.length < event.length; i++) {
       if (atLineStart
-          && bytes[i] == ID_FIELD[0]
-          && bytes[i + 1] == ID_FIELD[1]
-          && bytes[i + 2] == ID_FIELD[2]) {
-        return parseNumber(bytes, i + ID_FIELD.length, end);
+          && event[i] == ID_FIELD[0]
+          && event[i + 1] == ID_FIELD[1]
+          && event[i + 2] == ID_FIELD[2]) {
+        return parseNumber(event, i + ID_FIELD.length);
       }
-      atLineStart = bytes[i] == '\n';
+      atLineStart = event[i] == '\n' || event[i] == '\r';
     }
     return -1;
   }
 
-  private static long parseNumber(byte[] bytes, int from, int end) {
+  private static long parseNumber(byte[] event, int from) {
     int i = from;
-    while (i < end && bytes[i] == ' ') {
+    while (i < event.length && event[i] == ' ') {
       i++;
     }
     long value = -1;
-    for (; i < end && bytes[i] >= '0' && bytes[i] <= '9'; i++) {
-      value = Math.max(0, value) * 10 + bytes[i] - '0';
+    for (; i < event.length && event[i] >= '0' && event[i] <= '9'; i++) {
+      value = Math.max(0, value) * 10 + event[i] - '0';
     }
     return value;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -33,6 +33,7 @@
           Headers.PROXY_AUTHORIZATION,
           new HttpString("Proxy-Connection"));
 
+  private static final String EVENT_STREAM = "text/event-stream";
   private static final int MAX_DEADLINE_MILLIS = 24 * 3_600 * 1_000;
   private static final int MAX_TOKENS = 100_000_000;
   private static final int MAX_PROMPT_PARTS = 64;
@@ -199,6 +200,12 @@
     return responseId == null || responseId.equals(id);
   }
 
+  /** Returns whether the content of a response is an event stream or of an unknown type. */
+  static boolean mayBeEventStream(HeaderMap headers) {
+    String type = headers.getFirst(Headers.CONTENT_TYPE);
+    return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+  }
+
   /** Returns whether a response carries a request id. */
   boolean hasRequestId(HeaderMap headers) {
     return headers.contains(requestId);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -37,8 +37,6 @@
   /** Lead time of an error response before the caller of a silent stream gives up. */
   private static final long CALLER_TIMEOUT_MARGIN_MILLIS = 300;
 
-  private static final double NANOS_PER_SECOND = 1e9;
-
   private static final String CALLER_GONE = "caller-gone";
 
   private enum Phase {
@@ -57,11 +55,9 @@
   private final String service;
   private final byte[] body;
   private final CallQuarantine quarantine;
-  private final long startNanos;
-  private final long deadlineNanos;
+  private final CallTimes times;
   private final Set<String> triedUpstreams = new HashSet<>();
   private final CallerResponse response;
-  private final EventSplitter eventSplitter;
 
   private Phase phase = Phase.NOT_SENT;
   private CallAttempt currentAttempt;
@@ -70,11 +66,12 @@
   private boolean earlierMayHaveRun;
   private double nominalTokensPerMilli;
   private double expectedFirstTokenMillis;
-  private long firstByteNanos;
-  private String lastUpstream = "";
-  private String selectionReason = "";
-  private long reportAgeMillis = -1;
+  private Dispatch lastDispatch = Dispatch.NONE;
   private ResponseFraming framing = ResponseFraming.NONE;
+  private ResponseContent content = ResponseContent.OPAQUE;
+
+  /** The content if it is a stream that may be resumed, otherwise null. */
+  private EventSplitter eventSplitter;
 
   RelayedCall(
       RelayContext context,
@@ -92,13 +89,11 @@
     this.view = view;
     this.account = account;
     this.body = body;
-    this.startNanos = startNanos;
-    this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis(route));
+    this.times = new CallTimes(context::nowNanos, startNanos, head.timeoutMillis(route));
     this.service = WeightedService.draw(route.services(), ThreadLocalRandom.current());
     this.quarantine =
         new CallQuarantine(context.state().quarantine(), RequestDigest.of(head, account, body));
     this.response = new CallerResponse(exchange, this::resumeAttempt, this::onCallerDisconnected);
-    this.eventSplitter = route.isStream() && route.resumable() ? new EventSplitter() : null;
   }
 
   RequestHead head() {
@@ -129,16 +124,8 @@
     return service;
   }
 
-  String lastUpstream() {
-    return lastUpstream;
-  }
-
-  String selectionReason() {
-    return selectionReason;
-  }
-
-  long reportAgeMillis() {
-    return reportAgeMillis;
+  Dispatch lastDispatch() {
+    return lastDispatch;
   }
 
   /** Returns the framing of the last response of an upstream. */
@@ -150,16 +137,12 @@
     return expectedFirstTokenMillis;
   }
 
-  long elapsedMillis() {
-    return TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - startNanos);
-  }
-
-  long firstByteMillis() {
-    return firstByteNanos == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(firstByteNanos - startNanos);
+  CallTimes times() {
+    return times;
   }
 
   long remainingMillis() {
-    return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - context.nowNanos());
+    return times.remainingMillis();
   }
 
   /** Sends the request to an upstream or refuses it. */
@@ -241,14 +224,11 @@
   private void send(Selection selected, ErrorResponse fallback) {
     Upstream upstream = selected.upstream();
     triedUpstreams.add(upstream.id());
-    lastUpstream = upstream.id();
+    lastDispatch = Dispatch.of(selected, context.nowNanos());
     String address = upstream.report().address();
     UpstreamConnectionPool pool = context.connectionPool(exchange.getIoThread());
     CallAttempt attempt = new CallAttempt(context, this, exchange, selected, nominalTokensPerMilli);
     currentAttempt = attempt;
-    reportAgeMillis =
-        TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - upstream.lastReportAtNanos());
-    selectionReason = selected.reason().name();
     Connection idle = pool.acquireIdle(address);
     if (idle != null) {
       startAttempt(attempt, idle);
@@ -307,6 +287,7 @@
     boolean maybeSent = earlierMayHaveRun || (currentAttempt != null && currentAttempt.isSent());
     RunState run = maybeSent ? RunState.UNKNOWN : RunState.NOT_RUN;
     cancelAttempt();
+    withdrawUnsentResponse();
     if (phase == Phase.RESPONDING) {
       abortResponse("the time of the request is over");
     } else {
@@ -352,6 +333,16 @@
     ErrorResponseWriter.send(exchange, head.requestId(), error, context.closesConnections());
   }
 
+  /** Returns to the state before the response if the caller has received nothing of it. */
+  private void withdrawUnsentResponse() {
+    if (phase == Phase.RESPONDING && !response.isHeadSent()) {
+      phase = Phase.AWAITING_RESPONSE;
+      content = ResponseContent.OPAQUE;
+      eventSplitter = null;
+      response.discardHead();
+    }
+  }
+
   private void abortResponse(String cause) {
     recordEnd(exchange.getStatusCode(), "broken-off", cause);
     response.abort();
@@ -376,12 +367,13 @@
 
   /** Returns whether another upstream may resume an interrupted response. */
   boolean isResumable() {
-    return eventSplitter != null;
+    boolean expected = route.isStream() && route.resumable();
+    return phase == Phase.RESPONDING ? eventSplitter != null : expected;
   }
 
-  /** Returns whether the request may move from an upstream that has not responded to another. */
+  /** Returns whether another upstream may take over the request, from its start or where it is. */
   boolean isMovable() {
-    return route.isRepeatable() && (phase == Phase.AWAITING_RESPONSE || isResumable());
+    return route.isRepeatable() && (phase != Phase.RESPONDING || isResumable());
   }
 
   /** Returns the id of the last event sent to the caller; -1 if there was none. */
@@ -412,16 +404,16 @@
 
   /** Retries, if allowed, a request whose response was lost; it may have run. */
   void onAttemptLost(CallAttempt attempt, String outcome, String cause) {
+    withdrawUnsentResponse();
     if (eventSplitter != null) {
       eventSplitter.prepareResume();
     }
     earlierMayHaveRun = true;
     context.metrics().recordAttempt(outcome);
     RelayLog.attemptFailed(this, attempt.upstream().id(), outcome, cause);
-    boolean mayContinue = phase != Phase.RESPONDING || eventSplitter != null;
     ErrorResponse fallback =
         ErrorResponse.upstreamLost("The upstream's answer was lost: " + cause + ".");
-    retry(fallback, route.isRepeatable() && mayContinue);
+    retry(fallback, isMovable());
   }
 
   private void retry(ErrorResponse fallback, boolean allowed) {
@@ -441,20 +433,29 @@
       return;
     }
     phase = Phase.RESPONDING;
-    boolean keepsLength = framing == ResponseFraming.LENGTH && eventSplitter == null;
+    if (isEventStream(status, headers)) {
+      eventSplitter = route.resumable() ? new EventSplitter() : null;
+      content = eventSplitter == null ? new EventMonitor() : eventSplitter;
+    }
+    // A stream may turn out to be truncated after as many bytes as the upstream announced.
+    boolean keepsLength = framing == ResponseFraming.LENGTH && content == ResponseContent.OPAQUE;
     String length = keepsLength ? headers.getFirst(Headers.CONTENT_LENGTH) : "";
     response.start(context, status, headers, length);
   }
 
+  private boolean isEventStream(int status, HeaderMap headers) {
+    return route.isStream()
+        && CallAttempt.isSuccess(status)
+        && response.mayHaveBody(status)
+        && HeaderCodec.mayBeEventStream(headers);
+  }
+
   /** Relays content; returns whether the caller can accept more. */
   boolean onResponseData(CallAttempt attempt, ByteBuffer data) {
-    if (firstByteNanos == 0) {
-      firstByteNanos = context.nowNanos();
-      context
-          .metrics()
-          .recordFirstByte(route.name(), (firstByteNanos - startNanos) / NANOS_PER_SECOND);
+    if (times.recordFirstByte()) {
+      context.metrics().recordFirstByte(route.name(), times.firstByteSeconds());
     }
-    ByteBuffer out = eventSplitter == null ? data : eventSplitter.accept(data);
+    ByteBuffer out = content.accept(data);
     boolean hasRoom = !out.hasRemaining() || response.write(out);
     if (eventSplitter != null && eventSplitter.hasGap()) {
       attempt.cancel();
@@ -468,6 +469,11 @@
     response.flush();
   }
 
+  /** Returns why a response that ends here is incomplete; empty if it may be complete. */
+  Optional<String> findTruncation() {
+    return content.findTruncation(framing);
+  }
+
   /** Ends the response after the upstream completed it. */
   void onResponseComplete() {
     currentAttempt = null;
@@ -475,9 +481,7 @@
     if (CallAttempt.isSuccess(exchange.getStatusCode())) {
       quarantine.recordSuccess();
     }
-    if (eventSplitter != null && eventSplitter.hasPartialEvent()) {
-      response.write(ByteBuffer.wrap(eventSplitter.drainPartialEvent()));
-    }
+    response.write(content.drain());
     recordEnd(exchange.getStatusCode(), "answered", "");
     response.end();
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Locale;
+import java.util.Optional;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.xnio.ChannelListeners;
 import org.xnio.channels.StreamSinkChannel;
@@ -44,7 +45,13 @@
     /** Called after all available content has been delivered. */
     void onDataDrained();
 
-    /** Called when the response is complete according to its framing. */
+    /**
+     * Called when the response is complete according to its framing. Returns why it is incomplete
+     * nevertheless, and then {@link #onFailure} follows.
+     */
+    Optional<String> findTruncation();
+
+    /** Called when the response is complete. */
     void onResponseComplete();
 
     /** Called when the response cannot be completed; the request may have run. */
@@ -221,6 +228,11 @@
   }
 
   private void complete() {
+    Optional<String> truncation = listener.findTruncation();
+    if (truncation.isPresent()) {
+      fail(new IOException(truncation.get()));
+      return;
+    }
     ended = true;
     if (bodyWritten && !closeAfterResponse) {
       connection.release(keepAliveMillis);
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
@@ -53,6 +53,14 @@
     assertThat(accept(event(2) + event(3))).isEqualTo(event(2) + event(3));
   }
 
+  @Test
+  public void shouldForwardCommentsAtOnceAndWhatFollowsTheLastEventAtTheEnd() {
+    assertThat(accept(": keep-alive\n\n")).isEqualTo(": keep-alive\n\n");
+    assertThat(accept(event(1) + ": end")).isEqualTo(event(1));
+    assertThat(splitter.findTruncation(ResponseFraming.CONNECTION_END)).isEmpty();
+    assertThat(StandardCharsets.UTF_8.decode(splitter.drain()).toString()).isEqualTo(": end");
+  }
+
   @Test
   public void shouldForwardSameBytesForAnyChunking() {
     StringBuilder all = new StringBuilder();
