Give every connection of an I/O thread its turn to be read

What callers saw: while one upstream sent an event without end, no caller of that router got an answer, and the timeout of the route did not end the request. A router took 26 MB in 12 s. Cause: a response was read in one go as long as more had arrived, so that an upstream that is as fast as the router kept the I/O thread for itself; and each read copied all of the unfinished event, which had no bound. Evidence: EndlessAnswerUsageTest on: in its cases /stream/endless- event (1 and 40 callers), /stream/endless-line and /stream/repeated-event another caller had no answer after 20 s. Why it works: after 16 reads a connection waits until the I/O thread has served all others (ReadTurns). Only one waiting reader is due at a time: several due ones would keep the queue of tasks full, and the thread selects connections and timers only when it is empty. An event of a resumable stream above 128 KB ends its attempt; bytes are scanned once. Ruled out: resuming reads through the selector; while bytes are pushed back that is a task in the same queue. The test's upstreams now report 64 slots instead of 6, since the 40 callers of one case filled them and another caller was refused as busy; no check changed.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
@@ -16,26 +16,53 @@
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+  /** Maximum size of an event; what an upstream sends without end must not fill the memory. */
+  static final int MAX_EVENT_BYTES = 128 * 1024;
+
+  /** Why a stream cannot be continued with what the upstream sends. */
+  enum Fault {
+    GAP("gap", "an event is missing"),
+    TOO_LONG("event-too-long", "an event is longer than " + MAX_EVENT_BYTES + " bytes");
+
+    private final String outcome;
+    private final String cause;
+
+    Fault(String outcome, String cause) {
+      this.outcome = outcome;
+      this.cause = cause;
+    }
+
+    /** Returns the outcome of the attempt, for logs and metrics. */
+    String outcome() {
+      return outcome;
+    }
+
+    /** Returns what happened, for people. */
+    String cause() {
+      return cause;
+    }
+  }
+
   private final EventScanner scanner = new EventScanner();
   private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
   private long lastEventId = -1;
-  private boolean gap;
+  private Optional<Fault> fault = Optional.empty();
 
   /** Returns the id of the last forwarded event; -1 if there was none. */
   long lastEventId() {
     return lastEventId;
   }
 
-  /** Returns whether an event id did not directly follow the previous one. */
-  boolean hasGap() {
-    return gap;
+  /** Returns why the stream cannot be continued; the events before that were returned. */
+  Optional<Fault> fault() {
+    return fault;
   }
 
-  /** Discards a truncated event and a gap before another upstream resumes the stream. */
+  /** Discards a truncated event and a fault before another upstream resumes the stream. */
   void prepareResume() {
     partialEvent.reset();
     scanner.reset();
-    gap = false;
+    fault = Optional.empty();
   }
 
   @Override
@@ -56,7 +83,7 @@
   public ByteBuffer accept(ByteBuffer data) {
     ByteArrayOutputStream complete =
         new ByteArrayOutputStream(partialEvent.size() + data.remaining());
-    while (data.hasRemaining()) {
+    while (data.hasRemaining() && fault.isEmpty()) {
       ByteBuffer scanned = data.duplicate();
       boolean ended = scanner.advanceToEnd(scanned);
       byte[] bytes = new byte[scanned.position() - data.position()];
@@ -68,6 +95,9 @@
         if (acceptEvent(event)) {
           complete.writeBytes(event);
         }
+      } else if (partialEvent.size() > MAX_EVENT_BYTES) {
+        partialEvent.reset();
+        fault = Optional.of(Fault.TOO_LONG);
       }
     }
     return ByteBuffer.wrap(complete.toByteArray());
@@ -82,9 +112,7 @@
       return false;
     }
     if (lastEventId >= 0 && id != lastEventId + 1) {
-      gap = true;
-    }
-    if (gap) {
+      fault = Optional.of(Fault.GAP);
       return false;
     }
     lastEventId = id;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -15,6 +15,7 @@
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.gateway.WeightedService;
 import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.AdmissionRequest;
+import org.toucansaddle.daemon.internal.gateway.relay.EventSplitter.Fault;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.EngineProfile;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
@@ -457,9 +458,10 @@
     }
     ByteBuffer out = content.accept(data);
     boolean hasRoom = !out.hasRemaining() || response.write(out);
-    if (eventSplitter != null && eventSplitter.hasGap()) {
+    Optional<Fault> fault = eventSplitter == null ? Optional.empty() : eventSplitter.fault();
+    if (fault.isPresent()) {
       attempt.cancel();
-      onAttemptLost(attempt, "gap", "an event is missing");
+      onAttemptLost(attempt, fault.get().outcome(), fault.get().cause());
       return false;
     }
     return hasRoom;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
+import org.toucansaddle.http.ReadTurns;
 import org.xnio.ChannelListeners;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -42,7 +43,7 @@
      */
     boolean onResponseData(ByteBuffer data);
 
-    /** Called after all available content has been delivered. */
+    /** Called after content has been delivered, when there is no more or others are read first. */
     void onDataDrained();
 
     /**
@@ -66,6 +67,7 @@
   private boolean bodyWritten;
   private boolean closeAfterResponse;
   private boolean reading;
+  private boolean awaitingTurn;
   private boolean ended;
 
   UpstreamExchange(Connection connection, byte[] body, Listener listener) {
@@ -193,14 +195,29 @@
     read();
   }
 
+  private void awaitNextTurn() {
+    source.suspendReads();
+    awaitingTurn = true;
+    ReadTurns.awaitNext(
+        () -> {
+          awaitingTurn = false;
+          read();
+        });
+  }
+
   private void read() {
-    if (ended || reading) {
+    if (ended || reading || awaitingTurn) {
       return;
     }
     reading = true;
     ByteBuffer buffer = READ_BUFFER.get();
     try {
-      while (!ended) {
+      for (int reads = 0; !ended; reads++) {
+        if (reads == ReadTurns.MAX_READS) {
+          listener.onDataDrained();
+          awaitNextTurn();
+          return;
+        }
         buffer.clear();
         int count = source.read(buffer);
         if (count < 0) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.toucansaddle.daemon.internal.gateway.relay.EventSplitter.Fault;
 
 /** Tests of {@link EventSplitter}. */
 public class EventSplitterTest {
@@ -39,20 +40,39 @@
     accept(event(1) + event(2) + "id: 3\nda");
     splitter.prepareResume();
     assertThat(accept(event(2) + event(3))).isEqualTo(event(3));
-    assertThat(splitter.hasGap()).isFalse();
+    assertThat(splitter.fault()).isEmpty();
   }
 
   @Test
   public void shouldDetectMissingEvent() {
     accept(event(1));
     assertThat(accept(event(3) + event(4))).isEmpty();
-    assertThat(splitter.hasGap()).isTrue();
+    assertThat(splitter.fault()).contains(Fault.GAP);
 
     splitter.prepareResume();
-    assertThat(splitter.hasGap()).isFalse();
+    assertThat(splitter.fault()).isEmpty();
     assertThat(accept(event(2) + event(3))).isEqualTo(event(2) + event(3));
   }
 
+  /** Guards against an event without end that fills the memory of a router. */
+  @Test
+  public void shouldGiveUpEventThatIsTooLong() {
+    String part = "data: " + "y".repeat(EventSplitter.MAX_EVENT_BYTES / 4 - 7) + "\n";
+    for (int i = 0; i < 4; i++) {
+      assertThat(accept(part)).isEmpty();
+      assertThat(splitter.fault()).isEmpty();
+    }
+    assertThat(accept("data: y\n\n")).isNotEmpty();
+    for (int i = 0; i < 5; i++) {
+      assertThat(accept(part)).isEmpty();
+    }
+    assertThat(splitter.fault()).contains(Fault.TOO_LONG);
+
+    splitter.prepareResume();
+    assertThat(splitter.fault()).isEmpty();
+    assertThat(accept(event(1))).isEqualTo(event(1));
+  }
+
   @Test
   public void shouldForwardCommentsAtOnceAndWhatFollowsTheLastEventAtTheEnd() {
     assertThat(accept(": keep-alive\n\n")).isEqualTo(": keep-alive\n\n");
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/EndlessAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/EndlessAnswerUsageTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -97,7 +98,7 @@
       while (count >= 0) {
         count = socket.getInputStream().read(buffer);
       }
-    } catch (java.net.SocketTimeoutException e) {
+    } catch (SocketTimeoutException e) {
       throw new AssertionError("no end of the response to " + path, e);
     } catch (IOException e) {
       // A reset connection ends the response as well.
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -32,6 +32,10 @@
 final class ScriptedUpstreams implements AutoCloseable {
 
   private static final int REPORT_MILLIS = 300;
+
+  /** Slots that each upstream reports: more than any test uses, so that none is refused as busy. */
+  private static final int SLOTS = 64;
+
   private static final int DELIVERY_MILLIS = 100;
 
   /** Writes the answer to one request; the connection stays open unless the script closes it. */
@@ -152,7 +156,7 @@
 
     private UpstreamReport createReport(long reportSequence) {
       String address = "127.0.0.1:" + listener.getLocalPort();
-      return new UpstreamReport(id, "desk", address, "z1", 6, State.READY, 1, reportSequence);
+      return new UpstreamReport(id, "desk", address, "z1", SLOTS, State.READY, 1, reportSequence);
     }
 
     private void accept() {
