--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -14,13 +14,14 @@
   static void attemptFailed(RelayedCall call, String upstream, String outcome, String cause) {
     LOG.info(
         "attempt_failed request={} upstream={} attempt={} outcome={} digest={} strikes={}"
-            + " why=\"{}\"",
+            + " shared_parts={} why=\"{}\"",
         call.head().requestId(),
         upstream,
         call.attempts(),
         outcome,
         Long.toHexString(call.quarantine().digest()),
         call.quarantine().strikes(),
+        call.head().sharedPrefixKey(),
         cause);
   }
 
