--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -21,7 +21,7 @@
 
 /**
  * Upstreams of a {@link LocalGateway} that crash when they run a request whose path ends with
- * {@code /crash}.
+ * {@code /crash}, or whose prompt has the part {@link #DEADLY_PART}.
  *
  * <p>A crash closes the connection; the upstream starts again at once, at the same address. Each
  * upstream reports to all control daemons every 300 ms. Thread-safe.
@@ -30,6 +30,12 @@
 
   private static final int REPORT_MILLIS = 300;
 
+  /** Id of a part of a prompt that crashes upstreams. */
+  static final String DEADLY_PART = "deadly";
+
+  /** Header with the parts of a prompt. */
+  static final String PROMPT_PARTS = "X-Prompt-Parts";
+
   /** Header in which a caller names the router that it sends the request to. */
   static final String SENT_TO = "X-Sent-To";
 
@@ -136,7 +142,7 @@
       int start = starts.get();
       if (!id(start).equals(expected)) {
         exchange.setStatusCode(421);
-      } else if (!exchange.getRequestURI().endsWith("/crash")) {
+      } else if (!isDeadly(exchange)) {
         answer(exchange, 200);
       } else if (holding) {
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> heldRequests.add(exchange));
@@ -150,6 +156,12 @@
     }
   }
 
+  private static boolean isDeadly(HttpServerExchange exchange) {
+    String parts = exchange.getRequestHeaders().getFirst(PROMPT_PARTS);
+    return exchange.getRequestURI().endsWith("/crash")
+        || (parts != null && parts.contains(DEADLY_PART));
+  }
+
   private static void answer(HttpServerExchange exchange, int status) {
     exchange.setStatusCode(status);
     exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
