Close endless responses in the fleet of classes of work as well

In the fleet of classes of work an upstream whose response had no end kept the I/O thread of the HTTP client; a response above the limit failed its caller but was read on for ever; an event of many data lines had no bound and was copied at each line. Not changed: an answer of a plain service that ends with its connection is complete by HTTP; streams of this fleet end with [DONE].

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/SseParser.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/relay/SseParser.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.relay;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -11,8 +12,7 @@
 final class SseParser {
 
   private static final int INITIAL_LINE_BYTES = 512;
-  private static final int MAX_LINE_BYTES = 1 << 20;
-  private static final byte[] NO_DATA = new byte[0];
+  private static final int MAX_EVENT_BYTES = 1 << 20;
   private static final byte[] DATA = "data:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
@@ -27,13 +27,13 @@
   private byte[] line = new byte[INITIAL_LINE_BYTES];
   private int length;
   private String id = "";
-  private byte[] data = NO_DATA;
+  private final ByteArrayOutputStream data = new ByteArrayOutputStream();
 
   SseParser(EventHandler handler) {
     this.handler = handler;
   }
 
-  /** Parses more bytes; returns false if a line exceeds {@code MAX_LINE_BYTES}. */
+  /** Parses more bytes; returns false if an event exceeds {@code MAX_EVENT_BYTES}. */
   boolean accept(ByteBuffer bytes) {
     while (bytes.hasRemaining()) {
       byte next = bytes.get();
@@ -47,10 +47,10 @@
   }
 
   private boolean append(byte next) {
+    if (length + data.size() >= MAX_EVENT_BYTES) {
+      return false;
+    }
     if (length == line.length) {
-      if (length >= MAX_LINE_BYTES) {
-        return false;
-      }
       line = Arrays.copyOf(line, length * 2);
     }
     line[length++] = next;
@@ -61,7 +61,7 @@
     if (length == 0) {
       dispatch();
     } else if (startsWith(DATA)) {
-      data = concat(data, value(DATA.length));
+      data.writeBytes(value(DATA.length));
     } else if (startsWith(ID)) {
       id = new String(value(ID.length), StandardCharsets.UTF_8);
     }
@@ -78,19 +78,10 @@
     return Arrays.copyOfRange(line, space ? start + 1 : start, length);
   }
 
-  private static byte[] concat(byte[] first, byte[] second) {
-    if (first.length == 0) {
-      return second;
-    }
-    byte[] result = Arrays.copyOf(first, first.length + second.length);
-    System.arraycopy(second, 0, result, first.length, second.length);
-    return result;
-  }
-
   private void dispatch() {
-    if (data.length > 0) {
-      byte[] complete = data;
-      data = NO_DATA;
+    if (data.size() > 0) {
+      byte[] complete = data.toByteArray();
+      data.reset();
       handler.onEvent(id, complete);
     }
   }
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/ReadTurns.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/ReadTurns.java
@@ -31,6 +31,7 @@
 
   private final XnioIoThread ioThread;
   private final Queue<Runnable> waiting = new ArrayDeque<>();
+  private boolean nextScheduled;
 
   private ReadTurns(XnioIoThread ioThread) {
     this.ioThread = ioThread;
@@ -47,20 +48,25 @@
 
   private void add(Runnable reader) {
     waiting.add(reader);
-    if (waiting.size() == 1) {
+    if (!nextScheduled) {
       scheduleNext();
     }
   }
 
   private void scheduleNext() {
+    nextScheduled = true;
     ioThread.executeAfter(this::runNext, NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Schedules the next reader only when this one is done, or it would be due by then. */
   private void runNext() {
-    Runnable reader = waiting.remove();
-    if (!waiting.isEmpty()) {
-      scheduleNext();
+    try {
+      waiting.remove().run();
+    } finally {
+      nextScheduled = false;
+      if (!waiting.isEmpty()) {
+        scheduleNext();
+      }
     }
-    reader.run();
   }
 }
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ClientExchangeDriver.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ClientExchangeDriver.java
@@ -16,6 +16,7 @@
 import org.toucansaddle.http.HttpExchange;
 import org.toucansaddle.http.HttpRequest;
 import org.toucansaddle.http.HttpStreamHandler;
+import org.toucansaddle.http.ReadTurns;
 import org.xnio.ChannelListeners;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -167,7 +168,12 @@
   private void readBody(StreamSourceChannel source) {
     ByteBuffer buffer = READ_BUFFER.get();
     try {
-      while (!ended.get()) {
+      for (int reads = 0; !ended.get(); reads++) {
+        if (reads == ReadTurns.MAX_READS) {
+          source.suspendReads();
+          ReadTurns.awaitNext(() -> readBody(source));
+          return;
+        }
         buffer.clear();
         int bytesRead = source.read(buffer);
         if (bytesRead < 0) {
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
@@ -94,7 +94,15 @@
             .getIoThread()
             .executeAfter(
                 () -> handler.onTimeout(exchange), timeout.toMillis(), TimeUnit.MILLISECONDS);
-    handler.future().whenComplete((response, failure) -> timeoutTimer.remove());
+    handler
+        .future()
+        .whenComplete(
+            (response, failure) -> {
+              timeoutTimer.remove();
+              if (failure != null) {
+                exchange.cancel();
+              }
+            });
     return handler.future();
   }
 
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/UndertowHttpClientTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/UndertowHttpClientTest.java
@@ -2,16 +2,33 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.undertow.Undertow;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.Test;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.http.HttpException;
+import org.toucansaddle.http.HttpExchange;
 import org.toucansaddle.http.HttpRequest;
+import org.toucansaddle.http.HttpStreamHandler;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -22,6 +39,13 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+  private static final long PROCESSING_NANOS = TimeUnit.MICROSECONDS.toNanos(100);
+
+  /** One I/O thread and responses of up to 1 MB. */
+  private static final HttpClientSettings SMALL_RESPONSES =
+      new HttpClientSettings(
+          1, Duration.ofSeconds(1), Duration.ofSeconds(20), Duration.ofMinutes(5), 1 << 20);
+
   /** A daemon that shuts down may stop the I/O threads before it closes the client. */
   @Test
   public void shouldCloseIdleConnectionsAfterWorkerIsShutDown() throws Exception {
@@ -47,6 +71,110 @@
     }
   }
 
+  /** Guards against a response without end that is read on although nobody waits for it. */
+  @Test
+  public void shouldCloseConnectionOfResponseThatIsTooLong() throws Exception {
+    try (EndlessServer server = new EndlessServer();
+        HttpClient client = HttpClient.create(SMALL_RESPONSES)) {
+      assertThatThrownBy(() -> client.send(server.request(), TIMEOUT).join())
+          .hasMessageContaining("longer than");
+      assertThat(server.awaitClosedConnection()).isTrue();
+    }
+  }
+
+  /** Guards against a response without end that keeps the I/O thread from all other exchanges. */
+  @Test
+  public void shouldServeOtherExchangesWhileResponsesHaveNoEnd() throws Exception {
+    Undertow server =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setHandler(exchange -> exchange.getResponseSender().send("ok"))
+            .build();
+    server.start();
+    int port = ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    try (EndlessServer endless = new EndlessServer();
+        HttpClient client = HttpClient.create(SMALL_RESPONSES)) {
+      List<HttpExchange> exchanges = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        exchanges.add(client.stream(endless.request(), new SlowHandler()));
+      }
+      for (int i = 0; i < 20; i++) {
+        HttpRequest request = HttpRequest.get("127.0.0.1:" + port, "/");
+        assertThat(client.send(request, TIMEOUT).get().text()).isEqualTo("ok");
+      }
+      exchanges.forEach(HttpExchange::cancel);
+      assertThat(endless.awaitClosedConnection()).isTrue();
+    } finally {
+      server.stop();
+    }
+  }
+
+  /** Takes longer to process content than a server takes to send it, and keeps nothing of it. */
+  private static final class SlowHandler implements HttpStreamHandler {
+    @Override
+    public void onHead(int status, Map<String, String> headers) {}
+
+    @Override
+    public void onData(ByteBuffer data) {
+      LockSupport.parkNanos(PROCESSING_NANOS);
+    }
+
+    @Override
+    public void onEnd() {}
+
+    @Override
+    public void onFailure(HttpException failure) {}
+  }
+
+  /** Server whose responses have no end; a thread for each connection writes until it is closed. */
+  private static final class EndlessServer implements AutoCloseable {
+    private final ServerSocket listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+    private final CountDownLatch closedConnection = new CountDownLatch(1);
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
+    EndlessServer() throws IOException {
+      threads.execute(this::accept);
+    }
+
+    HttpRequest request() {
+      return HttpRequest.get("127.0.0.1:" + listener.getLocalPort(), "/");
+    }
+
+    boolean awaitClosedConnection() throws InterruptedException {
+      return closedConnection.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    private void accept() {
+      try {
+        while (true) {
+          Socket socket = listener.accept();
+          threads.execute(() -> writeWithoutEnd(socket));
+        }
+      } catch (IOException e) {
+        closedConnection.countDown();
+      }
+    }
+
+    private void writeWithoutEnd(Socket socket) {
+      byte[] content = new byte[64 * 1024];
+      try (socket) {
+        OutputStream out = socket.getOutputStream();
+        out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        while (true) {
+          out.write(content);
+        }
+      } catch (IOException e) {
+        closedConnection.countDown();
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      listener.close();
+      threads.shutdownNow();
+    }
+  }
+
   private static XnioWorker newWorker() throws IOException {
     return Xnio.getInstance(UndertowHttpClientTest.class.getClassLoader())
         .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
