Refuse accounts above their share with 429

What callers saw: an account that asked for several times its share got 503 for what exceeds it, like callers whom the service cannot serve at all. Why it works: the refusal says what it is. When, whom and for how long is as before. AdmissionControlTest expected 503 and expects 429 now, and 503 where a target cannot be met, which it did not check before; it failed before the change.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -8,7 +8,8 @@
 /**
  * An error response created by the router itself. Immutable.
  *
- * @param status HTTP status; 429 and 503 guarantee that the request has not run and never will
+ * @param status HTTP status; 429 and 503 guarantee that the request has not run and never will; 429
+ *     concerns the caller's account, 503 the service
  * @param type short name of the problem
  * @param runState whether the request may have run
  * @param detail what happened and how to proceed, for people
@@ -53,7 +54,7 @@
                 judgement.admittedTokens(),
                 judgement.fairShareTokens(),
                 judgement.remoteUsageAgeMillis());
-    return notRun("above-share", detail, retryAfterMillis);
+    return new ErrorResponse(429, "above-share", RunState.NOT_RUN, detail, retryAfterMillis);
   }
 
   static ErrorResponse targetCannotBeMet(Selection selection, long retryAfterMillis) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControlTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControlTest.java
@@ -96,15 +96,16 @@
     assertThat(admitted[0]).isBetween(100, 700);
   }
 
+  /** Guards against an account above its share that takes its refusals for a failing service. */
   @Test
-  public void shouldSetRetryAfterWithinTargetOnRefusal() {
+  public void shouldRefuseAccountAboveItsShareAsSuchAndAskItToReturnWithinTarget() {
     submitAtRates(5, new double[] {200}, selection(400, 600, 7_000));
     int refused = 0;
     for (int i = 0; i < 100; i++) {
       Optional<ErrorResponse> refusal = submit(admissionRequest("a0"), selection(400, 600, 7_000));
       if (refusal.isPresent()) {
         refused++;
-        assertThat(refusal.get().status()).isEqualTo(503);
+        assertThat(refusal.get().status()).isEqualTo(429);
         assertThat(refusal.get().type()).isEqualTo("above-share");
         assertThat(refusal.get().retryAfterMillis()).isBetween(100L, TARGET_MILLIS / 2L);
       }
@@ -123,6 +124,7 @@
     Optional<ErrorResponse> refusal =
         submit(admissionRequest("a0"), selection(1_500, 1_800, 7_000));
     assertThat(refusal.orElseThrow().type()).isEqualTo("target-cannot-be-met");
+    assertThat(refusal.orElseThrow().status()).isEqualTo(503);
   }
 
   @Test
