Soak requests with a deadly part beside restarts in series

The soak of the quarantine sent equal requests only. The new test sends requests of which no two are equal, with a deadly part, at 4 to 7 routers, while routers and control daemons restart, lose disks and lose power. The old test keeps its seeds, sequence and bound; its requests have parts as well now, so that sound ones with the same parts must be served beside it.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineSoakTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QuarantineSoakTest.java
@@ -24,8 +24,9 @@
 import org.toucansaddle.usage.CrashingUpstreams.Restart;
 
 /**
- * Soak of a request that crashes upstreams and comes again and again, at any router, while routers
- * and control daemons restart, lose their disks and lose power in series.
+ * Soak of requests that crash upstreams and come again and again, at any router, while routers and
+ * control daemons restart, lose their disks and lose power in series: equal ones, and ones that
+ * share only a part of their prompts.
  *
  * <p>The seed decides the sequence of restarts. {@code -Dsoak.firstSeed=100 -Dsoak.seeds=50} runs
  * other seeds than the few of the build.
@@ -44,6 +45,8 @@
   /** One in so many times, equal requests are sent to several routers at once. */
   private static final int RARELY_TOGETHER = 8;
 
+  private static final String SOUND_PARTS = "system:10,subject:20";
+
   private static final int MAX_RESTART_PAUSE_MILLIS = 2_500;
 
   /** Minimum pause between restarts of control daemons, so that some of the run is undisturbed. */
@@ -59,19 +62,43 @@
 
   @Test(dataProvider = "seeds")
   public void shouldSendNoCrashingRequestAfterItCrashedThreeUpstreams(int seed) throws Exception {
+    runSoak(seed, Crashing.EQUAL_REQUESTS);
+  }
+
+  @Test(dataProvider = "seeds")
+  public void shouldSendFewRequestsWithDeadlyPartAfterItCrashedFiveUpstreams(int seed)
+      throws Exception {
+    runSoak(seed, Crashing.REQUESTS_WITH_DEADLY_PART);
+  }
+
+  /** What crashes upstreams, and what the gateway promises about it. */
+  private enum Crashing {
+    EQUAL_REQUESTS(3, 0),
+    REQUESTS_WITH_DEADLY_PART(5, 3);
+
+    private final int crashesUntilKnown;
+    private final int maxLateCrashes;
+
+    Crashing(int crashesUntilKnown, int maxLateCrashes) {
+      this.crashesUntilKnown = crashesUntilKnown;
+      this.maxLateCrashes = maxLateCrashes;
+    }
+  }
+
+  private static void runSoak(int seed, Crashing crashing) throws Exception {
     Random random = new Random(seed);
     int routers = 4 + random.nextInt(4);
     int upstreamCount = 2 + random.nextInt(3);
     Restart restart = Restart.values()[random.nextInt(Restart.values().length)];
     try (LocalGateway gateway = new LocalGateway(LocalGateway::parseDocument, routers);
         CrashingUpstreams upstreams = startUpstreams(gateway, upstreamCount, restart);
-        Soak soak = new Soak(gateway, routers, seed)) {
+        Soak soak = new Soak(gateway, routers, seed, crashing)) {
       soak.run();
       soak.assertServingAndQuarantined();
       assertThat(upstreams.crashes()).as("seed %s: crashes", seed).isGreaterThanOrEqualTo(3);
       assertThat(soak.lateCrashes(upstreams.crashLog()))
           .as("seed %s: crashes under requests of routers that should know", seed)
-          .isEmpty();
+          .hasSizeLessThanOrEqualTo(crashing.maxLateCrashes);
       assertThat(soak.served()).as("seed %s: other requests served", seed).isPositive();
     }
   }
@@ -103,12 +130,15 @@
     private final LocalGateway gateway;
     private final int routers;
     private final int seed;
+    private final Crashing crashing;
+    private final AtomicInteger requests = new AtomicInteger();
     private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
     private final List<Outage> outages = new CopyOnWriteArrayList<>();
     private final AtomicInteger served = new AtomicInteger();
     private volatile boolean stopped;
 
-    Soak(LocalGateway gateway, int routers, int seed) {
+    Soak(LocalGateway gateway, int routers, int seed, Crashing crashing) {
+      this.crashing = crashing;
       this.gateway = gateway;
       this.routers = routers;
       this.seed = seed;
@@ -139,8 +169,8 @@
       TimeUnit.NANOSECONDS.sleep(STABLE_NANOS);
       for (int i = 0; i < routers; i++) {
         int router = i;
-        LocalGateway.await(() -> send(router, "/once/x").join().status() == 200);
-        HttpResponse response = send(router, "/repeatable/crash").join();
+        LocalGateway.await(() -> sendSound(router).join().status() == 200);
+        HttpResponse response = sendCrashing(router).join();
         assertThat(response.text()).as("seed %s, router %s", seed, router).contains("quarantined");
       }
     }
@@ -155,19 +185,33 @@
     private void sendToRandomRouters(Random random) throws InterruptedException {
       int together = random.nextInt(RARELY_TOGETHER) == 0 ? 3 : 1;
       for (int i = 0; i < together; i++) {
-        send(random.nextInt(routers), "/repeatable/crash");
+        sendCrashing(random.nextInt(routers));
       }
-      send(random.nextInt(routers), "/once/x")
+      sendSound(random.nextInt(routers))
           .thenAccept(response -> served.addAndGet(response.status() == 200 ? 1 : 0));
       Thread.sleep(random.nextInt(MAX_SEND_PAUSE_MILLIS));
     }
 
-    private CompletableFuture<HttpResponse> send(int router, String path) {
+    private CompletableFuture<HttpResponse> sendSound(int router) {
+      return send(router, "/once/x", SOUND_PARTS);
+    }
+
+    private CompletableFuture<HttpResponse> sendCrashing(int router) {
+      return crashing == Crashing.EQUAL_REQUESTS
+          ? send(router, "/repeatable/crash", SOUND_PARTS)
+          : send(
+              router,
+              "/repeatable/" + requests.incrementAndGet(),
+              SOUND_PARTS + "," + CrashingUpstreams.DEADLY_PART + ":30");
+    }
+
+    private CompletableFuture<HttpResponse> send(int router, String path, String sharedParts) {
       HttpRequest request =
           HttpRequest.post(gateway.callerAddress(router), path, "same body")
               .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
               .withHeader("X-Request-Id", "r" + path.hashCode())
               .withHeader("X-Api-Key", LocalGateway.API_KEY)
+              .withHeader(CrashingUpstreams.PROMPT_PARTS, sharedParts + ",own:5")
               .withHeader(CrashingUpstreams.SENT_TO, Integer.toString(router));
       return client.send(request, TIMEOUT);
     }
@@ -200,11 +244,17 @@
       outages.add(new Outage(router, startNanos, System.nanoTime()));
     }
 
-    /** Returns the crashes long after the third one by a router that nothing disturbed lately. */
+    /**
+     * Returns the crashes long after the one from which all routers should know, by routers that
+     * nothing disturbed lately.
+     */
     List<Crash> lateCrashes(List<Crash> crashes) {
-      long thirdAtNanos = crashes.get(2).atNanos();
+      if (crashes.size() < crashing.crashesUntilKnown) {
+        return List.of();
+      }
+      long knownAtNanos = crashes.get(crashing.crashesUntilKnown - 1).atNanos();
       return crashes.stream()
-          .filter(crash -> crash.atNanos() - thirdAtNanos > STABLE_NANOS)
+          .filter(crash -> crash.atNanos() - knownAtNanos > STABLE_NANOS)
           .filter(crash -> outages.stream().noneMatch(outage -> outage.disturbs(crash)))
           .toList();
     }
