Share what the tests on plain sockets read and start

RawCaller and ScriptedUpstreams read lines and header fields in the same way, and two tests of the HTTP client started the same server. No check changes.

--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/UndertowHttpClientTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/UndertowHttpClientTest.java
@@ -50,16 +50,10 @@
   @Test
   public void shouldCloseIdleConnectionsAfterWorkerIsShutDown() throws Exception {
     XnioWorker worker = newWorker();
-    Undertow server =
-        Undertow.builder()
-            .addHttpListener(0, "127.0.0.1")
-            .setHandler(exchange -> exchange.getResponseSender().send("ok"))
-            .build();
-    server.start();
+    Undertow server = startServer();
     try {
-      int port = ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
       HttpClient client = HttpClient.createWithWorker(worker, HttpClientSettings.defaults());
-      String text = client.send(HttpRequest.get("127.0.0.1:" + port, "/"), TIMEOUT).get().text();
+      String text = client.send(request(server), TIMEOUT).get().text();
       assertThat(text).isEqualTo("ok");
 
       worker.shutdownNow();
@@ -85,13 +79,7 @@
   /** Guards against a response without end that keeps the I/O thread from all other exchanges. */
   @Test
   public void shouldServeOtherExchangesWhileResponsesHaveNoEnd() throws Exception {
-    Undertow server =
-        Undertow.builder()
-            .addHttpListener(0, "127.0.0.1")
-            .setHandler(exchange -> exchange.getResponseSender().send("ok"))
-            .build();
-    server.start();
-    int port = ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    Undertow server = startServer();
     try (EndlessServer endless = new EndlessServer();
         HttpClient client = HttpClient.create(SMALL_RESPONSES)) {
       List<HttpExchange> exchanges = new ArrayList<>();
@@ -99,8 +87,7 @@
         exchanges.add(client.stream(endless.request(), new SlowHandler()));
       }
       for (int i = 0; i < 20; i++) {
-        HttpRequest request = HttpRequest.get("127.0.0.1:" + port, "/");
-        assertThat(client.send(request, TIMEOUT).get().text()).isEqualTo("ok");
+        assertThat(client.send(request(server), TIMEOUT).get().text()).isEqualTo("ok");
       }
       exchanges.forEach(HttpExchange::cancel);
       assertThat(endless.awaitClosedConnection()).isTrue();
@@ -175,6 +162,21 @@
     }
   }
 
+  private static Undertow startServer() {
+    Undertow server =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setHandler(exchange -> exchange.getResponseSender().send("ok"))
+            .build();
+    server.start();
+    return server;
+  }
+
+  private static HttpRequest request(Undertow server) {
+    int port = ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    return HttpRequest.get("127.0.0.1:" + port, "/");
+  }
+
   private static XnioWorker newWorker() throws IOException {
     return Xnio.getInstance(UndertowHttpClientTest.class.getClassLoader())
         .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RawCaller.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RawCaller.java
@@ -7,7 +7,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * A caller on a plain socket that judges by the framing alone whether a response is complete.
@@ -49,12 +48,8 @@
   }
 
   private static RawResponse readResponse(InputStream in) throws IOException {
-    int status = Integer.parseInt(readLine(in).split(" ")[1]);
-    Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-    for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
-      int colon = line.indexOf(':');
-      headers.put(line.substring(0, colon), line.substring(colon + 1).trim());
-    }
+    int status = Integer.parseInt(HttpText.readLine(in).split(" ")[1]);
+    Map<String, String> headers = HttpText.readFields(in);
     ByteArrayOutputStream body = new ByteArrayOutputStream();
     boolean complete = readBody(in, headers, body);
     return new RawResponse(status, headers, body.toString(StandardCharsets.UTF_8), complete);
@@ -85,7 +80,7 @@
 
   private static boolean readChunks(InputStream in, ByteArrayOutputStream body) throws IOException {
     while (true) {
-      String size = readLine(in);
+      String size = HttpText.readLine(in);
       if (size.isEmpty()) {
         return false;
       }
@@ -95,20 +90,10 @@
       if (content.length < length) {
         return false;
       }
-      readLine(in);
+      HttpText.readLine(in);
       if (length == 0) {
         return true;
       }
     }
   }
-
-  private static String readLine(InputStream in) throws IOException {
-    StringBuilder line = new StringBuilder();
-    for (int c = in.read(); c >= 0 && c != '\n'; c = in.read()) {
-      if (c != '\r') {
-        line.append((char) c);
-      }
-    }
-    return line.toString();
-  }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -176,8 +175,8 @@
     private void serve(Socket socket) {
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
-        for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
-          Exchange exchange = new Exchange(line.split(" ")[1], readFields(in), socket);
+        for (String line = HttpText.readLine(in); !line.isEmpty(); line = HttpText.readLine(in)) {
+          Exchange exchange = new Exchange(line.split(" ")[1], HttpText.readFields(in), socket);
           String length = exchange.header("Content-Length");
           in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
           script.answer(exchange);
@@ -193,24 +192,4 @@
       }
     }
   }
-
-  private static Map<String, String> readFields(InputStream in) throws IOException {
-    Map<String, String> fields = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-    for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
-      int colon = line.indexOf(':');
-      fields.put(line.substring(0, colon), line.substring(colon + 1).trim());
-    }
-    return fields;
-  }
-
-  /** Reads a line without its end; empty at the end of the connection. */
-  private static String readLine(InputStream in) throws IOException {
-    StringBuilder line = new StringBuilder();
-    for (int c = in.read(); c >= 0 && c != '\n'; c = in.read()) {
-      if (c != '\r') {
-        line.append((char) c);
-      }
-    }
-    return line.toString();
-  }
 }
