Test ends of connections that no header announces

An answer may end with its connection without saying so. The test's upstreams announced it with Connection: close; now they do not. All cases pass: such a connection is not used again.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TruncatedStreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TruncatedStreamUsageTest.java
@@ -108,7 +108,7 @@
         }
       }
       case CONNECTION -> {
-        exchange.writeHead(status, "Connection: close");
+        exchange.writeHead(status);
         exchange.write(content);
       }
       default -> throw new AssertionError(exchange.path());
