Name failures of connections that have no message

A connection that an upstream closed early was logged as why="null", and a caller's 502 said that the answer was lost: null. The kind of the failure is named instead.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -263,7 +263,8 @@
     if (!ended) {
       ended = true;
       connection.close();
-      listener.onFailure(String.valueOf(cause.getMessage()));
+      String message = cause.getMessage();
+      listener.onFailure(message == null ? cause.getClass().getSimpleName() : message);
     }
   }
 }
