Serve sound requests beside parts that an older daemon forwarded

While daemons are replaced one by one, an older control daemon drops the mark of a part. A router that got such a strike first kept all later ones of the part as those of a whole request: they did not explain the crashes of the parts that come with it, and sound requests with those were refused. PartQuarantineTest.shouldServeSoundRequestsIfStrikesOfTheDeadlyPartArrived- WithoutTheirKind failed without the change. A strike of a part now starts anew what was not known as one. The form of recordStrike without parts, which only tests called, is gone.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -79,11 +79,6 @@
     strikeListener = listener;
   }
 
-  /** Records that an upstream broke its connection while it ran a request without shared parts. */
-  public void recordStrike(long digest, String upstream) {
-    recordStrike(digest, Set.of(), upstream);
-  }
-
   /**
    * Records that an upstream broke its connection while it ran a request.
    *
@@ -122,7 +117,10 @@
     evictForgotten(suspects, now);
     evictForgotten(atLimit, now);
     long digest = reported.getDigest();
-    DigestStrikes strikes = find(digest).orElseGet(() -> new DigestStrikes(reported.getPart()));
+    DigestStrikes strikes =
+        find(digest)
+            .filter(known -> known.isPart() || !reported.getPart())
+            .orElseGet(() -> new DigestStrikes(reported.getPart()));
     boolean isAdded = strikes.add(reported.getUpstream(), struckAt, lastChange + 1);
     if (!isAdded || strikes.isForgotten(now)) {
       return false;
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/PartQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/PartQuarantineTest.java
@@ -200,6 +200,21 @@
     assertThat(isRefused(local, Set.of(DEADLY))).isTrue();
   }
 
+  /** Guards against strikes of a part that an older daemon forwards as those of a request. */
+  @Test
+  public void shouldServeSoundRequestsIfStrikesOfTheDeadlyPartArrivedWithoutTheirKind() {
+    crash(remote, Set.of(DEADLY));
+    List<DigestStrike> forwarded =
+        remote.strikesAfter(0).stream().map(s -> s.toBuilder().clearPart().build()).toList();
+    local.merge(forwarded);
+    for (int i = 0; i < 3; i++) {
+      passSecond();
+      crash(local, DEADLY_REQUEST);
+    }
+    assertThat(isRefused(local, DEADLY_REQUEST)).isTrue();
+    assertThat(isRefused(local, SOUND_REQUEST)).isFalse();
+  }
+
   @Test
   public void shouldEndTenMinutesAfterTheLastCrash() {
     for (int i = 0; i < 3; i++) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStoreTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/QuarantineStoreTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -17,6 +18,7 @@
 public class QuarantineStoreTest {
 
   private static final long DIGEST = 7;
+  private static final Set<Long> NO_PARTS = Set.of();
 
   private Path file;
 
@@ -64,10 +66,10 @@
   private void storeQuarantine() throws InterruptedException {
     RequestQuarantine quarantine = createQuarantine();
     try (QuarantineStore store = QuarantineStore.open(file, quarantine, System::nanoTime)) {
-      quarantine.recordStrike(DIGEST, "u1");
-      quarantine.recordStrike(DIGEST, "u2");
-      quarantine.recordStrike(DIGEST, "u3");
-      quarantine.recordStrike(8, "u3");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u1");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u2");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u3");
+      quarantine.recordStrike(8, NO_PARTS, "u3");
       await(() -> storedStrikes() == 3);
     }
   }
@@ -77,9 +79,9 @@
   public void shouldStoreStrikesThatAreNewWhenItIsClosed() throws Exception {
     RequestQuarantine quarantine = createQuarantine();
     try (QuarantineStore store = QuarantineStore.open(file, quarantine, System::nanoTime)) {
-      quarantine.recordStrike(DIGEST, "u1");
-      quarantine.recordStrike(DIGEST, "u2");
-      quarantine.recordStrike(DIGEST, "u3");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u1");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u2");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u3");
     }
     assertThat(storedStrikes()).isEqualTo(3);
   }
@@ -117,9 +119,9 @@
     AtomicLong clock = new AtomicLong();
     RequestQuarantine quarantine = new RequestQuarantine(clock::get);
     try (QuarantineStore store = QuarantineStore.open(file, quarantine, clock::get)) {
-      quarantine.recordStrike(DIGEST, "u1");
-      quarantine.recordStrike(DIGEST, "u2");
-      quarantine.recordStrike(DIGEST, "u3");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u1");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u2");
+      quarantine.recordStrike(DIGEST, NO_PARTS, "u3");
       await(() -> storedStrikes() == 3);
       clock.addAndGet(TimeUnit.MINUTES.toNanos(9));
       await(() -> storedAgeMillis() == TimeUnit.MINUTES.toMillis(9));
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.BeforeMethod;
@@ -13,6 +14,7 @@
 public class RequestQuarantineTest {
 
   private static final long DIGEST = 7;
+  private static final Set<Long> NO_PARTS = Set.of();
 
   private AtomicLong clock;
   private RequestQuarantine local;
@@ -27,9 +29,9 @@
 
   @Test
   public void shouldQuarantineARequestThatCrashedThreeUpstreamsOverAllRouters() {
-    local.recordStrike(DIGEST, "u1");
-    remote.recordStrike(DIGEST, "u2");
-    remote.recordStrike(DIGEST, "u3");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
+    remote.recordStrike(DIGEST, NO_PARTS, "u2");
+    remote.recordStrike(DIGEST, NO_PARTS, "u3");
     assertThat(local.isQuarantined(DIGEST)).isFalse();
 
     local.merge(remote.strikesAfter(0));
@@ -39,7 +41,7 @@
   @Test
   public void shouldCountAnUpstreamOnceWhenItsStrikeIsReportedRepeatedly() {
     for (int i = 0; i < 5; i++) {
-      local.recordStrike(DIGEST, "u1");
+      local.recordStrike(DIGEST, NO_PARTS, "u1");
       remote.merge(local.strikesAfter(0));
     }
     assertThat(remote.isQuarantined(DIGEST)).isFalse();
@@ -47,17 +49,17 @@
 
   @Test
   public void shouldRemoveTheStrikesOfARequestThatSucceeded() {
-    local.recordStrike(DIGEST, "u1");
-    local.recordStrike(DIGEST, "u2");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
+    local.recordStrike(DIGEST, NO_PARTS, "u2");
     local.recordSuccess(DIGEST);
-    local.recordStrike(DIGEST, "u3");
+    local.recordStrike(DIGEST, NO_PARTS, "u3");
     assertThat(local.isQuarantined(DIGEST)).isFalse();
   }
 
   @Test
   public void shouldRemoveTheStrikesOfARequestThatSucceededAtAnotherRouter() {
-    local.recordStrike(DIGEST, "u1");
-    local.recordStrike(DIGEST, "u2");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
+    local.recordStrike(DIGEST, NO_PARTS, "u2");
     remote.merge(local.spreadStrikesAfter(0));
     long change = remote.lastChange();
     remote.recordSuccess(DIGEST);
@@ -73,9 +75,9 @@
 
   @Test
   public void shouldSpreadOnlyStrikesNearTheLimit() {
-    local.recordStrike(DIGEST, "u1");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
     assertThat(local.spreadStrikesAfter(0)).isEmpty();
-    local.recordStrike(DIGEST, "u2");
+    local.recordStrike(DIGEST, NO_PARTS, "u2");
     assertThat(local.spreadStrikesAfter(0)).hasSize(2);
   }
 
@@ -84,16 +86,16 @@
   public void shouldQuarantineARequestThatCrashesUpstreamsEveryFewMinutes() {
     for (int i = 0; i < 3; i++) {
       clock.addAndGet(TimeUnit.MINUTES.toNanos(5));
-      local.recordStrike(DIGEST, "u" + i);
+      local.recordStrike(DIGEST, NO_PARTS, "u" + i);
     }
     assertThat(local.isQuarantined(DIGEST)).isTrue();
   }
 
   @Test
   public void shouldEndTheQuarantineTenMinutesAfterTheLastStrike() {
-    local.recordStrike(DIGEST, "u1");
-    local.recordStrike(DIGEST, "u2");
-    local.recordStrike(DIGEST, "u3");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
+    local.recordStrike(DIGEST, NO_PARTS, "u2");
+    local.recordStrike(DIGEST, NO_PARTS, "u3");
     clock.addAndGet(TimeUnit.SECONDS.toNanos(599));
     assertThat(local.isQuarantined(DIGEST)).isTrue();
     assertThat(local.quarantinedCount()).isEqualTo(1);
@@ -105,11 +107,11 @@
   /** Guards against three new crashes after each end of the quarantine. */
   @Test
   public void shouldRenewTheQuarantineAfterOneMoreCrash() {
-    local.recordStrike(DIGEST, "u1");
-    local.recordStrike(DIGEST, "u2");
-    local.recordStrike(DIGEST, "u3");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
+    local.recordStrike(DIGEST, NO_PARTS, "u2");
+    local.recordStrike(DIGEST, NO_PARTS, "u3");
     clock.addAndGet(TimeUnit.MINUTES.toNanos(11));
-    local.recordStrike(DIGEST, "u4");
+    local.recordStrike(DIGEST, NO_PARTS, "u4");
     assertThat(local.isQuarantined(DIGEST)).isTrue();
   }
 
@@ -117,10 +119,10 @@
   @Test
   public void shouldKeepQuarantineAndRecordNewStrikesWhenManyRequestsWereRunningDuringCrashes() {
     for (int i = 0; i < 3; i++) {
-      local.recordStrike(DIGEST, "u" + i);
+      local.recordStrike(DIGEST, NO_PARTS, "u" + i);
     }
     for (int digest = 1_000; digest < 21_000; digest++) {
-      local.recordStrike(digest, "u1");
+      local.recordStrike(digest, NO_PARTS, "u1");
     }
     assertThat(local.isQuarantined(DIGEST)).isTrue();
     assertThat(local.strikeCount(20_999)).isEqualTo(1);
@@ -130,9 +132,9 @@
   /** Guards against strikes that never expire because daemons send them to each other. */
   @Test
   public void shouldKeepTheAgeOfStrikesThatWerePassedOn() {
-    local.recordStrike(DIGEST, "u1");
-    local.recordStrike(DIGEST, "u2");
-    local.recordStrike(DIGEST, "u3");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
+    local.recordStrike(DIGEST, NO_PARTS, "u2");
+    local.recordStrike(DIGEST, NO_PARTS, "u3");
     clock.addAndGet(TimeUnit.MINUTES.toNanos(6));
     remote.merge(local.strikesAfter(0));
     assertThat(remote.isQuarantined(DIGEST)).isTrue();
@@ -146,7 +148,7 @@
   public void shouldBoundTheStrikesOfARequestThatCrashesUpstreamsForDays() {
     for (int i = 0; i < 200; i++) {
       clock.addAndGet(TimeUnit.MINUTES.toNanos(50));
-      local.recordStrike(DIGEST, "u" + i);
+      local.recordStrike(DIGEST, NO_PARTS, "u" + i);
       remote.merge(local.strikesAfter(remote.lastChange()));
     }
     assertThat(local.strikesAfter(0)).hasSizeLessThanOrEqualTo(8);
@@ -160,7 +162,7 @@
   public void shouldStopExchangingStrikesOfManyUpstreamsThatCrashTogether() {
     for (int i = 0; i < 20; i++) {
       clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(1));
-      (i % 2 == 0 ? local : remote).recordStrike(DIGEST, "u" + i);
+      (i % 2 == 0 ? local : remote).recordStrike(DIGEST, NO_PARTS, "u" + i);
     }
     int rounds = 0;
     boolean changed = true;
@@ -179,7 +181,7 @@
   @Test
   public void shouldTakeOverTheOlderTimeOfAStrikeThatAnotherDaemonKnows() {
     for (int i = 0; i < 3; i++) {
-      local.recordStrike(DIGEST, "u" + i);
+      local.recordStrike(DIGEST, NO_PARTS, "u" + i);
     }
     List<DigestStrike> stored = local.strikesAtLimit();
     clock.addAndGet(TimeUnit.MINUTES.toNanos(9));
@@ -194,7 +196,7 @@
   public void shouldQuarantineAtAllDaemonsARequestThatCrashesUpstreamsEveryFortyMinutes() {
     for (int i = 0; i < 3; i++) {
       clock.addAndGet(TimeUnit.MINUTES.toNanos(40));
-      local.recordStrike(DIGEST, "u" + i);
+      local.recordStrike(DIGEST, NO_PARTS, "u" + i);
     }
     remote.merge(local.strikesAfter(0));
     assertThat(remote.isQuarantined(DIGEST)).isTrue();
@@ -202,10 +204,10 @@
 
   @Test
   public void shouldTellTheTimeUntilTheQuarantineEnds() {
-    local.recordStrike(DIGEST, "u1");
-    local.recordStrike(DIGEST, "u2");
+    local.recordStrike(DIGEST, NO_PARTS, "u1");
+    local.recordStrike(DIGEST, NO_PARTS, "u2");
     assertThat(local.remainingMillis(DIGEST)).isZero();
-    local.recordStrike(DIGEST, "u3");
+    local.recordStrike(DIGEST, NO_PARTS, "u3");
     clock.addAndGet(TimeUnit.MINUTES.toNanos(4));
     assertThat(local.remainingMillis(DIGEST)).isEqualTo(TimeUnit.MINUTES.toMillis(6));
   }
