Log the version in force at the end of a request

The line "ended" named the version of the configuration that the request came under, which does not show whether a newer one took effect while it was under way. in_force= shows it, so that a connection closed beside a change can be told from one closed at another time. No logic changes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -54,13 +54,14 @@
 
   static void requestEnded(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
-        "ended request={} route={} account={} configuration={} status={} outcome={} upstream={}"
-            + " reason={} heard_ms_ago={} attempts={} framing={} first_ms={} total_ms={} prompt={}"
-            + " wait_ms={} detail=\"{}\"",
+        "ended request={} route={} account={} configuration={} in_force={} status={} outcome={}"
+            + " upstream={} reason={} heard_ms_ago={} attempts={} framing={} first_ms={}"
+            + " total_ms={} prompt={} wait_ms={} detail=\"{}\"",
         call.head().requestId(),
         call.route() == null ? "" : call.route().name(),
         call.account(),
         call.configurationVersion(),
+        call.versionInForce(),
         status,
         outcome,
         call.lastDispatch().upstream(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -116,6 +116,11 @@
     return view.document().version();
   }
 
+  /** Returns the version of the configuration in force now; the call keeps its own. */
+  long versionInForce() {
+    return context.state().version();
+  }
+
   CallQuarantine quarantine() {
     return quarantine;
   }
