Test responses of sound upstreams that are silent for a while

Upstreams on plain sockets fall silent for 1, 2 or 3.2 s before the head of the response, after it, between two events or within one, and go on; other upstreams refuse, break off, fail, serve or queue the request; versions of the configuration come every 300 ms.

--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/SilentUpstreamUsageTest.java
@@ -0,0 +1,243 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.usage.RawCaller.RawResponse;
+import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
+
+/**
+ * Usage tests of sound upstreams that fall silent for a few seconds and then go on.
+ *
+ * <p>A path {@code /ROUTE/PLACE/OTHER/SILENCE/NUMBER} names where the first upstream of a request
+ * is silent, what any other upstream does with the request, and for how many milliseconds.
+ */
+public class SilentUpstreamUsageTest {
+
+  private static final String FIRST_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  private static final String LAST_EVENT = "id: 3\ndata: c\n\n";
+  private static final String ALL_EVENTS = FIRST_EVENTS + LAST_EVENT;
+  private static final int BYTES_WITHIN_EVENT = 9;
+  private static final int CONFIGURATION_MILLIS = 300;
+
+  /** Where the first upstream that gets a request falls silent. */
+  private enum Place {
+    BEFORE_HEAD,
+    AFTER_HEAD,
+    BETWEEN_EVENTS,
+    WITHIN_EVENT
+  }
+
+  /** What an upstream does with a request that another one has not completed. */
+  private enum Other {
+    /** Responds that it did not run the request. */
+    REFUSES,
+    /** Closes the connection. */
+    BREAKS,
+    /** Responds with an error of its own. */
+    FAILS,
+    /** Responds at once. */
+    SERVES,
+    /** Does not respond until the first upstream has gone on. */
+    QUEUES
+  }
+
+  private final AtomicInteger requests = new AtomicInteger();
+  private final Map<String, List<Long>> arrivals = new ConcurrentHashMap<>();
+  private final Map<String, Long> cancellations = new ConcurrentHashMap<>();
+  private final AtomicLong configuration = new AtomicLong(7);
+  private final ScheduledExecutorService operator = Executors.newSingleThreadScheduledExecutor();
+  private LocalGateway gateway;
+  private ScriptedUpstreams upstreams;
+  private LocalGateway smallGateway;
+  private ScriptedUpstreams onlyUpstream;
+
+  @BeforeClass
+  public void startGateways() throws Exception {
+    gateway = new LocalGateway();
+    gateway.awaitServing();
+    upstreams = new ScriptedUpstreams(gateway, 4, this::answer);
+    smallGateway = new LocalGateway();
+    smallGateway.awaitServing();
+    onlyUpstream = new ScriptedUpstreams(smallGateway, 1, this::answer);
+    LocalGateway.await(() -> isServing(gateway) && isServing(smallGateway));
+    operator.scheduleWithFixedDelay(
+        this::putNextConfiguration,
+        CONFIGURATION_MILLIS,
+        CONFIGURATION_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopGateways() throws Exception {
+    operator.shutdownNow();
+    operator.awaitTermination(5, TimeUnit.SECONDS);
+    upstreams.close();
+    onlyUpstream.close();
+    gateway.close();
+    smallGateway.close();
+  }
+
+  private boolean isServing(LocalGateway current) {
+    return get(current, path("once", Place.BEFORE_HEAD, Other.SERVES, 0)).status() == 200;
+  }
+
+  private void putNextConfiguration() {
+    long version = configuration.incrementAndGet();
+    try {
+      gateway.putDocument(0, version);
+      smallGateway.putDocument(0, version);
+    } catch (Exception e) {
+      throw new IllegalStateException("version " + version + " was not stored", e);
+    }
+  }
+
+  private String path(String route, Place place, Other other, int silenceMillis) {
+    return "/"
+        + String.join("/", route, place.name(), other.name(), "" + silenceMillis)
+        + "/"
+        + requests.incrementAndGet();
+  }
+
+  private static RawResponse get(LocalGateway current, String path) {
+    try {
+      return RawCaller.get(current.callerAddress(0), path, "1.1");
+    } catch (IOException e) {
+      throw new AssertionError("no response to " + path, e);
+    }
+  }
+
+  private void answer(Exchange exchange) throws IOException {
+    String[] path = exchange.path().split("/");
+    List<Long> earlier = arrivals.computeIfAbsent(exchange.path(), key -> new ArrayList<>());
+    synchronized (earlier) {
+      earlier.add(System.nanoTime());
+      if (earlier.size() > 1) {
+        answerAsOther(exchange, Other.valueOf(path[3]), Integer.parseInt(path[4]));
+        return;
+      }
+    }
+    Place place = Place.valueOf(path[2]);
+    int silenceMillis = Integer.parseInt(path[4]);
+    try {
+      answerWithSilence(exchange, place, silenceMillis);
+    } catch (IOException e) {
+      cancellations.put(exchange.path(), System.nanoTime());
+      throw e;
+    }
+  }
+
+  private static void answerWithSilence(Exchange exchange, Place place, int silenceMillis)
+      throws IOException {
+    if (place == Place.BEFORE_HEAD) {
+      pause(silenceMillis);
+    }
+    exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
+    if (place == Place.AFTER_HEAD) {
+      pause(silenceMillis);
+    }
+    int beforeSilence =
+        switch (place) {
+          case BETWEEN_EVENTS -> FIRST_EVENTS.length();
+          case WITHIN_EVENT -> FIRST_EVENTS.length() + BYTES_WITHIN_EVENT;
+          default -> 0;
+        };
+    if (beforeSilence > 0) {
+      exchange.writeChunk(ALL_EVENTS.substring(0, beforeSilence));
+      pause(silenceMillis);
+    }
+    exchange.writeChunk(ALL_EVENTS.substring(beforeSilence));
+    exchange.writeChunk("");
+  }
+
+  private static void answerAsOther(Exchange exchange, Other other, int silenceMillis)
+      throws IOException {
+    switch (other) {
+      case REFUSES -> {
+        exchange.writeHead(503, "X-Not-Run: full", "Content-Length: 0");
+      }
+      case BREAKS -> exchange.close();
+      case FAILS -> exchange.writeAnswer(500, "{}");
+      case QUEUES -> {
+        pause(silenceMillis);
+        writeRemainder(exchange);
+      }
+      default -> writeRemainder(exchange);
+    }
+  }
+
+  private static void writeRemainder(Exchange exchange) throws IOException {
+    boolean resumes = exchange.header("Last-Event-Id").equals("2");
+    exchange.writeAnswer(200, resumes ? LAST_EVENT : ALL_EVENTS);
+  }
+
+  private static void pause(int millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @DataProvider(parallel = true)
+  public Object[][] silences() {
+    List<Object[]> cases = new ArrayList<>();
+    for (String route : List.of("once", "repeatable", "stream-once", "stream")) {
+      for (Place place : Place.values()) {
+        for (int silenceMillis : List.of(1_000, 2_000, 3_200)) {
+          boolean movable = route.equals("repeatable") || route.equals("stream");
+          for (Other other : movable ? List.of(Other.values()) : List.of(Other.SERVES)) {
+            cases.add(new Object[] {route, place, silenceMillis, other});
+          }
+        }
+      }
+    }
+    return cases.toArray(Object[][]::new);
+  }
+
+  /** Guards against a response that is broken off because its sound upstream paused. */
+  @Test(dataProvider = "silences")
+  public void shouldDeliverWholeResponseOfUpstreamThatWasSilent(
+      String route, Place place, int silenceMillis, Other other) {
+    assertWhole(gateway, path(route, place, other, silenceMillis));
+  }
+
+  @DataProvider(parallel = true)
+  public Object[][] silencesOfOnlyUpstream() {
+    List<Object[]> cases = new ArrayList<>();
+    for (String route : List.of("once", "repeatable", "stream-once", "stream")) {
+      for (Place place : Place.values()) {
+        cases.add(new Object[] {route, place, 2_000});
+        cases.add(new Object[] {route, place, 3_200});
+      }
+    }
+    return cases.toArray(Object[][]::new);
+  }
+
+  /** Guards against giving up a silent upstream that no other upstream can take over from. */
+  @Test(dataProvider = "silencesOfOnlyUpstream")
+  public void shouldDeliverWholeResponseOfOnlyUpstreamThatWasSilent(
+      String route, Place place, int silenceMillis) {
+    assertWhole(smallGateway, path(route, place, Other.SERVES, silenceMillis));
+  }
+
+  private static void assertWhole(LocalGateway current, String path) {
+    RawResponse response = get(current, path);
+    assertThat(response.status()).as("%s: %s", path, response).isEqualTo(200);
+    assertThat(response.complete()).as("%s complete: %s", path, response).isTrue();
+    assertThat(response.body()).as(path).isEqualTo(ALL_EVENTS);
+  }
+}
