Split RelayedCall: relaying of responses, choice of upstreams

ResponseRelay now holds the framing and content of the response to the caller, UpstreamChoice the upstreams that a call was not sent to. No logic changes; prepares the change for silent upstreams.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -2,22 +2,15 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.gateway.Repetition;
 import org.toucansaddle.daemon.gateway.Route;
-import org.toucansaddle.daemon.gateway.ServiceDefinition;
-import org.toucansaddle.daemon.gateway.WeightedService;
 import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.AdmissionRequest;
 import org.toucansaddle.daemon.internal.gateway.relay.EventSplitter.Fault;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
-import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.EngineProfile;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -53,26 +46,19 @@
   private final Route route;
   private final RoutingView view;
   private final String account;
-  private final String service;
   private final byte[] body;
   private final CallQuarantine quarantine;
   private final CallTimes times;
-  private final Set<String> triedUpstreams = new HashSet<>();
-  private final CallerResponse response;
+  private final UpstreamChoice choice;
+  private final ResponseRelay response;
 
   private Phase phase = Phase.NOT_SENT;
   private CallAttempt currentAttempt;
   private XnioExecutor.Key timer;
   private int attempts;
   private boolean earlierMayHaveRun;
-  private double nominalTokensPerMilli;
   private double expectedFirstTokenMillis;
   private Dispatch lastDispatch = Dispatch.NONE;
-  private ResponseFraming framing = ResponseFraming.NONE;
-  private ResponseContent content = ResponseContent.OPAQUE;
-
-  /** The content if it is a stream that may be resumed, otherwise null. */
-  private EventSplitter eventSplitter;
 
   RelayedCall(
       RelayContext context,
@@ -91,13 +77,15 @@
     this.account = account;
     this.body = body;
     this.times = new CallTimes(context::nowNanos, startNanos, head.timeoutMillis(route));
-    this.service = WeightedService.draw(route.services(), ThreadLocalRandom.current());
+    this.choice = new UpstreamChoice(context, head, route, view);
     this.quarantine =
         new CallQuarantine(
             context.state().quarantine(),
             RequestDigest.of(head, account, body),
             RequestDigest.ofSharedParts(head));
-    this.response = new CallerResponse(exchange, this::resumeAttempt, this::onCallerDisconnected);
+    this.response =
+        new ResponseRelay(
+            context, exchange, route, this::resumeAttempt, this::onCallerDisconnected);
   }
 
   RequestHead head() {
@@ -130,7 +118,7 @@
   }
 
   String service() {
-    return service;
+    return choice.service();
   }
 
   Dispatch lastDispatch() {
@@ -139,7 +127,7 @@
 
   /** Returns the framing of the last response of an upstream. */
   ResponseFraming framing() {
-    return framing;
+    return response.framing();
   }
 
   double expectedFirstTokenMillis() {
@@ -163,7 +151,7 @@
       recordEnd(0, CALLER_GONE, "before the request was read");
       return;
     }
-    context.retryBudget(service).recordRequest();
+    context.retryBudget(service()).recordRequest();
     context.admission().recordArrival(admissionRequest());
     long callerWaitMillis = route.callerStallTimeoutMillis() - CALLER_TIMEOUT_MARGIN_MILLIS;
     setTimer(route.isStream() ? Math.min(remainingMillis(), callerWaitMillis) : remainingMillis());
@@ -193,14 +181,10 @@
       endOnTimeout(false);
       return;
     }
-    List<Upstream> usable = context.state().usableUpstreams(service, route.isRepeatable());
-    EngineProfile profile =
-        EngineProfile.of(view, service, usable.size(), context.estimator(service));
-    nominalTokensPerMilli = profile.nominalTokensPerMilli();
-    Optional<Selection> selected =
-        context.selector().select(usable, head, route.targetMillis(), profile, triedUpstreams);
-    if (selected.isEmpty() || isThrottled(usable)) {
-      boolean busy = triedUpstreams.isEmpty() && !usable.isEmpty();
+    List<Upstream> usable = choice.usable();
+    Optional<Selection> selected = choice.select(usable);
+    if (selected.isEmpty() || choice.isThrottled(usable)) {
+      boolean busy = choice.isFirst() && !usable.isEmpty();
       fail(busy ? retryLater("upstreams-busy", "All upstreams are busy.") : fallback);
       return;
     }
@@ -215,13 +199,6 @@
     send(selected.get(), fallback);
   }
 
-  /** Engines are not throttled: their admission follows from the expected time. */
-  private boolean isThrottled(List<Upstream> usable) {
-    return triedUpstreams.isEmpty()
-        && head.promptTokens() == 0
-        && !context.throttle(service).admits(usable);
-  }
-
   private ErrorResponse retryLater(String type, String detail) {
     return ErrorResponse.notRun(type, detail, RetryAfter.randomDelayMillis(route.targetMillis()));
   }
@@ -232,18 +209,19 @@
 
   private void send(Selection selected, ErrorResponse fallback) {
     Upstream upstream = selected.upstream();
-    triedUpstreams.add(upstream.id());
+    choice.markTried(upstream);
     lastDispatch = Dispatch.of(selected, context.nowNanos());
     String address = upstream.report().address();
     UpstreamConnectionPool pool = context.connectionPool(exchange.getIoThread());
-    CallAttempt attempt = new CallAttempt(context, this, exchange, selected, nominalTokensPerMilli);
+    CallAttempt attempt =
+        new CallAttempt(context, this, exchange, selected, choice.nominalTokensPerMilli());
     currentAttempt = attempt;
     Connection idle = pool.acquireIdle(address);
     if (idle != null) {
       startAttempt(attempt, idle);
       return;
     }
-    if (pool.openCount(address) >= maxConnections()) {
+    if (pool.openCount(address) >= choice.maxConnections()) {
       attempt.releaseLoad();
       tryUpstream(retryLater("connections-used", "All connections are in use."));
       return;
@@ -274,11 +252,6 @@
     attempt.start(connection, body);
   }
 
-  private int maxConnections() {
-    int max = view.service(service).map(ServiceDefinition::maxConnections).orElse(0);
-    return max == 0 ? Integer.MAX_VALUE : Math.max(2, max / context.state().routers());
-  }
-
   private void onTimer() {
     boolean beforeDeadline = remainingMillis() >= MIN_REMAINING_MILLIS;
     if (beforeDeadline && phase == Phase.RESPONDING) {
@@ -344,11 +317,8 @@
 
   /** Returns to the state before the response if the caller has received nothing of it. */
   private void withdrawUnsentResponse() {
-    if (phase == Phase.RESPONDING && !response.isHeadSent()) {
+    if (phase == Phase.RESPONDING && response.withdrawUnsentHead()) {
       phase = Phase.AWAITING_RESPONSE;
-      content = ResponseContent.OPAQUE;
-      eventSplitter = null;
-      response.discardHead();
     }
   }
 
@@ -377,7 +347,7 @@
   /** Returns whether another upstream may resume an interrupted response. */
   boolean isResumable() {
     boolean expected = route.isStream() && route.resumable();
-    return phase == Phase.RESPONDING ? eventSplitter != null : expected;
+    return phase == Phase.RESPONDING ? response.isResumable() : expected;
   }
 
   /** Returns whether another upstream may take over the request, from its start or where it is. */
@@ -387,7 +357,7 @@
 
   /** Returns the id of the last event sent to the caller; -1 if there was none. */
   long lastEventId() {
-    return eventSplitter == null ? -1 : eventSplitter.lastEventId();
+    return response.lastEventId();
   }
 
   boolean hasAttemptsLeft() {
@@ -414,9 +384,7 @@
   /** Retries, if allowed, a request whose response was lost; it may have run. */
   void onAttemptLost(CallAttempt attempt, String outcome, String cause) {
     withdrawUnsentResponse();
-    if (eventSplitter != null) {
-      eventSplitter.prepareResume();
-    }
+    response.prepareResume();
     earlierMayHaveRun = true;
     context.metrics().recordAttempt(outcome);
     RelayLog.attemptFailed(this, attempt.upstream().id(), outcome, cause);
@@ -428,7 +396,7 @@
   private void retry(ErrorResponse fallback, boolean allowed) {
     currentAttempt = null;
     boolean mayRetry = allowed && hasAttemptsLeft() && !quarantine.isActive();
-    if (mayRetry && context.retryBudget(service).tryAcquireRetry()) {
+    if (mayRetry && context.retryBudget(service()).tryAcquireRetry()) {
       tryUpstream(fallback);
     } else {
       fail(fallback);
@@ -437,26 +405,11 @@
 
   /** Starts the response to the caller; does nothing if a stream is being resumed. */
   void onResponseHead(int status, HeaderMap headers) {
-    framing = ResponseFraming.of(headers);
-    if (phase == Phase.RESPONDING) {
-      return;
-    }
-    phase = Phase.RESPONDING;
-    if (isEventStream(status, headers)) {
-      eventSplitter = route.resumable() ? new EventSplitter() : null;
-      content = eventSplitter == null ? new EventMonitor() : eventSplitter;
+    response.setFraming(headers);
+    if (phase != Phase.RESPONDING) {
+      phase = Phase.RESPONDING;
+      response.start(status, headers);
     }
-    // A stream may turn out to be truncated after as many bytes as the upstream announced.
-    boolean keepsLength = framing == ResponseFraming.LENGTH && content == ResponseContent.OPAQUE;
-    String length = keepsLength ? headers.getFirst(Headers.CONTENT_LENGTH) : "";
-    response.start(context, status, headers, length);
-  }
-
-  private boolean isEventStream(int status, HeaderMap headers) {
-    return route.isStream()
-        && CallAttempt.isSuccess(status)
-        && response.mayHaveBody(status)
-        && HeaderCodec.mayBeEventStream(headers);
   }
 
   /** Relays content; returns whether the caller can accept more. */
@@ -464,9 +417,8 @@
     if (times.recordFirstByte()) {
       context.metrics().recordFirstByte(route.name(), times.firstByteSeconds());
     }
-    ByteBuffer out = content.accept(data);
-    boolean hasRoom = !out.hasRemaining() || response.write(out);
-    Optional<Fault> fault = eventSplitter == null ? Optional.empty() : eventSplitter.fault();
+    boolean hasRoom = response.write(data);
+    Optional<Fault> fault = response.fault();
     if (fault.isPresent()) {
       attempt.cancel();
       onAttemptLost(attempt, fault.get().outcome(), fault.get().cause());
@@ -481,7 +433,7 @@
 
   /** Returns why a response that ends here is incomplete; empty if it may be complete. */
   Optional<String> findTruncation() {
-    return content.findTruncation(framing);
+    return response.findTruncation();
   }
 
   /** Ends the response after the upstream completed it. */
@@ -491,7 +443,7 @@
     if (CallAttempt.isSuccess(exchange.getStatusCode())) {
       quarantine.recordSuccess();
     }
-    response.write(content.drain());
+    response.drain();
     recordEnd(exchange.getStatusCode(), "answered", "");
     response.end();
   }
