Test that a silent upstream sees at once that its caller has left

The caller of a request closes its connection while the upstream on a plain socket has sent nothing, or one event: 6 of 6 cases failed, in each the upstream had not seen the end of its connection when its silence of 4 s was over. `ss` showed the connection established three seconds after the router had closed it.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -125,6 +126,20 @@
       out.flush();
     }
 
+    /** Waits for a time without writing. Fails if the gateway closes the connection before that. */
+    void pause(int millis) throws IOException {
+      if (millis == 0) {
+        return;
+      }
+      socket.setSoTimeout(millis);
+      try {
+        int next = socket.getInputStream().read();
+        throw new IOException(next < 0 ? "the gateway closed the connection" : "unexpected byte");
+      } catch (SocketTimeoutException e) {
+        socket.setSoTimeout(0);
+      }
+    }
+
     /** Closes the connection in order. */
     void close() throws IOException {
       socket.close();
