Close connections to upstreams at once when a request is cancelled

Upstreams kept working on requests whose callers had left, or that had been moved elsewhere, for up to ten seconds if they had nothing to send. Cause: close() of a connection of Undertow's client ends the connection only when the server sends data, is closed by it, or after ten seconds ("clean close"), and its shutdown of the writing side has no effect while a request is under way. Class of fault: a call of a library that is taken to have happened when it returns. Every cancellation went through it: callers that leave, timeouts, retries, idle connections; and the same in the HTTP client of the fleet of classes of work.

ClientConnections.closeNow takes the raw connection back and closes that, in both clients. Ruled out: a detector that misses callers who leave; the router had cancelled 5 ms after the close, and `ss` showed the connection established three seconds later.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnectionPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnectionPool.java
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.xnio.IoUtils;
+import org.toucansaddle.http.ClientConnections;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
@@ -76,7 +76,7 @@
     }
 
     void close() {
-      IoUtils.safeClose(client);
+      ClientConnections.closeNow(client);
     }
 
     private boolean isReusable(long now) {
@@ -145,7 +145,7 @@
     @Override
     public void completed(ClientConnection client) {
       if (done) {
-        IoUtils.safeClose(client);
+        ClientConnections.closeNow(client);
       } else {
         done = true;
         onOpen.accept(new Connection(address, client));
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledConnection.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledConnection.java
@@ -3,7 +3,7 @@
 import io.undertow.client.ClientConnection;
 import java.time.Duration;
 import java.util.concurrent.RejectedExecutionException;
-import org.xnio.IoUtils;
+import org.toucansaddle.http.ClientConnections;
 import org.xnio.XnioIoThread;
 
 /**
@@ -50,10 +50,10 @@
 
   void close() {
     try {
-      ioThread.execute(() -> IoUtils.safeClose(connection));
+      ioThread.execute(() -> ClientConnections.closeNow(connection));
     } catch (RejectedExecutionException e) {
       // The I/O thread has stopped, so no other thread uses the connection.
-      IoUtils.safeClose(connection);
+      ClientConnections.closeNow(connection);
     }
   }
 }
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.toucansaddle.http.ClientConnections;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
 import org.toucansaddle.http.HttpException;
@@ -22,7 +23,6 @@
 import org.toucansaddle.http.HttpRequest;
 import org.toucansaddle.http.HttpResponse;
 import org.toucansaddle.http.HttpStreamHandler;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -154,7 +154,7 @@
             if (connectCompleted.compareAndSet(false, true)) {
               driver.start(new PooledConnection(request.target(), connection, ioThread));
             } else {
-              IoUtils.safeClose(connection);
+              ClientConnections.closeNow(connection);
             }
           }
 
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/UndertowHttpClientTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/UndertowHttpClientTest.java
@@ -6,6 +6,7 @@
 
 import io.undertow.Undertow;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -96,6 +97,30 @@
     }
   }
 
+  /** Guards against a cancelled request that a silent server works on for seconds. */
+  @Test
+  public void shouldCloseConnectionToSilentServerWhenExchangeIsCancelled() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        HttpClient client = HttpClient.create(HttpClientSettings.defaults())) {
+      HttpRequest request = HttpRequest.get("127.0.0.1:" + listener.getLocalPort(), "/");
+      HttpExchange exchange = client.stream(request, new SlowHandler());
+      try (Socket socket = listener.accept()) {
+        socket.setSoTimeout((int) TIMEOUT.toMillis());
+        readHead(socket.getInputStream());
+        exchange.cancel();
+        assertThat(socket.getInputStream().read()).isNegative();
+      }
+    }
+  }
+
+  private static void readHead(InputStream in) throws IOException {
+    int emptyLineBytes = 0;
+    while (emptyLineBytes < 4) {
+      int next = in.read();
+      emptyLineBytes = next == '\r' || next == '\n' ? emptyLineBytes + 1 : 0;
+    }
+  }
+
   /** Takes longer to process content than a server takes to send it, and keeps nothing of it. */
   private static final class SlowHandler implements HttpStreamHandler {
     @Override
