Keep a silent upstream until another one has taken over

Callers got neither a whole answer nor a refusal: a resumable stream whose sound upstream was silent for 1.5 s was broken off after the last event sent.

Cause: StallDetector failed the attempt before anything was known about its successor. The first attempt was cancelled; only then did the router look for another upstream, budget for a retry and a connection, and only then could the other one refuse. Where any of these was missing, the caller's connection was closed although the first upstream went on. Class of fault: what works is given up before its replacement is known to work.

A silent request is now sent to another upstream as well, while the first attempt continues. Whichever sends data first goes on, the other is cancelled; a standby that refuses, fails or breaks off is dropped. With no other upstream or no budget nothing happens, and the first one has the time of the request. A standby that resumes a stream takes over after 300 ms even without data, so that two upstreams do not work on one stream for long; a full one has refused by then. Lines "stalled" say what was done or was missing.

Ruled out as the cause in the test: versions of the configuration, which came every 300 ms; routes that may not resume were never broken off.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -6,6 +6,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -34,55 +35,105 @@
   private final int memoryTokens;
   private final long pendingTokens;
   private final double nominalTokensPerMilli;
+  private final int maxConnections;
   private final double expectedFirstTokenMillis;
+  private final Dispatch dispatch;
   private UpstreamExchange upstreamExchange;
   private StallDetector stallDetector;
   private long sentAtNanos;
   private boolean prefillCounted = true;
   private boolean loadCounted = true;
   private boolean responseAccepted;
+
+  /** Head of a response that was accepted while another attempt was the current one. */
+  private ClientResponse heldHead;
+
   private boolean survivalExpected;
   private long firstDataAtNanos;
 
   /**
    * Creates an attempt and adds its load to the upstream.
    *
-   * @param nominalTokensPerMilli prefill speed used by the selection, in tokens per millisecond
+   * @param choice made the selection
    */
   CallAttempt(
       RelayContext context,
       RelayedCall call,
       HttpServerExchange exchange,
       Selection selection,
-      double nominalTokensPerMilli) {
+      UpstreamChoice choice) {
     this.context = context;
     this.call = call;
     this.exchange = exchange;
     this.upstream = selection.upstream();
     this.prefillTokens = selection.prefillTokens();
     this.memoryTokens = prefillTokens + call.head().expectedOutputTokens();
-    this.nominalTokensPerMilli = nominalTokensPerMilli;
+    this.nominalTokensPerMilli = choice.nominalTokensPerMilli();
+    this.maxConnections = choice.maxConnections();
     this.expectedFirstTokenMillis = selection.expectedFirstTokenMillis();
     upstream.recordRequestStarted(prefillTokens, memoryTokens);
     this.pendingTokens = upstream.pendingTokens();
+    this.dispatch = Dispatch.of(selection, context.nowNanos());
   }
 
   Upstream upstream() {
     return upstream;
   }
 
+  Dispatch dispatch() {
+    return dispatch;
+  }
+
   /** Returns whether the upstream may have received part of the request. */
   boolean isSent() {
     return upstreamExchange != null;
   }
 
-  /** Sends the request. */
-  void start(Connection connection, byte[] body) {
+  /**
+   * Sends the request on an idle connection, or on a new one.
+   *
+   * @param fallback response to the caller if neither this upstream nor another one is reached
+   */
+  void launch(ErrorResponse fallback) {
+    String address = upstream.report().address();
+    UpstreamConnectionPool pool = context.connectionPool(exchange.getIoThread());
+    Connection idle = pool.acquireIdle(address);
+    if (idle != null) {
+      start(idle);
+    } else if (pool.openCount(address) >= maxConnections) {
+      long delayMillis = RetryAfter.randomDelayMillis(call.route().targetMillis());
+      String detail = "All connections are in use.";
+      call.onUnavailable(this, ErrorResponse.notRun("connections-used", detail, delayMillis));
+    } else {
+      pool.connect(address, this::onConnected, failure -> onConnectFailed(failure, fallback));
+    }
+  }
+
+  private void onConnected(Connection connection) {
+    if (call.isUnderWay(this)) {
+      start(connection);
+    } else {
+      connection.release(0);
+    }
+  }
+
+  private void onConnectFailed(IOException failure, ErrorResponse fallback) {
+    upstream.markUnreachable(context.nowNanos());
+    context.metrics().recordAttempt("unreachable");
+    if (call.isUnderWay(this)) {
+      RelayLog.attemptFailed(call, upstream.id(), "unreachable", failure.getMessage());
+      call.onUnavailable(this, fallback);
+    }
+  }
+
+  private void start(Connection connection) {
+    byte[] body = call.onAttemptStarted();
     sentAtNanos = context.nowNanos();
     upstreamExchange = new UpstreamExchange(connection, body, this);
     stallDetector =
         new StallDetector(context, call, this, exchange.getIoThread(), expectedFirstTokenMillis);
     upstreamExchange.start(buildRequest(body));
+    call.onAttemptSent(this);
   }
 
   private ClientRequest buildRequest(byte[] body) {
@@ -103,11 +154,6 @@
     return request;
   }
 
-  /** Fails the attempt because the upstream sent no response, or stalled within a stream. */
-  void failStalled(long millis) {
-    fail("silent", "no data for " + millis + " ms");
-  }
-
   /** Resumes reading after the caller's backpressure ended. */
   void resume() {
     if (upstreamExchange != null) {
@@ -154,21 +200,34 @@
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
       fail("unsealed", "status " + status + " does not come from the upstream itself");
-    } else if (call.isResponding() && !isSuccess(status)) {
-      fail("status-" + status, "the upstream did not resume the stream");
+    } else if ((call.isResponding() || call.isStandby(this)) && !isSuccess(status)) {
+      fail("status-" + status, "the upstream did not take over the request");
     } else if (status >= 500 && call.mayRetryFailure()) {
       fail("status-" + status, "the upstream failed");
     } else {
       responseAccepted = true;
       survivalExpected = isSuccess(status);
-      if (!call.route().isStream()) {
-        releasePrefillLoad();
-        stallDetector.onResponseStarted();
+      heldHead = response;
+      if (call.isCurrent(this)) {
+        deliverHead();
       }
-      call.onResponseHead(status, headers);
     }
   }
 
+  /** Relays the head of the response if it has arrived. */
+  void deliverHead() {
+    ClientResponse response = heldHead;
+    heldHead = null;
+    if (response == null) {
+      return;
+    }
+    if (!call.route().isStream()) {
+      releasePrefillLoad();
+      stallDetector.onResponseStarted();
+    }
+    call.onResponseHead(response.getResponseCode(), response.getResponseHeaders());
+  }
+
   static boolean isSuccess(int status) {
     return status >= 200 && status < 300;
   }
@@ -191,6 +250,7 @@
 
   @Override
   public boolean onResponseData(ByteBuffer data) {
+    call.onProgress(this);
     if (!call.isCurrent(this)) {
       return false;
     }
@@ -222,12 +282,19 @@
 
   @Override
   public Optional<String> findTruncation() {
+    if (call.isStandby(this)) {
+      if (ResponseFraming.of(heldHead.getResponseHeaders()) == ResponseFraming.CONNECTION_END) {
+        return Optional.of("the connection ended before the response took over");
+      }
+      call.onProgress(this);
+    }
     return call.isCurrent(this) ? call.findTruncation() : Optional.empty();
   }
 
   @Override
   public void onResponseComplete() {
     if (call.isCurrent(this)) {
+      call.onProgress(this);
       releaseLoad();
       call.onResponseComplete();
     }
@@ -235,7 +302,7 @@
 
   @Override
   public void onFailure(String cause) {
-    if (!call.isCurrent(this)) {
+    if (!call.isUnderWay(this)) {
       return;
     }
     if (!responseAccepted) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -52,6 +52,20 @@
         skippedNow);
   }
 
+  /** Logs what is done about a silent upstream. */
+  static void stalled(RelayedCall call, CallAttempt silent, long silentMillis, String takeover) {
+    LOG.info(
+        "stalled request={} upstream={} attempts={} silent_ms={} last_event={} remaining_ms={}"
+            + " takeover={}",
+        call.head().requestId(),
+        silent.upstream().id(),
+        call.attempts(),
+        silentMillis,
+        call.lastEventId(),
+        call.remainingMillis(),
+        takeover);
+  }
+
   static void requestEnded(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} in_force={} status={} outcome={}"
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -10,7 +10,6 @@
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.AdmissionRequest;
 import org.toucansaddle.daemon.internal.gateway.relay.EventSplitter.Fault;
-import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -51,6 +50,7 @@
   private final CallTimes times;
   private final UpstreamChoice choice;
   private final ResponseRelay response;
+  private final Takeover takeover;
 
   private Phase phase = Phase.NOT_SENT;
   private CallAttempt currentAttempt;
@@ -83,6 +83,7 @@
             context.state().quarantine(),
             RequestDigest.of(head, account, body),
             RequestDigest.ofSharedParts(head));
+    this.takeover = new Takeover(context, this, exchange.getIoThread());
     this.response =
         new ResponseRelay(
             context, exchange, route, this::resumeAttempt, this::onCallerDisconnected);
@@ -208,48 +209,39 @@
   }
 
   private void send(Selection selected, ErrorResponse fallback) {
-    Upstream upstream = selected.upstream();
-    choice.markTried(upstream);
-    lastDispatch = Dispatch.of(selected, context.nowNanos());
-    String address = upstream.report().address();
-    UpstreamConnectionPool pool = context.connectionPool(exchange.getIoThread());
-    CallAttempt attempt =
-        new CallAttempt(context, this, exchange, selected, choice.nominalTokensPerMilli());
-    currentAttempt = attempt;
-    Connection idle = pool.acquireIdle(address);
-    if (idle != null) {
-      startAttempt(attempt, idle);
-      return;
-    }
-    if (pool.openCount(address) >= choice.maxConnections()) {
-      attempt.releaseLoad();
-      tryUpstream(retryLater("connections-used", "All connections are in use."));
-      return;
-    }
-    pool.connect(
-        address,
-        connection -> {
-          if (phase == Phase.ENDED || currentAttempt != attempt) {
-            connection.release(0);
-          } else {
-            startAttempt(attempt, connection);
-          }
-        },
-        failure -> {
-          upstream.markUnreachable(context.nowNanos());
-          context.metrics().recordAttempt("unreachable");
-          if (phase != Phase.ENDED && currentAttempt == attempt) {
-            RelayLog.attemptFailed(this, upstream.id(), "unreachable", failure.getMessage());
-            attempt.releaseLoad();
-            tryUpstream(fallback);
-          }
-        });
-  }
-
-  private void startAttempt(CallAttempt attempt, Connection connection) {
+    currentAttempt = createAttempt(selected);
+    lastDispatch = currentAttempt.dispatch();
+    currentAttempt.launch(fallback);
+  }
+
+  /** Creates an attempt that is not sent yet. */
+  CallAttempt createAttempt(Selection selected) {
+    choice.markTried(selected.upstream());
+    return new CallAttempt(context, this, exchange, selected, choice);
+  }
+
+  /** Selects an upstream that can take over from the current one. */
+  Optional<Selection> selectOther() {
+    return quarantine.isActive() ? Optional.empty() : choice.select(choice.usable());
+  }
+
+  /** Counts an attempt that is sent now and returns the body of the request. */
+  byte[] onAttemptStarted() {
     attempts++;
     phase = phase == Phase.NOT_SENT ? Phase.AWAITING_RESPONSE : phase;
-    attempt.start(connection, body);
+    return body;
+  }
+
+  void onAttemptSent(CallAttempt attempt) {
+    takeover.onSent(attempt);
+  }
+
+  /** Tries another upstream, since the request could not be sent. */
+  void onUnavailable(CallAttempt attempt, ErrorResponse fallback) {
+    attempt.releaseLoad();
+    if (!takeover.remove(attempt)) {
+      tryUpstream(fallback);
+    }
   }
 
   private void onTimer() {
@@ -286,6 +278,7 @@
   }
 
   private void cancelAttempt() {
+    takeover.cancel();
     CallAttempt attempt = currentAttempt;
     currentAttempt = null;
     if (attempt != null) {
@@ -340,6 +333,47 @@
     return currentAttempt == attempt && phase != Phase.ENDED;
   }
 
+  /** Returns whether an attempt may take over from the current one. */
+  boolean isStandby(CallAttempt attempt) {
+    return takeover.isStandby(attempt) && phase != Phase.ENDED;
+  }
+
+  boolean isUnderWay(CallAttempt attempt) {
+    return isCurrent(attempt) || isStandby(attempt);
+  }
+
+  /** Looks for an upstream that can take over from a silent one. */
+  void onStalled(CallAttempt attempt, long silentMillis) {
+    takeover.begin(attempt, silentMillis);
+  }
+
+  /** Continues with the attempt that makes progress, if there are two. */
+  void onProgress(CallAttempt attempt) {
+    if (isStandby(attempt)) {
+      replaceSilentAttempt();
+    } else if (isCurrent(attempt)) {
+      takeover.dismiss();
+    }
+  }
+
+  /** Replaces the current attempt, whose upstream is silent, by the standby. */
+  void replaceSilentAttempt() {
+    CallAttempt silent = currentAttempt;
+    silent.cancel();
+    earlierMayHaveRun = true;
+    context.metrics().recordAttempt("silent");
+    RelayLog.attemptFailed(this, silent.upstream().id(), "silent", "another one takes over");
+    continueWithStandby();
+  }
+
+  private void continueWithStandby() {
+    withdrawUnsentResponse();
+    response.prepareResume();
+    currentAttempt = takeover.take();
+    lastDispatch = currentAttempt.dispatch();
+    currentAttempt.deliverHead();
+  }
+
   boolean isResponding() {
     return phase == Phase.RESPONDING;
   }
@@ -378,19 +412,32 @@
     }
     context.metrics().recordAttempt("not-executed");
     RelayLog.attemptFailed(this, attempt.upstream().id(), "not-executed", "status " + status);
-    retry(retryLater("upstream-full", "The upstream did not run the request."), true);
+    if (!continuesWithout(attempt)) {
+      retry(retryLater("upstream-full", "The upstream did not run the request."), true);
+    }
   }
 
   /** Retries, if allowed, a request whose response was lost; it may have run. */
   void onAttemptLost(CallAttempt attempt, String outcome, String cause) {
-    withdrawUnsentResponse();
-    response.prepareResume();
     earlierMayHaveRun = true;
     context.metrics().recordAttempt(outcome);
     RelayLog.attemptFailed(this, attempt.upstream().id(), outcome, cause);
-    ErrorResponse fallback =
-        ErrorResponse.upstreamLost("The upstream's answer was lost: " + cause + ".");
-    retry(fallback, isMovable());
+    if (!continuesWithout(attempt)) {
+      withdrawUnsentResponse();
+      response.prepareResume();
+      ErrorResponse fallback =
+          ErrorResponse.upstreamLost("The upstream's answer was lost: " + cause + ".");
+      retry(fallback, isMovable());
+    }
+  }
+
+  /** Returns whether another attempt is under way after one has ended, and continues with it. */
+  private boolean continuesWithout(CallAttempt ended) {
+    if (takeover.isPending() && !takeover.isStandby(ended)) {
+      continueWithStandby();
+      return true;
+    }
+    return takeover.remove(ended);
   }
 
   private void retry(ErrorResponse fallback, boolean allowed) {
@@ -410,6 +457,9 @@
       phase = Phase.RESPONDING;
       response.start(status, headers);
     }
+    if (!isResumable()) {
+      takeover.dismiss();
+    }
   }
 
   /** Relays content; returns whether the caller can accept more. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
@@ -9,14 +9,14 @@
 /**
  * Detects an upstream that does not respond to an attempt, or that stalls within a stream.
  *
- * <p>A request that may move is retried at another upstream. In any case an upstream with a stuck
- * request is skipped for a while. Engines start prompts in order; for other requests a missing
- * response is conclusive only if the route's requests are usually answered in time. Confined to the
- * call's I/O thread.
+ * <p>A request that may move is then sent to another upstream, too, and continues at the one that
+ * responds first; see {@link Takeover}. In any case an upstream with a stuck request is skipped for
+ * a while. Engines start prompts in order; for other requests a missing response is conclusive only
+ * if the route's requests are usually answered in time. Confined to the call's I/O thread.
  */
 final class StallDetector implements AutoCloseable {
 
-  /** Time without data after which another upstream resumes a stream. */
+  /** Time without data after which another upstream may resume a stream. */
   private static final long STALL_TIMEOUT_MILLIS = 1_500;
 
   /** Interval between checks of an overdue request. */
@@ -110,6 +110,9 @@
 
   private void check() {
     if (!call.isCurrent(attempt)) {
+      if (call.isStandby(attempt)) {
+        schedule(CHECK_INTERVAL_MILLIS);
+      }
       return;
     }
     long now = context.nowNanos();
@@ -126,10 +129,9 @@
       return;
     }
     if (silentMillis >= STALL_TIMEOUT_MILLIS && mayRetry()) {
-      attempt.failStalled(silentMillis);
-    } else {
-      schedule(Math.max(CHECK_INTERVAL_MILLIS, STALL_TIMEOUT_MILLIS - silentMillis));
+      call.onStalled(attempt, silentMillis);
     }
+    schedule(Math.max(CHECK_INTERVAL_MILLIS, STALL_TIMEOUT_MILLIS - silentMillis));
   }
 
   private void checkFirstByte(long silentMillis, long now) {
@@ -152,10 +154,9 @@
     boolean timedOut =
         conclusive && silentMillis >= Math.max(STALL_TIMEOUT_MILLIS, 2L * targetMillis);
     if ((finding == Finding.OVERTAKEN || timedOut) && call.isMovable() && mayRetry()) {
-      attempt.failStalled(silentMillis);
-    } else {
-      schedule(CHECK_INTERVAL_MILLIS);
+      call.onStalled(attempt, silentMillis);
     }
+    schedule(CHECK_INTERVAL_MILLIS);
   }
 
   private void reportStuck(Finding finding, long silentMillis, long now) {
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
@@ -0,0 +1,128 @@
+package org.toucansaddle.daemon.internal.gateway.relay;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * Second attempt of a call whose upstream is silent, called the standby.
+ *
+ * <p>The silent attempt stays the current one until the standby responds: there may be no upstream
+ * that takes over, it may refuse, and the silent one may go on. Whichever sends data first
+ * continues, and the other one is cancelled. Confined to the call's I/O thread.
+ */
+final class Takeover {
+
+  /**
+   * Time after which a standby that resumes a stream takes over without having sent data, so that
+   * two upstreams do not work on one stream for long. Upstreams that are full refuse sooner.
+   */
+  private static final long MAX_OVERLAP_MILLIS = 300;
+
+  private static final ErrorResponse FALLBACK =
+      ErrorResponse.upstreamLost("The upstream stopped responding and no other one took over.");
+
+  private final RelayContext context;
+  private final RelayedCall call;
+  private final XnioIoThread ioThread;
+  private CallAttempt standby;
+  private XnioExecutor.Key timer;
+  private String loggedObstacle = "";
+
+  Takeover(RelayContext context, RelayedCall call, XnioIoThread ioThread) {
+    this.context = context;
+    this.call = call;
+    this.ioThread = ioThread;
+  }
+
+  boolean isPending() {
+    return standby != null;
+  }
+
+  boolean isStandby(CallAttempt attempt) {
+    return standby != null && standby == attempt;
+  }
+
+  /** Sends the request to another upstream, if there is one and the budget allows it. */
+  void begin(CallAttempt silent, long silentMillis) {
+    if (isPending()) {
+      return;
+    }
+    Optional<Selection> selected = call.selectOther();
+    if (selected.isEmpty()) {
+      logObstacle(silent, silentMillis, "no-upstream");
+    } else if (!context.retryBudget(call.service()).tryAcquireRetry()) {
+      logObstacle(silent, silentMillis, "no-retry-budget");
+    } else {
+      standby = call.createAttempt(selected.get());
+      RelayLog.stalled(call, silent, silentMillis, "sent-to-" + standby.upstream().id());
+      standby.launch(FALLBACK);
+    }
+  }
+
+  /** Logs why there is no takeover; a silent attempt is checked several times a second. */
+  private void logObstacle(CallAttempt silent, long silentMillis, String obstacle) {
+    if (!obstacle.equals(loggedObstacle)) {
+      loggedObstacle = obstacle;
+      RelayLog.stalled(call, silent, silentMillis, obstacle);
+    }
+  }
+
+  /** Limits the overlap once a standby that resumes a stream is sent. */
+  void onSent(CallAttempt attempt) {
+    if (isStandby(attempt) && call.lastEventId() >= 0) {
+      timer =
+          ioThread.executeAfter(
+              () -> takeOverAfterOverlap(attempt), MAX_OVERLAP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void takeOverAfterOverlap(CallAttempt attempt) {
+    if (call.isStandby(attempt)) {
+      call.replaceSilentAttempt();
+    }
+  }
+
+  /** Returns the standby, which becomes the current attempt. */
+  CallAttempt take() {
+    CallAttempt taken = standby;
+    clear();
+    return taken;
+  }
+
+  /** Forgets an attempt that has ended; returns whether it was the standby. */
+  boolean remove(CallAttempt attempt) {
+    boolean found = isStandby(attempt);
+    if (found) {
+      clear();
+    }
+    return found;
+  }
+
+  /** Cancels the standby because the silent upstream goes on. */
+  void dismiss() {
+    if (isPending()) {
+      context.metrics().recordAttempt("dismissed");
+      RelayLog.attemptFailed(
+          call, standby.upstream().id(), "dismissed", "the silent upstream goes on");
+      cancel();
+    }
+  }
+
+  /** Cancels the standby, if any. */
+  void cancel() {
+    if (isPending()) {
+      take().cancel();
+    }
+  }
+
+  private void clear() {
+    standby = null;
+    if (timer != null) {
+      timer.remove();
+      timer = null;
+    }
+  }
+}
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/SilentUpstreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/SilentUpstreamUsageTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -33,12 +34,17 @@
   private static final int BYTES_WITHIN_EVENT = 9;
   private static final int CONFIGURATION_MILLIS = 300;
 
+  /** Time from which an upstream must not go on with a stream that another one got. */
+  private static final int MAX_OVERLAP_MILLIS = 400;
+
   /** Where the first upstream that gets a request falls silent. */
   private enum Place {
     BEFORE_HEAD,
     AFTER_HEAD,
     BETWEEN_EVENTS,
-    WITHIN_EVENT
+    WITHIN_EVENT,
+    /** Between two events, until another upstream gets the request. */
+    UNTIL_TAKEOVER
   }
 
   /** What an upstream does with a request that another one has not completed. */
@@ -55,9 +61,15 @@
     QUEUES
   }
 
+  private static final List<Place> PLACES =
+      List.of(Place.BEFORE_HEAD, Place.AFTER_HEAD, Place.BETWEEN_EVENTS, Place.WITHIN_EVENT);
+
   private final AtomicInteger requests = new AtomicInteger();
   private final Map<String, List<Long>> arrivals = new ConcurrentHashMap<>();
-  private final Map<String, Long> cancellations = new ConcurrentHashMap<>();
+
+  /** Times at which the gateway closed a connection, by path and number of the attempt. */
+  private final Map<String, Long> closeTimes = new ConcurrentHashMap<>();
+
   private final AtomicLong configuration = new AtomicLong(7);
   private final ScheduledExecutorService operator = Executors.newSingleThreadScheduledExecutor();
   private LocalGateway gateway;
@@ -122,73 +134,69 @@
 
   private void answer(Exchange exchange) throws IOException {
     String[] path = exchange.path().split("/");
-    List<Long> earlier = arrivals.computeIfAbsent(exchange.path(), key -> new ArrayList<>());
-    synchronized (earlier) {
-      earlier.add(System.nanoTime());
-      if (earlier.size() > 1) {
-        answerAsOther(exchange, Other.valueOf(path[3]), Integer.parseInt(path[4]));
-        return;
-      }
-    }
-    Place place = Place.valueOf(path[2]);
+    List<Long> arrivalTimes =
+        arrivals.computeIfAbsent(exchange.path(), key -> new CopyOnWriteArrayList<>());
+    arrivalTimes.add(System.nanoTime());
+    int number = arrivalTimes.size();
     int silenceMillis = Integer.parseInt(path[4]);
     try {
-      answerWithSilence(exchange, place, silenceMillis);
+      if (number == 1) {
+        answerWithSilence(exchange, Place.valueOf(path[2]), silenceMillis);
+      } else {
+        answerAsOther(exchange, Other.valueOf(path[3]), silenceMillis);
+      }
     } catch (IOException e) {
-      cancellations.put(exchange.path(), System.nanoTime());
+      closeTimes.put(exchange.path() + "#" + number, System.nanoTime());
       throw e;
     }
   }
 
-  private static void answerWithSilence(Exchange exchange, Place place, int silenceMillis)
+  private void answerWithSilence(Exchange exchange, Place place, int silenceMillis)
       throws IOException {
     if (place == Place.BEFORE_HEAD) {
-      pause(silenceMillis);
+      exchange.pause(silenceMillis);
     }
     exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
     if (place == Place.AFTER_HEAD) {
-      pause(silenceMillis);
+      exchange.pause(silenceMillis);
     }
     int beforeSilence =
         switch (place) {
-          case BETWEEN_EVENTS -> FIRST_EVENTS.length();
+          case BETWEEN_EVENTS, UNTIL_TAKEOVER -> FIRST_EVENTS.length();
           case WITHIN_EVENT -> FIRST_EVENTS.length() + BYTES_WITHIN_EVENT;
           default -> 0;
         };
     if (beforeSilence > 0) {
       exchange.writeChunk(ALL_EVENTS.substring(0, beforeSilence));
-      pause(silenceMillis);
+      if (place == Place.UNTIL_TAKEOVER) {
+        awaitTakeover(exchange.path());
+      } else {
+        exchange.pause(silenceMillis);
+      }
     }
     exchange.writeChunk(ALL_EVENTS.substring(beforeSilence));
     exchange.writeChunk("");
   }
 
+  private void awaitTakeover(String path) {
+    try {
+      LocalGateway.await(() -> arrivals.get(path).size() > 1);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void answerAsOther(Exchange exchange, Other other, int silenceMillis)
       throws IOException {
     switch (other) {
-      case REFUSES -> {
-        exchange.writeHead(503, "X-Not-Run: full", "Content-Length: 0");
-      }
+      case REFUSES -> exchange.writeHead(503, "X-Not-Run: full", "Content-Length: 0");
       case BREAKS -> exchange.close();
       case FAILS -> exchange.writeAnswer(500, "{}");
-      case QUEUES -> {
-        pause(silenceMillis);
-        writeRemainder(exchange);
+      default -> {
+        exchange.pause(other == Other.QUEUES ? silenceMillis : 0);
+        boolean resumes = exchange.header("Last-Event-Id").equals("2");
+        exchange.writeAnswer(200, resumes ? LAST_EVENT : ALL_EVENTS);
       }
-      default -> writeRemainder(exchange);
-    }
-  }
-
-  private static void writeRemainder(Exchange exchange) throws IOException {
-    boolean resumes = exchange.header("Last-Event-Id").equals("2");
-    exchange.writeAnswer(200, resumes ? LAST_EVENT : ALL_EVENTS);
-  }
-
-  private static void pause(int millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
@@ -196,7 +204,7 @@
   public Object[][] silences() {
     List<Object[]> cases = new ArrayList<>();
     for (String route : List.of("once", "repeatable", "stream-once", "stream")) {
-      for (Place place : Place.values()) {
+      for (Place place : PLACES) {
         for (int silenceMillis : List.of(1_000, 2_000, 3_200)) {
           boolean movable = route.equals("repeatable") || route.equals("stream");
           for (Other other : movable ? List.of(Other.values()) : List.of(Other.SERVES)) {
@@ -219,7 +227,7 @@
   public Object[][] silencesOfOnlyUpstream() {
     List<Object[]> cases = new ArrayList<>();
     for (String route : List.of("once", "repeatable", "stream-once", "stream")) {
-      for (Place place : Place.values()) {
+      for (Place place : PLACES) {
         cases.add(new Object[] {route, place, 2_000});
         cases.add(new Object[] {route, place, 3_200});
       }
@@ -240,4 +248,34 @@
     assertThat(response.complete()).as("%s complete: %s", path, response).isTrue();
     assertThat(response.body()).as(path).isEqualTo(ALL_EVENTS);
   }
+
+  @DataProvider(parallel = true)
+  public Object[][] takeovers() {
+    return new Object[][] {
+      {Place.BETWEEN_EVENTS, Other.SERVES},
+      {Place.BETWEEN_EVENTS, Other.QUEUES},
+      {Place.WITHIN_EVENT, Other.SERVES},
+      {Place.WITHIN_EVENT, Other.QUEUES},
+    };
+  }
+
+  /** Guards against two upstreams that work on one stream for long. */
+  @Test(dataProvider = "takeovers")
+  public void shouldCloseConnectionOfSilentUpstreamSoonAfterAnotherGotTheStream(
+      Place place, Other other) throws Exception {
+    String path = path("stream", place, other, 4_000);
+    assertWhole(gateway, path);
+    LocalGateway.await(() -> closeTimes.containsKey(path + "#1"));
+    long overlapNanos = closeTimes.get(path + "#1") - arrivals.get(path).get(1);
+    assertThat(TimeUnit.NANOSECONDS.toMillis(overlapNanos)).isLessThan(MAX_OVERLAP_MILLIS);
+  }
+
+  /** Guards against a second upstream that goes on with a request that the first one completes. */
+  @Test
+  public void shouldCloseConnectionOfOtherUpstreamWhenTheSilentOneGoesOn() throws Exception {
+    String path = path("stream", Place.UNTIL_TAKEOVER, Other.QUEUES, 4_000);
+    assertWhole(gateway, path);
+    assertThat(arrivals.get(path)).hasSize(2);
+    LocalGateway.await(() -> closeTimes.containsKey(path + "#2"));
+  }
 }
