Test requests under way beside changes of the configuration

Seen: the record names a request that got neither an answer nor a refusal beside a version of the configuration. No test changed routes, keys or limits while requests were under way; all versions of the tests had the same routes.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RawCaller.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RawCaller.java
@@ -47,8 +47,17 @@
     }
   }
 
-  private static RawResponse readResponse(InputStream in) throws IOException {
-    int status = Integer.parseInt(HttpText.readLine(in).split(" ")[1]);
+  /**
+   * Reads a response.
+   *
+   * @throws IOException if the connection ended before the status
+   */
+  static RawResponse readResponse(InputStream in) throws IOException {
+    String statusLine = HttpText.readLine(in);
+    if (statusLine.isEmpty()) {
+      throw new IOException("the connection ended without a response");
+    }
+    int status = Integer.parseInt(statusLine.split(" ")[1]);
     Map<String, String> headers = HttpText.readFields(in);
     ByteArrayOutputStream body = new ByteArrayOutputStream();
     boolean complete = readBody(in, headers, body);
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -45,6 +45,7 @@
   }
 
   private final LocalGateway gateway;
+  private final String service;
   private final Script script;
   private final List<ScriptedUpstream> upstreams = new ArrayList<>();
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
@@ -52,11 +53,18 @@
   private final ExecutorService connections = Executors.newCachedThreadPool();
   private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
 
+  /** Starts upstreams of the service that all routes of a default document use. */
   ScriptedUpstreams(LocalGateway gateway, int count, Script script) throws IOException {
+    this(gateway, "desk", count, script);
+  }
+
+  ScriptedUpstreams(LocalGateway gateway, String service, int count, Script script)
+      throws IOException {
     this.gateway = gateway;
+    this.service = service;
     this.script = script;
     for (int index = 0; index < count; index++) {
-      upstreams.add(new ScriptedUpstream("u" + index));
+      upstreams.add(new ScriptedUpstream(service + index));
     }
     reports.scheduleWithFixedDelay(this::report, 0, REPORT_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -82,11 +90,13 @@
   static final class Exchange {
     private final String path;
     private final Map<String, String> headers;
+    private final String body;
     private final Socket socket;
 
-    private Exchange(String path, Map<String, String> headers, Socket socket) {
+    private Exchange(String path, Map<String, String> headers, String body, Socket socket) {
       this.path = path;
       this.headers = headers;
+      this.body = body;
       this.socket = socket;
     }
 
@@ -99,6 +109,11 @@
       return headers.getOrDefault(name, "");
     }
 
+    /** Returns the body of the request; empty if it has none. */
+    String body() {
+      return body;
+    }
+
     /** Writes the head of an answer, with the fields that a gateway requires of an upstream. */
     void writeHead(int status, String... fields) throws IOException {
       StringBuilder head = new StringBuilder("HTTP/1.1 ").append(status).append(" Status\r\n");
@@ -170,7 +185,7 @@
 
     private UpstreamReport createReport(long reportSequence) {
       String address = "127.0.0.1:" + listener.getLocalPort();
-      return new UpstreamReport(id, "desk", address, "z1", SLOTS, State.READY, 1, reportSequence);
+      return new UpstreamReport(id, service, address, "z1", SLOTS, State.READY, 1, reportSequence);
     }
 
     private void accept() {
@@ -191,10 +206,10 @@
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         for (String line = HttpText.readLine(in); !line.isEmpty(); line = HttpText.readLine(in)) {
-          Exchange exchange = new Exchange(line.split(" ")[1], HttpText.readFields(in), socket);
-          String length = exchange.header("Content-Length");
-          in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
-          script.answer(exchange);
+          Map<String, String> headers = HttpText.readFields(in);
+          int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
+          String body = new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+          script.answer(new Exchange(line.split(" ")[1], headers, body, socket));
           if (socket.isClosed()) {
             return;
           }
