Test bodies up to the limit of the configuration

Seen by callers: a request with a body of more than 2 MiB, which the configuration allows (4 MiB by default), gets 400 body-unreadable, or its connection is reset without any response if the body comes in chunks or is still being sent.

RequestBodyTest now has a limit above 2 MiB, too, so that its cases are at least as strict.

--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/RequestBodyTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/RequestBodyTest.java
@@ -24,7 +24,7 @@
 /** Tests of {@link RequestBody} on a server on loopback. */
 public class RequestBodyTest {
 
-  private static final int MAX_BYTES = 1 << 20;
+  private static final int MAX_BYTES = 4 << 20;
   private static final int TIMEOUT_MILLIS = 5_000;
 
   private final BlockingQueue<byte[]> bodies = new LinkedBlockingQueue<>();
@@ -104,7 +104,7 @@
 
   @DataProvider
   public static Object[][] sizes() {
-    return new Object[][] {{1}, {12_000}, {16_384}, {16_385}, {MAX_BYTES}};
+    return new Object[][] {{1}, {12_000}, {16_384}, {16_385}, {1 << 20}, {MAX_BYTES}};
   }
 
   @Test(dataProvider = "sizes")
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
@@ -38,6 +38,16 @@
     return head("POST", path, id) + "Content-Length: " + length + "\r\n\r\n";
   }
 
+  /** Returns the head of a request whose body comes in chunks. */
+  static String chunkedPostHead(String path, String id) {
+    return head("POST", path, id) + "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  /** Returns one chunk of a body; the last one is empty. */
+  static String chunk(String content) {
+    return Integer.toHexString(content.length()) + "\r\n" + content + "\r\n";
+  }
+
   private static String head(String method, String path, String id) {
     return "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Api-Key: %s\r\n"
         .formatted(method, path, LocalGateway.HOST, id, LocalGateway.API_KEY);
