Serve bodies up to the limit of the configuration

Callers saw 400 body-unreadable, or a reset connection without a response, for bodies of more than 2 MiB that the configuration allows.

Cause: Undertow 2.4 has a limit of its own, MAX_ENTITY_SIZE, of 2 MiB by default. A body with a length fails at its first read; one in chunks fails after 2 MiB with its framing. Either way Undertow ends the connection while the caller still sends, so that the response is lost.

All servers of daemons now set the option to a bound above every limit that is checked, the operators' interface, which allows manifests of 8 MiB, among them. The bound is finite, since a refused body is read to its end on the I/O thread.

Not run: a manifest of more than 2 MiB, and documents that allow bodies of more than 128 MiB.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/HttpListeners.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/HttpListeners.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import org.toucansaddle.http.RequestBody;
 import org.xnio.Options;
 
 /** Configures HTTP listeners on addresses of the settings. Stateless and thread-safe. */
@@ -26,6 +27,7 @@
         .setSocketOption(Options.REUSE_ADDRESSES, true)
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-        .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS);
+        .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, RequestBody.SERVER_MAX_BYTES);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -30,6 +30,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
+import org.toucansaddle.http.RequestBody;
 import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
@@ -85,6 +86,7 @@
           .set(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
           .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
           .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+          .set(UndertowOptions.MAX_ENTITY_SIZE, RequestBody.SERVER_MAX_BYTES)
           .getMap();
 
   private final RouterSettings settings;
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/RequestBody.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/RequestBody.java
@@ -21,9 +21,19 @@
  *
  * <p>Exactly one of the consumers is called, once. Undertow's own receiver copies bodies byte by
  * byte, which takes most of a router's processor time. Confined to the I/O thread of the exchange.
+ *
+ * <p>Servers set {@code UndertowOptions.MAX_ENTITY_SIZE} to {@link #SERVER_MAX_BYTES}.
  */
 public final class RequestBody {
 
+  /**
+   * Size of a body in bytes, with its framing, above which servers reset the connection.
+   *
+   * <p>It exceeds all limits passed to {@link #read}, so that longer bodies are read to their end
+   * and their senders receive the response. Undertow's default is 2 MiB.
+   */
+  public static final long SERVER_MAX_BYTES = 128L << 20;
+
   private static final int INITIAL_BYTES = 16 * 1024;
 
   private final HttpServerExchange exchange;
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/RequestBodyTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/RequestBodyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -38,6 +39,7 @@
             .addHttpListener(0, "127.0.0.1")
             .setIoThreads(1)
             .setWorkerThreads(1)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, RequestBody.SERVER_MAX_BYTES)
             .setHandler(this::handleRequest)
             .build();
     server.start();
