Test event streams on connections with pipelined requests

Seen in a trial: a caller that sent its next request before the end of a stream received the first event after 1.5 s instead of 11 ms. So does every later stream on that connection, also if it is alone.

The upstream waits for 1 s, below the limit of a stalled stream, for the caller to receive the first event.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
@@ -66,6 +66,23 @@
     return RawCaller.readResponse(in);
   }
 
+  /**
+   * Reads until a text has arrived, and returns what was read.
+   *
+   * @throws IOException if the connection ended before
+   */
+  String receiveUntil(String end) throws IOException {
+    StringBuilder received = new StringBuilder();
+    while (received.indexOf(end) < 0) {
+      int next = in.read();
+      if (next < 0) {
+        throw new IOException("the connection ended after: " + received);
+      }
+      received.append((char) next);
+    }
+    return received.toString();
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PipelineUsageTest.java
@@ -0,0 +1,108 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
+
+/** Usage tests of callers that send a request before they have the response to the one before. */
+public class PipelineUsageTest {
+
+  private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+  private static final String LAST_EVENT = "id: 2\ndata: b\n\n";
+
+  /** Time for which an upstream waits before its last event, below that of a stalled stream. */
+  private static final int MAX_WAIT_MILLIS = 1_000;
+
+  /** Released by a caller that has received the first event. */
+  private final Semaphore firstEventReceived = new Semaphore(0);
+
+  private final BlockingQueue<Boolean> receivedInTime = new LinkedBlockingQueue<>();
+  private LocalGateway gateway;
+  private ScriptedUpstreams upstreams;
+
+  @BeforeClass
+  public void startGateway() throws Exception {
+    gateway = new LocalGateway();
+    gateway.awaitServing();
+    upstreams = new ScriptedUpstreams(gateway, 1, this::answer);
+    LocalGateway.await(this::isServing);
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopGateway() throws Exception {
+    upstreams.close();
+    gateway.close();
+  }
+
+  @BeforeMethod
+  public void clearEvents() {
+    firstEventReceived.drainPermits();
+    receivedInTime.clear();
+  }
+
+  private boolean isServing() {
+    try {
+      return RawCaller.get(gateway.callerAddress(0), "/once/x", "1.1").status() == 200;
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void answer(Exchange exchange) throws IOException {
+    if (exchange.path().startsWith("/once/")) {
+      exchange.writeAnswer(200, "answer");
+      return;
+    }
+    exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
+    exchange.writeChunk(FIRST_EVENT);
+    try {
+      receivedInTime.add(firstEventReceived.tryAcquire(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    exchange.writeChunk(LAST_EVENT);
+    exchange.writeChunk("");
+  }
+
+  @DataProvider
+  public Object[][] streamRoutes() {
+    return new Object[][] {{"/stream/x"}, {"/stream-once/x"}};
+  }
+
+  /** Guards against events that are held back until the response ends. */
+  @Test(dataProvider = "streamRoutes")
+  public void shouldDeliverEventsWhileNextRequestWaits(String path) throws Exception {
+    try (KeptConnection connection = new KeptConnection(gateway.callerAddress(0))) {
+      connection.send(KeptConnection.get(path, "r1") + KeptConnection.get("/once/x", "r2"));
+      connection.receiveUntil(FIRST_EVENT);
+      firstEventReceived.release();
+      connection.receiveUntil("\r\n0\r\n\r\n");
+      assertThat(connection.receive().body()).isEqualTo("answer");
+      assertThat(receivedInTime.take()).as("first event received before the last").isTrue();
+    }
+  }
+
+  @Test(dataProvider = "streamRoutes")
+  public void shouldDeliverEventsAfterPipelinedRequests(String path) throws Exception {
+    try (KeptConnection connection = new KeptConnection(gateway.callerAddress(0))) {
+      connection.send(KeptConnection.get("/once/x", "r3") + KeptConnection.get("/once/x", "r4"));
+      assertThat(connection.receive().body()).isEqualTo("answer");
+      assertThat(connection.receive().body()).isEqualTo("answer");
+      connection.send(KeptConnection.get(path, "r5"));
+      connection.receiveUntil(FIRST_EVENT);
+      firstEventReceived.release();
+      connection.receiveUntil("\r\n0\r\n\r\n");
+      assertThat(receivedInTime.take()).as("first event received before the last").isTrue();
+    }
+  }
+}
