Deliver events at once on connections with pipelined requests

Callers that sent a request before the response to the one before, even once, received the events of this and all later streams on that connection only when a buffer of 16 KiB was full or the response ended.

Cause: BUFFER_PIPELINED_DATA, which the listener took over from Undertow's own, replaces the sink of such a connection by one whose flush() writes nothing until the response is complete, and the sink stays. It saves writes of short pipelined responses and does not fit streams; the option is now off. Responses without pipelining were not buffered before.

The listeners of RouterDaemon (HttpListeners) have the option by Undertow's default; they are not changed, since no test shows it there yet.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -73,7 +73,8 @@
         new HttpOpenListener(
             buffers,
             OptionMap.builder()
-                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                // The buffer would hold back the events of streams.
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, false)
                 .addAll(options)
                 .getMap());
     connectionListener.setRootHandler(handler);
