Test pipelined requests during a shutdown

Seen in a trial: a router that shuts down answers the first of two pipelined requests with Connection: close and drops the second one, which it had read 700 ms before and had time to serve.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PipelineUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PipelineUsageTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.usage.RawCaller.RawResponse;
 import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
 /** Usage tests of callers that send a request before they have the response to the one before. */
@@ -35,7 +36,7 @@
     gateway = new LocalGateway();
     gateway.awaitServing();
     upstreams = new ScriptedUpstreams(gateway, 1, this::answer);
-    LocalGateway.await(this::isServing);
+    LocalGateway.await(() -> isServing(0) && isServing(1));
   }
 
   @AfterClass(alwaysRun = true)
@@ -50,9 +51,9 @@
     receivedInTime.clear();
   }
 
-  private boolean isServing() {
+  private boolean isServing(int router) {
     try {
-      return RawCaller.get(gateway.callerAddress(0), "/once/x", "1.1").status() == 200;
+      return RawCaller.get(gateway.callerAddress(router), "/once/x", "1.1").status() == 200;
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
@@ -63,6 +64,11 @@
       exchange.writeAnswer(200, "answer");
       return;
     }
+    if (exchange.path().startsWith("/slow/")) {
+      sleep(Integer.parseInt(exchange.path().split("/")[2]));
+      exchange.writeAnswer(200, "slow answer");
+      return;
+    }
     exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
     exchange.writeChunk(FIRST_EVENT);
     try {
@@ -74,6 +80,14 @@
     exchange.writeChunk("");
   }
 
+  private static void sleep(int millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @DataProvider
   public Object[][] streamRoutes() {
     return new Object[][] {{"/stream/x"}, {"/stream-once/x"}};
@@ -105,4 +119,38 @@
       assertThat(receivedInTime.take()).as("first event received before the last").isTrue();
     }
   }
+
+  /** Guards against a request that was read with the one before and is dropped at a shutdown. */
+  @Test
+  public void shouldAnswerPipelinedRequestsDuringShutdown() throws Exception {
+    int shutdownMillis = 5_000;
+    String address = gateway.callerAddress(1);
+    try (KeptConnection underWay = new KeptConnection(address);
+        KeptConnection accepted = new KeptConnection(address);
+        KeptConnection refused = new KeptConnection(address)) {
+      underWay.send(KeptConnection.get("/slow/" + shutdownMillis, "r10"));
+      Thread shutdown = new Thread(gateway.router(1)::shutDown);
+      shutdown.start();
+      LocalGateway.await(() -> !gateway.router(1).isReady());
+      accepted.send(KeptConnection.get("/slow/500", "r11") + KeptConnection.get("/once/x", "r12"));
+      assertThat(accepted.receive().body()).isEqualTo("slow answer");
+      RawResponse last = accepted.receive();
+      assertThat(last.body()).isEqualTo("answer");
+      assertThat(last.headers()).containsEntry("Connection", "close");
+      LocalGateway.await(() -> isRefusing(address));
+      refused.send(KeptConnection.get("/once/x", "r13") + KeptConnection.get("/once/x", "r14"));
+      assertThat(refused.receive().status()).isEqualTo(503);
+      assertThat(refused.receive().status()).isEqualTo(503);
+      assertThat(underWay.receive().body()).isEqualTo("slow answer");
+      shutdown.join();
+    }
+  }
+
+  private static boolean isRefusing(String address) {
+    try {
+      return RawCaller.get(address, "/once/x", "1.1").status() == 503;
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
 }
