Answer pipelined requests that were read before a connection closes

Callers saw the connection end without a response to a request that the router had read together with the one before, or while that one was under way. It happened to every such request during a shutdown, when each response carries Connection: close. A router with too many connections sends the same field.

Cause: what was read of the next request is kept for it, but the decision to close after the response did not look at it. The connection now stays open while the next request waits; that one is served or refused, and its response closes the connection.

A request that arrives after the head with Connection: close was sent is still dropped (RFC 9112, 9.6).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,6 +50,14 @@
     return open.get() > maxOpen;
   }
 
+  /**
+   * Returns whether the start of the next request on a connection was read, so that the connection
+   * must remain open after the current response.
+   */
+  static boolean hasNextRequest(ServerConnection connection) {
+    return connection instanceof HttpServerConnection http && http.getExtraBytes() != null;
+  }
+
   /** Records that a request arrived on a connection. */
   void onRequestStarted(ServerConnection connection) {
     if (removeIdle(connection)) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerDisconnectDetector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerDisconnectDetector.java
@@ -26,7 +26,7 @@
     if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
       return true;
     }
-    if (connection.getExtraBytes() != null) {
+    if (CallerConnections.hasNextRequest(connection)) {
       return true;
     }
     ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
@@ -42,7 +42,7 @@
             onDisconnect.run();
           }
         });
-    if (connection.getExtraBytes() == null) {
+    if (!CallerConnections.hasNextRequest(connection)) {
       channel.resumeReads();
     }
     return true;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
@@ -62,7 +62,8 @@
       // If the end of the connection marked the end, a truncated response would look complete.
       responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked");
     }
-    if (context.closesConnections()) {
+    if (context.closesConnections()
+        && !CallerConnections.hasNextRequest(exchange.getConnection())) {
       responseHeaders.put(Headers.CONNECTION, "close");
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponseWriter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponseWriter.java
@@ -14,7 +14,8 @@
   /**
    * Sends an error response, or closes the connection if another response has begun.
    *
-   * @param closeConnection whether the caller's connection is closed after the response
+   * @param closeConnection whether the caller's connection is closed after the response, unless the
+   *     next request on it was read
    */
   static void send(
       HttpServerExchange exchange, String requestId, ErrorResponse error, boolean closeConnection) {
@@ -28,7 +29,7 @@
       String seconds = String.format(Locale.ROOT, "%.3f", error.retryAfterMillis() / 1_000.0);
       exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
     }
-    if (closeConnection) {
+    if (closeConnection && !CallerConnections.hasNextRequest(exchange.getConnection())) {
       exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
     }
     exchange.getResponseSender().send(toJson(requestId, error), StandardCharsets.UTF_8);
