Do not take a caller that reads slowly for a silent upstream

Callers of a resumable stream that accepted no data for 1.5 s had their stream cancelled at its sound upstream and repeated at another one; with no other upstream it was broken off.

Cause: while a caller accepts nothing, the router does not read from the upstream, and StallDetector measured the time since the last read. Class of fault: absence of one's own work taken for absence of the peer's. The time in which reading is paused is not counted now, and silence starts anew when reading continues.

SlowCallerUsageTest: 1 of 2 cases failed before (the upstream got the request twice), both pass. PipelineUsageTest, CancelledRequestUsageTest and ConfigurationChangeUsageTest pass beside it (39 cases).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -157,6 +157,7 @@
   /** Resumes reading after the caller's backpressure ended. */
   void resume() {
     if (upstreamExchange != null) {
+      stallDetector.onReadingResumed();
       upstreamExchange.resume();
     }
   }
@@ -263,7 +264,11 @@
           .addSample(pendingTokens, nominalTokensPerMilli, millis, context.ioLag().averageMillis());
     }
     releasePrefillLoad();
-    return call.onResponseData(this, data);
+    boolean hasRoom = call.onResponseData(this, data);
+    if (!hasRoom) {
+      stallDetector.onReadingPaused();
+    }
+    return hasRoom;
   }
 
   private void recordSurvival(long now) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
@@ -41,6 +41,7 @@
   private XnioExecutor.Key timer;
   private long lastDataAtNanos;
   private boolean responseStarted;
+  private boolean readingPaused;
   private boolean overdue;
   private boolean reported;
 
@@ -84,6 +85,17 @@
     lastDataAtNanos = context.nowNanos();
   }
 
+  /** Records that nothing is read until the caller accepts more; that is no silence. */
+  void onReadingPaused() {
+    readingPaused = true;
+  }
+
+  /** Records that reading continues. */
+  void onReadingResumed() {
+    readingPaused = false;
+    lastDataAtNanos = context.nowNanos();
+  }
+
   private void recordOnTime(boolean onTime) {
     if (!overdue) {
       onTimeRate.addSample(onTime);
@@ -128,6 +140,10 @@
     if (!call.isResumable()) {
       return;
     }
+    if (readingPaused) {
+      schedule(CHECK_INTERVAL_MILLIS);
+      return;
+    }
     if (silentMillis >= STALL_TIMEOUT_MILLIS && mayRetry()) {
       call.onStalled(attempt, silentMillis);
     }
