Answer callers of streams that have a head but no event

A caller of a stream whose upstream sent the head of its response, and then nothing, got nothing either: the head is sent with the first event, and the timer that answers with 504 before callers leave was postponed to the deadline as soon as the head had arrived. It is now postponed only once the caller has been sent something.

The new test of SilentUpstreamUsageTest failed before (200 after 6 s; a caller leaves after 4 s) and passes (504, run unknown, before 4 s).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -246,7 +246,7 @@
 
   private void onTimer() {
     boolean beforeDeadline = remainingMillis() >= MIN_REMAINING_MILLIS;
-    if (beforeDeadline && phase == Phase.RESPONDING) {
+    if (beforeDeadline && phase == Phase.RESPONDING && response.isHeadSent()) {
       setTimer(remainingMillis());
     } else {
       endOnTimeout(beforeDeadline);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
@@ -83,6 +83,11 @@
     }
   }
 
+  /** Returns whether the caller may have received part of the response. */
+  boolean isHeadSent() {
+    return response.isHeadSent();
+  }
+
   /** Withdraws the head if the caller has received nothing of it; returns whether it did. */
   boolean withdrawUnsentHead() {
     if (response.isHeadSent()) {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/SilentUpstreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/SilentUpstreamUsageTest.java
@@ -34,6 +34,9 @@
   private static final int BYTES_WITHIN_EVENT = 9;
   private static final int CONFIGURATION_MILLIS = 300;
 
+  /** Silence after which callers of a stream leave: four targets. */
+  private static final int CALLER_STALL_TIMEOUT_MILLIS = 4 * LocalGateway.TARGET_MILLIS;
+
   /** Time from which an upstream must not go on with a stream that another one got. */
   private static final int MAX_OVERLAP_MILLIS = 400;
 
@@ -278,4 +281,18 @@
     assertThat(arrivals.get(path)).hasSize(2);
     LocalGateway.await(() -> closeTimes.containsKey(path + "#2"));
   }
+
+  /** Guards against a caller that leaves without any response since a head without events came. */
+  @Test
+  public void shouldAnswerCallerOfStreamWithoutEventsBeforeItLeaves() {
+    for (String route : List.of("stream", "stream-once")) {
+      String path = path(route, Place.AFTER_HEAD, Other.SERVES, 6_000);
+      long startedAt = System.nanoTime();
+      RawResponse response = get(smallGateway, path);
+      assertThat(response.status()).as("%s: %s", path, response).isEqualTo(504);
+      assertThat(response.body()).contains("upstream-silent").contains("\"run\":\"unknown\"");
+      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
+      assertThat(millis).isLessThan(CALLER_STALL_TIMEOUT_MILLIS);
+    }
+  }
 }
