--- a/toucansaddle-protocol/src/main/java/org/toucansaddle/protocol/GatewayMethods.java
+++ b/toucansaddle-protocol/src/main/java/org/toucansaddle/protocol/GatewayMethods.java
@@ -2,6 +2,8 @@
 
 import io.grpc.MethodDescriptor;
 import io.grpc.MethodDescriptor.MethodType;
+import org.toucansaddle.protocol.generated.FindOriginReply;
+import org.toucansaddle.protocol.generated.FindOriginRequest;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
 import org.toucansaddle.protocol.generated.JoinReply;
@@ -53,5 +55,14 @@
           JoinRequest.getDefaultInstance(),
           JoinReply.getDefaultInstance());
 
+  /** Asks a control daemon at which service and version a stream began. */
+  public static final MethodDescriptor<FindOriginRequest, FindOriginReply> FIND_ORIGIN =
+      PeerMethods.descriptor(
+          SERVICE,
+          MethodType.UNARY,
+          "FindOrigin",
+          FindOriginRequest.getDefaultInstance(),
+          FindOriginReply.getDefaultInstance());
+
   private GatewayMethods() {}
 }
