Make the software version of an upstream known to routers

One reason is that no router could know better: the adapter dropped the Version of a heartbeat, and neither the reports of control daemons nor the logs of routers named it, so that a log could not show whether a stream had changed versions.

UpstreamReport has the software version now, empty if none is reported. A version is fixed for one start: a report without it, as an older control daemon forwards, does not erase it, and a version that becomes known later is passed on at once. RouterState.softwareVersions gives the versions of a service seen in the last minute, including those of replaced starts. The lines "upstream ... is READY", "ended" and "attempt_failed" name it. Nothing decides by it yet.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/UpstreamReport.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/UpstreamReport.java
@@ -12,6 +12,9 @@
  * @param startedAtMillis start time in milliseconds since the epoch; 0 if not reported. A later
  *     start under the same id is a new process without the state of the previous one
  * @param sequence sequence number of the report, increasing within one start
+ * @param softwareVersion version of the software that it runs, fixed for one start; empty if not
+ *     reported. Upstreams of one service may run different versions, and only an upstream of the
+ *     version that began a stream may resume it
  */
 public record UpstreamReport(
     String id,
@@ -21,7 +24,8 @@
     int slots,
     State state,
     long startedAtMillis,
-    long sequence) {
+    long sequence,
+    String softwareVersion) {
 
   /** Whether an upstream accepts requests. */
   public enum State {
@@ -33,9 +37,42 @@
     GONE
   }
 
+  /** Creates a report without a version of the software. */
+  public UpstreamReport(
+      String id,
+      String service,
+      String address,
+      String zone,
+      int slots,
+      State state,
+      long startedAtMillis,
+      long sequence) {
+    this(id, service, address, zone, slots, state, startedAtMillis, sequence, "");
+  }
+
   /** Returns a copy of this report with another state. */
   public UpstreamReport withState(State other) {
-    return new UpstreamReport(id, service, address, zone, slots, other, startedAtMillis, sequence);
+    return new UpstreamReport(
+        id, service, address, zone, slots, other, startedAtMillis, sequence, softwareVersion);
+  }
+
+  /** Returns a copy of this report with another version of the software. */
+  public UpstreamReport withSoftwareVersion(String other) {
+    return new UpstreamReport(
+        id, service, address, zone, slots, state, startedAtMillis, sequence, other);
+  }
+
+  /**
+   * Returns this report, with the version of another report of the same start if it has none.
+   *
+   * <p>Daemons that do not know versions forward reports without them.
+   */
+  public UpstreamReport completedBy(UpstreamReport other) {
+    boolean isCompletable =
+        softwareVersion.isEmpty()
+            && !other.softwareVersion.isEmpty()
+            && startedAtMillis == other.startedAtMillis;
+    return isCompletable ? withSoftwareVersion(other.softwareVersion) : this;
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -206,11 +206,12 @@
   public void report(UpstreamReport report) {
     if (registry.update(report)) {
       DECISIONS.info(
-          "upstream {} of service {} at {} is {}, sequence {}, started {}",
+          "upstream {} of service {} at {} is {}, version {}, sequence {}, started {}",
           report.id(),
           report.service(),
           report.address(),
           report.state(),
+          report.softwareVersion(),
           report.sequence(),
           report.startedAtMillis());
       followers.pushChanges();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -295,6 +295,7 @@
           .setStartedAtMillis(report.startedAtMillis())
           .setSequence(report.sequence())
           .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(ageNanos))
+          .setSoftwareVersion(report.softwareVersion())
           .build();
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
@@ -42,23 +42,25 @@
   /**
    * Stores a report unless it is outdated.
    *
-   * @return whether the state, start, address or service of the upstream changed
+   * @return whether the state, start, address, service or software version of the upstream changed
    */
   public synchronized boolean update(UpstreamReport report) {
     Entry current = entries.get(report.id());
     if (current != null && !report.supersedes(current.report())) {
       return false;
     }
-    store(report);
+    UpstreamReport completed = current == null ? report : report.completedBy(current.report());
+    store(completed);
     evictStale();
-    return current == null || differs(current.report(), report);
+    return current == null || differs(current.report(), completed);
   }
 
   private static boolean differs(UpstreamReport current, UpstreamReport report) {
     return current.state() != report.state()
         || current.startedAtMillis() != report.startedAtMillis()
         || !current.address().equals(report.address())
-        || !current.service().equals(report.service());
+        || !current.service().equals(report.service())
+        || !current.softwareVersion().equals(report.softwareVersion());
   }
 
   private void store(UpstreamReport report) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -121,7 +121,7 @@
     upstream.markUnreachable(context.nowNanos());
     context.metrics().recordAttempt("unreachable");
     if (call.isUnderWay(this)) {
-      RelayLog.attemptFailed(call, upstream.id(), "unreachable", failure.getMessage());
+      RelayLog.attemptFailed(call, dispatch, "unreachable", failure.getMessage());
       call.onUnavailable(this, fallback);
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -11,12 +11,13 @@
 
   private RelayLog() {}
 
-  static void attemptFailed(RelayedCall call, String upstream, String outcome, String cause) {
+  static void attemptFailed(RelayedCall call, Dispatch dispatch, String outcome, String cause) {
     LOG.info(
-        "attempt_failed request={} upstream={} attempt={} outcome={} digest={} strikes={}"
-            + " part_strikes={} shared_parts={} why=\"{}\"",
+        "attempt_failed request={} upstream={} upstream_version={} attempt={} outcome={} digest={}"
+            + " strikes={} part_strikes={} shared_parts={} why=\"{}\"",
         call.head().requestId(),
-        upstream,
+        dispatch.upstream(),
+        dispatch.softwareVersion(),
         call.attempts(),
         outcome,
         Long.toHexString(call.quarantine().digest()),
@@ -69,8 +70,8 @@
   static void requestEnded(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} in_force={} status={} outcome={}"
-            + " upstream={} reason={} heard_ms_ago={} attempts={} framing={} first_ms={}"
-            + " total_ms={} prompt={} wait_ms={} detail=\"{}\"",
+            + " upstream={} upstream_version={} reason={} heard_ms_ago={} attempts={} framing={}"
+            + " first_ms={} total_ms={} prompt={} wait_ms={} detail=\"{}\"",
         call.head().requestId(),
         call.route() == null ? "" : call.route().name(),
         call.account(),
@@ -79,6 +80,7 @@
         status,
         outcome,
         call.lastDispatch().upstream(),
+        call.lastDispatch().softwareVersion(),
         call.lastDispatch().reason(),
         call.lastDispatch().reportAgeMillis(),
         call.attempts(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -362,7 +362,7 @@
     silent.cancel();
     earlierMayHaveRun = true;
     context.metrics().recordAttempt("silent");
-    RelayLog.attemptFailed(this, silent.upstream().id(), "silent", "another one takes over");
+    RelayLog.attemptFailed(this, silent.dispatch(), "silent", "another one takes over");
     continueWithStandby();
   }
 
@@ -411,7 +411,7 @@
       attempt.upstream().markMisdirected(context.nowNanos());
     }
     context.metrics().recordAttempt("not-executed");
-    RelayLog.attemptFailed(this, attempt.upstream().id(), "not-executed", "status " + status);
+    RelayLog.attemptFailed(this, attempt.dispatch(), "not-executed", "status " + status);
     if (!continuesWithout(attempt)) {
       retry(retryLater("upstream-full", "The upstream did not run the request."), true);
     }
@@ -421,7 +421,7 @@
   void onAttemptLost(CallAttempt attempt, String outcome, String cause) {
     earlierMayHaveRun = true;
     context.metrics().recordAttempt(outcome);
-    RelayLog.attemptFailed(this, attempt.upstream().id(), outcome, cause);
+    RelayLog.attemptFailed(this, attempt.dispatch(), outcome, cause);
     if (!continuesWithout(attempt)) {
       withdrawUnsentResponse();
       response.prepareResume();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
@@ -105,8 +105,7 @@
   void dismiss() {
     if (isPending()) {
       context.metrics().recordAttempt("dismissed");
-      RelayLog.attemptFailed(
-          call, standby.upstream().id(), "dismissed", "the silent upstream goes on");
+      RelayLog.attemptFailed(call, standby.dispatch(), "dismissed", "the silent upstream goes on");
       cancel();
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -99,6 +100,14 @@
     return confirmed && view.get().isPresent() && upstreamsCompleteAt != 0;
   }
 
+  /**
+   * Returns the software versions of the upstreams of a service that reported within the last
+   * minute, in any state. The version of upstreams that reported none is empty.
+   */
+  public Set<String> softwareVersions(String service) {
+    return upstreams.softwareVersions(service);
+  }
+
   /**
    * Returns the upstreams of a service that a new request may be sent to.
    *
@@ -178,11 +187,13 @@
       UpstreamReport report = decode(message);
       if (upstreams.accept(report, reportedAt)) {
         LOG.info(
-            "upstream {} of service {} at {} is {}, sequence {}, reported {} ms ago to {}",
+            "upstream {} of service {} at {} is {}, version {}, sequence {}, reported {} ms ago to"
+                + " {}",
             report.id(),
             report.service(),
             report.address(),
             report.state(),
+            report.softwareVersion(),
             report.sequence(),
             message.getAgeMillis(),
             source);
@@ -255,6 +266,7 @@
         message.getSlots(),
         states[state],
         message.getStartedAtMillis(),
-        message.getSequence());
+        message.getSequence(),
+        message.getSoftwareVersion());
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
@@ -12,41 +14,67 @@
  * The upstreams known to a router, merged from the updates of several control daemons.
  *
  * <p>For each id the report with the latest start and sequence is merged. Of several upstreams at
- * one address only the one with the latest start is used. Readers get an immutable list for each
- * service; all lists are replaced at once. Thread-safe.
+ * one address only the one with the latest start is used. A software version that was reported once
+ * holds for its start. Readers get an immutable list and an immutable set of software versions for
+ * each service; all lists and all sets are replaced at once. Thread-safe.
  */
 public final class UpstreamTable {
 
   private static final long SILENCE_EVICTION_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+  /** Software version of a service. Immutable. */
+  private record ServiceVersion(String service, String version) {
+
+    static ServiceVersion of(UpstreamReport report) {
+      return new ServiceVersion(report.service(), report.softwareVersion());
+    }
+  }
+
   private final Map<String, Upstream> byId = new HashMap<>();
+
+  /** Versions of replaced incarnations, with the time of the last report of each. */
+  private final Map<ServiceVersion, Long> replacedVersions = new HashMap<>();
+
   private volatile Map<String, List<Upstream>> byService = Map.of();
+  private volatile Map<String, Set<String>> versionsByService = Map.of();
 
   /**
    * Merges a report.
    *
    * @param reportedAtNanos when the upstream sent it, on this router's clock
-   * @return whether the report was a new incarnation or changed the state of the upstream
+   * @return whether the report was a new incarnation, changed the state of the upstream, or was the
+   *     first of its start with a software version
    */
   public synchronized boolean accept(UpstreamReport report, long reportedAtNanos) {
     Upstream current = byId.get(report.id());
     if (current == null || report.startedAtMillis() > current.startedAtMillis()) {
       return replace(current, report, reportedAtNanos);
     }
-    if (!report.supersedes(current.report())) {
+    UpstreamReport previous = current.report();
+    UpstreamReport merged = merge(previous, report);
+    if (merged == previous) {
       return false;
     }
-    State previousState = current.report().state();
-    UpstreamReport merged =
-        report.service().isEmpty() ? current.report().withState(State.GONE) : report;
     current.updateReport(merged, reportedAtNanos);
-    if (previousState == merged.state()) {
+    if (previous.state() == merged.state()
+        && previous.softwareVersion().equals(merged.softwareVersion())) {
       return false;
     }
     rebuild();
     return true;
   }
 
+  /**
+   * Returns {@code current} itself if the report, of the same start or an earlier one, adds
+   * nothing.
+   */
+  private static UpstreamReport merge(UpstreamReport current, UpstreamReport report) {
+    if (!report.supersedes(current)) {
+      return current.completedBy(report);
+    }
+    return report.service().isEmpty() ? current.withState(State.GONE) : report.completedBy(current);
+  }
+
   /** Replaces an upstream by a new incarnation, or marks it as gone if no service is named. */
   private boolean replace(Upstream current, UpstreamReport report, long reportedAtNanos) {
     // A departure without a service comes from a control daemon that had no report of the upstream.
@@ -55,15 +83,22 @@
       current.updateReport(current.report().withState(State.GONE), reportedAtNanos);
     } else {
       byId.put(report.id(), new Upstream(report, reportedAtNanos));
+      if (current != null) {
+        long lastReportAt = current.lastReportAtNanos();
+        replacedVersions.merge(
+            ServiceVersion.of(current.report()), lastReportAt, (a, b) -> a - b >= 0 ? a : b);
+      }
     }
     rebuild();
     return true;
   }
 
-  /** Evicts upstreams without a recent report. */
+  /** Evicts upstreams and replaced software versions without a recent report. */
   public synchronized void evictSilent(long nowNanos) {
-    if (byId.values()
-        .removeIf(upstream -> !upstream.hasReportedAfter(nowNanos - SILENCE_EVICTION_NANOS))) {
+    long oldest = nowNanos - SILENCE_EVICTION_NANOS;
+    boolean evicted = byId.values().removeIf(upstream -> !upstream.hasReportedAfter(oldest));
+    evicted |= replacedVersions.values().removeIf(lastReportAt -> lastReportAt - oldest <= 0);
+    if (evicted) {
       rebuild();
     }
   }
@@ -83,6 +118,18 @@
     }
     services.replaceAll((name, list) -> List.copyOf(list));
     byService = Map.copyOf(services);
+    versionsByService = collectVersions();
+  }
+
+  private Map<String, Set<String>> collectVersions() {
+    Map<String, Set<String>> versions = new HashMap<>();
+    Set<ServiceVersion> known = new HashSet<>(replacedVersions.keySet());
+    byId.values().forEach(upstream -> known.add(ServiceVersion.of(upstream.report())));
+    for (ServiceVersion entry : known) {
+      versions.computeIfAbsent(entry.service(), name -> new HashSet<>()).add(entry.version());
+    }
+    versions.replaceAll((name, set) -> Set.copyOf(set));
+    return Map.copyOf(versions);
   }
 
   private static Upstream later(Upstream a, Upstream b) {
@@ -97,6 +144,14 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /**
+   * Returns the software versions of the upstreams of a service that reported within the retention
+   * time, in any state and including replaced incarnations.
+   */
+  public Set<String> softwareVersions(String service) {
+    return versionsByService.getOrDefault(service, Set.of());
+  }
+
   /** Returns all known upstreams in any state. */
   public synchronized List<Upstream> all() {
     return List.copyOf(byId.values());
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/UpstreamReportTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/UpstreamReportTest.java
@@ -34,4 +34,22 @@
       String description, UpstreamReport current, UpstreamReport arriving, boolean supersedes) {
     assertThat(arriving.supersedes(current)).as(description).isEqualTo(supersedes);
   }
+
+  @DataProvider
+  public Object[][] versionPairs() {
+    UpstreamReport unversioned = report(State.READY, 100, 6);
+    return new Object[][] {
+      {"no version, the same start", unversioned, 100, "v1"},
+      {"no version, another start", unversioned, 99, ""},
+      {"a version of its own", unversioned.withSoftwareVersion("v2"), 100, "v2"},
+    };
+  }
+
+  @Test(dataProvider = "versionPairs")
+  public void shouldTakeVersionOfAnotherReportOnlyIfItHasNone(
+      String description, UpstreamReport report, long otherStart, String version) {
+    UpstreamReport other = report(State.DRAINING, otherStart, 5).withSoftwareVersion("v1");
+    UpstreamReport completed = report.completedBy(other);
+    assertThat(completed).as(description).isEqualTo(report.withSoftwareVersion(version));
+  }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistryTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistryTest.java
@@ -25,6 +25,24 @@
     assertThat(registry.update(report("a", State.READY, 20, 1))).isTrue();
   }
 
+  @Test
+  public void shouldReturnTrueOnceTheSoftwareVersionIsKnown() {
+    registry.update(report("f", State.READY, 10, 1));
+    UpstreamReport versioned = report("f", State.READY, 10, 2).withSoftwareVersion("v1");
+    assertThat(registry.update(versioned)).isTrue();
+    assertThat(registry.update(report("f", State.READY, 10, 3))).isFalse();
+
+    assertThat(registry.find("f").orElseThrow().softwareVersion()).isEqualTo("v1");
+    assertThat(registry.find("f").orElseThrow().sequence()).isEqualTo(3);
+  }
+
+  @Test
+  public void shouldNotCarryTheSoftwareVersionOverToTheNextStart() {
+    registry.update(report("g", State.READY, 10, 9).withSoftwareVersion("v1"));
+    registry.update(report("g", State.READY, 20, 1));
+    assertThat(registry.find("g").orElseThrow().softwareVersion()).isEmpty();
+  }
+
   @Test
   public void shouldIgnoreDelayedReportsAfterADeregistration() {
     registry.update(report("b", State.READY, 10, 1));
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
@@ -0,0 +1,117 @@
+package org.toucansaddle.daemon.internal.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.grpc.stub.ServerCallStreamObserver;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.toucansaddle.daemon.gateway.StoredDocument;
+import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
+import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
+import org.toucansaddle.protocol.generated.FleetUpdate;
+import org.toucansaddle.protocol.generated.FollowerReport;
+
+/** Tests that the software versions of upstreams pass from control daemons to routers. */
+public class UpstreamVersionTest {
+
+  private static final int REPORT_TIMEOUT_MILLIS = 6_000;
+
+  private final long nowNanos = 1_000;
+  private UpstreamRegistry registry;
+  private FollowServer server;
+  private RouterState router;
+
+  @BeforeMethod
+  public void connectRouter() {
+    registry = new UpstreamRegistry(() -> nowNanos);
+    server =
+        new FollowServer(
+            StoredDocument::none,
+            registry,
+            new RequestQuarantine(() -> nowNanos),
+            List::of,
+            () -> nowNanos,
+            "z1");
+    router = new RouterState(content -> null, REPORT_TIMEOUT_MILLIS, () -> nowNanos);
+    FollowerReport first = FollowerReport.newBuilder().setFirst(true).setRouter("r").build();
+    server.follow(new Updates()).onNext(first);
+  }
+
+  private static UpstreamReport report(String id, long sequence) {
+    String address = "10.0.0.1:" + id;
+    return new UpstreamReport(id, "desk", address, "z1", 6, State.READY, 10, sequence);
+  }
+
+  private void update(UpstreamReport report) {
+    registry.update(report);
+    server.pushChanges();
+  }
+
+  @Test
+  public void shouldPassSoftwareVersionsToRouters() {
+    update(report("1", 1).withSoftwareVersion("v1"));
+    update(report("2", 1).withSoftwareVersion("v1.1"));
+    update(report("3", 1));
+
+    assertThat(router.softwareVersions("desk")).isEqualTo(Set.of("v1", "v1.1", ""));
+    assertThat(router.softwareVersions("engine")).isEmpty();
+  }
+
+  @Test
+  public void shouldPassSoftwareVersionToRoutersOnceItIsKnown() {
+    update(report("1", 1));
+    update(report("1", 2).withSoftwareVersion("v1"));
+    update(report("1", 3));
+
+    assertThat(router.softwareVersions("desk")).isEqualTo(Set.of("v1"));
+  }
+
+  /** Delivers the updates of the server to the router. */
+  private final class Updates extends ServerCallStreamObserver<FleetUpdate> {
+
+    @Override
+    public void onNext(FleetUpdate update) {
+      router.update("control", update);
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+      throw new AssertionError(failure);
+    }
+
+    @Override
+    public void onCompleted() {}
+
+    @Override
+    public boolean isCancelled() {
+      return false;
+    }
+
+    @Override
+    public boolean isReady() {
+      return true;
+    }
+
+    @Override
+    public void setOnCancelHandler(Runnable handler) {}
+
+    @Override
+    public void setCompression(String compression) {}
+
+    @Override
+    public void setOnReadyHandler(Runnable handler) {}
+
+    @Override
+    public void disableAutoInboundFlowControl() {}
+
+    @Override
+    public void request(int count) {}
+
+    @Override
+    public void setMessageCompression(boolean enable) {}
+  }
+}
