Read which stream a request takes up again

A caller that takes a stream up names the request that brought its first event. Nothing decides by them yet.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/HeaderNames.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/HeaderNames.java
@@ -17,6 +17,8 @@
  * @param tokens prompt tokens and maximum output tokens, comma-separated
  * @param prefix parts of the prompt in order, as a list of id:tokens
  * @param lengthHint expected number of output tokens
+ * @param resumes id of the request that brought the first event of the stream that a request takes
+ *     up again after {@code Last-Event-Id}; the same one each time a stream is taken up
  * @param reservedFields further fields that are removed from callers' requests, comma-separated
  */
 public record HeaderNames(
@@ -32,6 +34,7 @@
     String tokens,
     String prefix,
     String lengthHint,
+    String resumes,
     String reservedFields) {
 
   /** Returns the native field names. */
@@ -49,6 +52,7 @@
         "X-Tokens",
         "X-Prompt-Parts",
         "X-Length-Hint",
+        "X-Resumes",
         "");
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -33,6 +33,9 @@
           Headers.PROXY_AUTHORIZATION,
           new HttpString("Proxy-Connection"));
 
+  /** Field with the id of the last event that was received of a stream (HTML Living Standard). */
+  static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-Id");
+
   private static final String EVENT_STREAM = "text/event-stream";
   private static final int MAX_DEADLINE_MILLIS = 24 * 3_600 * 1_000;
   private static final int MAX_TOKENS = 100_000_000;
@@ -48,6 +51,7 @@
   private final HttpString tokenCounts;
   private final HttpString promptParts;
   private final HttpString lengthHint;
+  private final HttpString resumes;
   private final Set<HttpString> withheldFromUpstreams;
 
   /** Creates a codec for a set of names. */
@@ -62,6 +66,7 @@
     this.tokenCounts = new HttpString(names.tokens());
     this.promptParts = new HttpString(names.prefix());
     this.lengthHint = new HttpString(names.lengthHint());
+    this.resumes = new HttpString(names.resumes());
     Set<HttpString> withheldHeaders = new HashSet<>(HOP_BY_HOP);
     withheldHeaders.add(credential);
     withheldHeaders.add(account);
@@ -89,6 +94,8 @@
         comma < 0 ? 0 : parseNumber(counts.substring(0, comma), MAX_TOKENS),
         comma < 0 ? 0 : parseNumber(counts.substring(comma + 1), MAX_TOKENS),
         parseNumber(firstValue(headers, lengthHint), MAX_TOKENS),
+        firstValue(headers, resumes),
+        firstValue(headers, LAST_EVENT_ID),
         parsePromptParts(firstValue(headers, promptParts)));
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
@@ -14,6 +14,9 @@
  * @param promptTokens tokens of the prompt; 0 if it has none
  * @param maxOutputTokens maximum tokens of the response; 0 if it is not generated
  * @param lengthHint output tokens that the caller expects; 0 if not given
+ * @param resumes id of the request that brought the first event of the stream that this request
+ *     takes up; empty if not given
+ * @param lastEventId id of the last event that the caller has of the stream; empty if not given
  * @param parts parts of the prompt in order
  */
 public record RequestHead(
@@ -25,6 +28,8 @@
     int promptTokens,
     int maxOutputTokens,
     int lengthHint,
+    String resumes,
+    String lastEventId,
     List<PromptPart> parts) {
 
   /** Fraction of a route's timeout; a caller with a shorter deadline has used the rest before. */
