Add a failing test of streams over several software versions

MixedVersionUsageTest shows it without the operators' platform: upstreams of two versions serve side by side, and the data of each event name the service and version that wrote it.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -155,6 +155,17 @@
 
   private static Route route(
       String name, Repetition repetition, int maxAttempts, boolean resumable) {
+    List<WeightedService> services = List.of(new WeightedService("desk", 1));
+    return route(name, repetition, maxAttempts, resumable, services);
+  }
+
+  /** Returns a route of {@link #HOST} whose path prefix is its name. */
+  static Route route(
+      String name,
+      Repetition repetition,
+      int maxAttempts,
+      boolean resumable,
+      List<WeightedService> services) {
     return new Route(
         name,
         HOST,
@@ -164,7 +175,7 @@
         TARGET_MILLIS,
         400,
         1,
-        List.of(new WeightedService("desk", 1)),
+        services,
         maxAttempts,
         false,
         resumable);
@@ -243,6 +254,11 @@
     }
   }
 
+  /** Stops a router; it may be restarted. */
+  void closeRouter(int index) {
+    routers.get(index).close();
+  }
+
   /** Stops a router and starts it again at the same address for callers. */
   void restartRouter(int index) throws IOException {
     routers.get(index).close();
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -10,11 +10,11 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -27,7 +27,8 @@
  * Upstreams of a {@link LocalGateway} on plain sockets, whose answers are the bytes that a script
  * writes.
  *
- * <p>Each upstream reports to all control daemons every 300 ms. Thread-safe.
+ * <p>Each upstream reports to all control daemons every 300 ms, and whenever an upstream starts or
+ * changes its state. Thread-safe.
  */
 final class ScriptedUpstreams implements AutoCloseable {
 
@@ -45,9 +46,8 @@
   }
 
   private final LocalGateway gateway;
-  private final String service;
   private final Script script;
-  private final List<ScriptedUpstream> upstreams = new ArrayList<>();
+  private final List<ScriptedUpstream> upstreams = new CopyOnWriteArrayList<>();
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
   private final AtomicLong sequence = new AtomicLong();
   private final ExecutorService connections = Executors.newCachedThreadPool();
@@ -58,17 +58,48 @@
     this(gateway, "desk", count, script);
   }
 
+  /** Starts upstreams of one service without a software version. */
   ScriptedUpstreams(LocalGateway gateway, String service, int count, Script script)
       throws IOException {
-    this.gateway = gateway;
-    this.service = service;
-    this.script = script;
+    this(gateway, script);
     for (int index = 0; index < count; index++) {
-      upstreams.add(new ScriptedUpstream(service + index));
+      start(service + index, service, "");
     }
+  }
+
+  /** Creates a set without upstreams. */
+  ScriptedUpstreams(LocalGateway gateway, Script script) {
+    this.gateway = gateway;
+    this.script = script;
     reports.scheduleWithFixedDelay(this::report, 0, REPORT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Starts an upstream that is ready. */
+  void start(String id, String service, String softwareVersion) throws IOException {
+    upstreams.add(new ScriptedUpstream(id, service, softwareVersion));
+    report();
+  }
+
+  /** Lets an upstream report that it is draining; it still answers requests. */
+  void drain(String id) {
+    find(id).state = State.DRAINING;
+    report();
+  }
+
+  /** Deregisters an upstream and stops it. */
+  void stop(String id) throws IOException {
+    ScriptedUpstream upstream = find(id);
+    upstreams.remove(upstream);
+    for (int index = 0; index < LocalGateway.CONTROL_COUNT; index++) {
+      gateway.control(index).deregister(id);
+    }
+    upstream.listener.close();
+  }
+
+  private ScriptedUpstream find(String id) {
+    return upstreams.stream().filter(u -> u.id.equals(id)).findFirst().orElseThrow();
+  }
+
   private void report() {
     long current = sequence.incrementAndGet();
     upstreams.forEach(upstream -> gateway.reportToAll(upstream.createReport(current)));
@@ -88,12 +119,19 @@
 
   /** A request that an upstream received, and the connection on which it is answered. */
   static final class Exchange {
+    private final ScriptedUpstream upstream;
     private final String path;
     private final Map<String, String> headers;
     private final String body;
     private final Socket socket;
 
-    private Exchange(String path, Map<String, String> headers, String body, Socket socket) {
+    private Exchange(
+        ScriptedUpstream upstream,
+        String path,
+        Map<String, String> headers,
+        String body,
+        Socket socket) {
+      this.upstream = upstream;
       this.path = path;
       this.headers = headers;
       this.body = body;
@@ -104,6 +142,16 @@
       return path;
     }
 
+    /** Returns the service of the upstream that received the request. */
+    String service() {
+      return upstream.service;
+    }
+
+    /** Returns the software version of the upstream that received the request. */
+    String softwareVersion() {
+      return upstream.softwareVersion;
+    }
+
     /** Returns a header of the request; empty if it is absent. */
     String header(String name) {
       return headers.getOrDefault(name, "");
@@ -155,6 +203,12 @@
       }
     }
 
+    /** Waits until the gateway closes the connection, as it does to cancel a request. */
+    void awaitClosed() throws IOException {
+      socket.getInputStream().readAllBytes();
+      socket.close();
+    }
+
     /** Closes the connection in order. */
     void close() throws IOException {
       socket.close();
@@ -175,17 +229,23 @@
   /** One upstream, with a thread for each connection. */
   private final class ScriptedUpstream {
     private final String id;
+    private final String service;
+    private final String softwareVersion;
     private final ServerSocket listener;
+    private volatile State state = State.READY;
 
-    ScriptedUpstream(String id) throws IOException {
+    ScriptedUpstream(String id, String service, String softwareVersion) throws IOException {
       this.id = id;
+      this.service = service;
+      this.softwareVersion = softwareVersion;
       this.listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
       connections.execute(this::accept);
     }
 
     private UpstreamReport createReport(long reportSequence) {
       String address = "127.0.0.1:" + listener.getLocalPort();
-      return new UpstreamReport(id, service, address, "z1", SLOTS, State.READY, 1, reportSequence);
+      return new UpstreamReport(
+          id, service, address, "z1", SLOTS, state, 1, reportSequence, softwareVersion);
     }
 
     private void accept() {
@@ -209,7 +269,7 @@
           Map<String, String> headers = HttpText.readFields(in);
           int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
           String body = new String(in.readNBytes(length), StandardCharsets.US_ASCII);
-          script.answer(new Exchange(line.split(" ")[1], headers, body, socket));
+          script.answer(new Exchange(this, line.split(" ")[1], headers, body, socket));
           if (socket.isClosed()) {
             return;
           }
