--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -18,6 +18,7 @@
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentCodec;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
 import org.toucansaddle.protocol.generated.FleetUpdate;
@@ -44,6 +45,7 @@
   private final UpstreamTable upstreams = new UpstreamTable();
   private final AccountShares shares;
   private final RequestQuarantine quarantine;
+  private final OriginTable origins;
   private final AtomicReference<Optional<RoutingView>> view =
       new AtomicReference<>(Optional.empty());
   private final Map<String, Long> lastUpdateBySource = new ConcurrentHashMap<>();
@@ -63,6 +65,7 @@
     this.clock = clock;
     this.shares = new AccountShares(clock);
     this.quarantine = new RequestQuarantine(clock);
+    this.origins = new OriginTable(clock);
   }
 
   /** Returns the configuration in force; empty until a quorum has confirmed one. */
@@ -90,6 +93,11 @@
     return quarantine;
   }
 
+  /** Returns the origins of the streams that this router began. */
+  public OriginTable origins() {
+    return origins;
+  }
+
   /** Returns the last reported number of routers; at least 1. */
   public int routers() {
     return routers;
