Let a router ask the control daemons where a stream began

OriginLookup answers from the router's own table at once. Otherwise it sends FIND_ORIGIN to the control daemons that the router follows, or to all known ones if it follows none yet; the first that knows the stream decides. No thread waits, and whether a control daemon is live is read without a lock, so that a lookup does not wait for a report that is being sent.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -25,6 +25,7 @@
 import org.toucansaddle.daemon.internal.gateway.control.FollowServer;
 import org.toucansaddle.daemon.internal.gateway.control.SeededReplicaSet;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamRegistry;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.QuarantineStore;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
@@ -65,6 +66,7 @@
   private final GatewayPeers peers;
   private final UpstreamRegistry registry = new UpstreamRegistry(System::nanoTime);
   private final RequestQuarantine quarantine = new RequestQuarantine(System::nanoTime);
+  private final OriginTable origins = new OriginTable(System::nanoTime);
   private final RelayMetrics metrics = new RelayMetrics();
   private final ControlReplica replica;
   private final SeededReplicaSet replicaSet;
@@ -161,6 +163,10 @@
         .addMethod(
             GatewayMethods.READ_DOCUMENT, PeerServer.unaryHandler(request -> store.readLocally()))
         .addMethod(GatewayMethods.JOIN, PeerServer.unaryHandler(this::join))
+        .addMethod(
+            GatewayMethods.FIND_ORIGIN,
+            PeerServer.unaryHandler(
+                question -> CompletableFuture.completedFuture(origins.answer(question))))
         .build();
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -11,7 +11,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
@@ -21,6 +23,7 @@
 import org.toucansaddle.daemon.gateway.RouterGateway;
 import org.toucansaddle.daemon.internal.IoThreads;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
 import org.toucansaddle.daemon.internal.gateway.relay.CallerConnections;
 import org.toucansaddle.daemon.internal.gateway.relay.GatewayHandler;
 import org.toucansaddle.daemon.internal.gateway.relay.HeaderCodec;
@@ -31,6 +34,9 @@
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.http.RequestBody;
+import org.toucansaddle.protocol.GatewayMethods;
+import org.toucansaddle.protocol.generated.FindOriginReply;
+import org.toucansaddle.protocol.generated.FindOriginRequest;
 import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
@@ -93,6 +99,7 @@
   private final GatewayPeers peers;
   private final RouterState state;
   private final ControlFollower follower;
+  private final OriginLookup originLookup;
   private final DocumentStore store;
   private final RelayMetrics metrics = new RelayMetrics();
   private final IoLag ioLag = new IoLag();
@@ -120,6 +127,9 @@
             peers.clients(),
             peers::seeds,
             System::nanoTime);
+    this.originLookup =
+        new OriginLookup(
+            state.origins(), follower::liveAddresses, this::askForOrigin, this::countOriginLookup);
     this.store =
         new DocumentStore(
             settings.peerAddress(),
@@ -172,6 +182,16 @@
     }
   }
 
+  private CompletableFuture<FindOriginReply> askForOrigin(
+      String address, FindOriginRequest request) {
+    Duration timeout = Duration.ofMillis(OriginLookup.TIMEOUT_MILLIS);
+    return peers.clients().call(address, GatewayMethods.FIND_ORIGIN, request, timeout);
+  }
+
+  private void countOriginLookup(OriginLookup.Outcome outcome) {
+    metrics.recordOriginLookup(outcome.name().toLowerCase(Locale.ROOT));
+  }
+
   private void registerGauges() {
     metrics.registerGauge(
         "toucansaddle_gateway_io_lag_seconds",
@@ -197,6 +217,10 @@
         "toucansaddle_gateway_suspected_parts",
         "Parts of prompts that are suspected to crash upstreams.",
         state.quarantine()::suspectedPartCount);
+    metrics.registerGauge(
+        "toucansaddle_gateway_origin_lookups_under_way",
+        "Lookups that wait for control daemons.",
+        originLookup::underWay);
   }
 
   private void closeIdleCallers() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
@@ -23,6 +23,12 @@
           .help("Attempts at upstreams, by outcome.")
           .labelNames("outcome")
           .register(registry);
+  private final Counter originLookups =
+      Counter.builder()
+          .name("toucansaddle_gateway_origin_lookups_total")
+          .help("Lookups of where a stream began, by outcome.")
+          .labelNames("outcome")
+          .register(registry);
   private final Histogram firstByteSeconds =
       Histogram.builder()
           .name("toucansaddle_gateway_first_byte_seconds")
@@ -41,6 +47,11 @@
     attempts.labelValues(outcome).inc();
   }
 
+  /** Counts a lookup of where a stream began. */
+  public void recordOriginLookup(String outcome) {
+    originLookups.labelValues(outcome).inc();
+  }
+
   /** Records the time to the first byte of a response. */
   public void recordFirstByte(String route, double seconds) {
     firstByteSeconds.labelValues(route).observe(seconds);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -55,6 +55,16 @@
     return List.copyOf(all);
   }
 
+  /** Returns the addresses of the live control daemons, or of all known ones if none is live. */
+  public List<String> liveAddresses() {
+    List<String> live =
+        followClients.entrySet().stream()
+            .filter(entry -> entry.getValue().isLive())
+            .map(Map.Entry::getKey)
+            .toList();
+    return live.isEmpty() ? addresses() : live;
+  }
+
   /** Keeps one stream to each control daemon open and sends a report on it. */
   public void step() {
     FollowerReport.Builder fullReport = state.createReport();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
@@ -33,7 +33,7 @@
   private final PeerClients clients;
   private final LongSupplier clock;
   private final Consumer<FleetUpdate> onUpdate;
-  private UpdateStream current;
+  private volatile UpdateStream current;
   private long openedAt;
 
   FollowClient(
@@ -51,9 +51,10 @@
     this.onUpdate = onUpdate;
   }
 
-  /** Returns whether the stream is open and has received an update. */
-  synchronized boolean isLive() {
-    return current != null && current.hasUpdate;
+  /** Returns whether the stream is open and has received an update. Waits for no lock. */
+  boolean isLive() {
+    UpdateStream stream = current;
+    return stream != null && stream.hasUpdate;
   }
 
   /** Opens the stream if there is none, closes it if it is silent, or sends a report on it. */
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookupTest.java
@@ -0,0 +1,157 @@
+package org.toucansaddle.daemon.internal.gateway.origin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.grpc.Status;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Answer;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Outcome;
+import org.toucansaddle.protocol.generated.FindOriginReply;
+
+/** Tests of {@link OriginLookup}. */
+public class OriginLookupTest {
+
+  private static final StreamOrigin V1 = new StreamOrigin("s", "v1");
+  private static final FindOriginReply NOT_KNOWN = FindOriginReply.getDefaultInstance();
+  private static final FindOriginReply KNOWN =
+      FindOriginReply.newBuilder()
+          .setKnown(true)
+          .setService(V1.service())
+          .setSoftwareVersion(V1.softwareVersion())
+          .build();
+
+  private final OriginTable table = new OriginTable(System::nanoTime);
+  private final Map<String, CompletableFuture<FindOriginReply>> calls = new ConcurrentHashMap<>();
+  private List<Outcome> outcomes;
+  private List<String> daemons;
+  private OriginLookup lookup;
+
+  @BeforeMethod
+  public void createLookup() {
+    calls.clear();
+    outcomes = new CopyOnWriteArrayList<>();
+    daemons = List.of("a", "b", "c");
+    lookup =
+        new OriginLookup(
+            table,
+            () -> daemons,
+            (address, request) -> {
+              CompletableFuture<FindOriginReply> call = new CompletableFuture<>();
+              calls.put(address, call);
+              return call;
+            },
+            outcomes::add);
+  }
+
+  private static void fail(CompletableFuture<FindOriginReply> call) {
+    call.completeExceptionally(Status.UNIMPLEMENTED.asRuntimeException());
+  }
+
+  private static Answer await(CompletableFuture<Answer> answer) throws Exception {
+    return answer.get(10, TimeUnit.SECONDS);
+  }
+
+  @Test
+  public void shouldAnswerFromOwnTableAtOnce() {
+    table.record("own", V1, false);
+    assertThat(lookup.find("own")).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1)));
+    assertThat(calls).isEmpty();
+    assertThat(outcomes).containsExactly(Outcome.KNOWN);
+  }
+
+  @Test
+  public void shouldTakeFirstKnownOrigin() {
+    CompletableFuture<Answer> answer = lookup.find("r");
+    calls.get("a").complete(NOT_KNOWN);
+    fail(calls.get("b"));
+    assertThat(answer).isNotDone();
+    calls.get("c").complete(KNOWN);
+    assertThat(answer).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1)));
+    assertThat(outcomes).containsExactly(Outcome.KNOWN);
+    assertThat(lookup.underWay()).isZero();
+  }
+
+  @Test
+  public void shouldNotWaitForOthersOnceOriginIsKnown() {
+    CompletableFuture<Answer> answer = lookup.find("r");
+    calls.get("b").complete(KNOWN);
+    assertThat(answer).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1)));
+  }
+
+  @DataProvider
+  public Object[][] repliesWithoutOrigin() {
+    return new Object[][] {
+      // replies, failures, outcome once the rest stays silent
+      {3, 0, Outcome.UNKNOWN},
+      {1, 2, Outcome.UNKNOWN},
+      {1, 0, Outcome.UNKNOWN},
+      {0, 3, Outcome.UNANSWERED},
+      {0, 0, Outcome.UNANSWERED},
+    };
+  }
+
+  @Test(dataProvider = "repliesWithoutOrigin")
+  public void shouldTellUnknownFromUnanswered(int replies, int failures, Outcome outcome)
+      throws Exception {
+    CompletableFuture<Answer> answer = lookup.find("r");
+    List<CompletableFuture<FindOriginReply>> pending = new ArrayList<>(calls.values());
+    pending.subList(0, replies).forEach(call -> call.complete(NOT_KNOWN));
+    pending.subList(replies, replies + failures).forEach(OriginLookupTest::fail);
+    boolean allEnded = replies + failures == 3;
+    assertThat(answer.isDone()).isEqualTo(allEnded);
+    assertThat(await(answer)).isEqualTo(new Answer(outcome, Optional.empty()));
+    assertThat(outcomes).containsExactly(outcome);
+    assertThat(lookup.underWay()).isZero();
+  }
+
+  @Test
+  public void shouldNotAnswerTwice() throws Exception {
+    CompletableFuture<Answer> answer = lookup.find("r");
+    assertThat(await(answer).outcome()).isEqualTo(Outcome.UNANSWERED);
+    calls.values().forEach(call -> call.complete(KNOWN));
+    assertThat(outcomes).containsExactly(Outcome.UNANSWERED);
+    assertThat(lookup.underWay()).isZero();
+  }
+
+  @Test
+  public void shouldNotAnswerIfNoControlDaemonIsKnown() {
+    daemons = List.of();
+    assertThat(lookup.find("r").join().outcome()).isEqualTo(Outcome.UNANSWERED);
+  }
+
+  @Test
+  public void shouldCountCallThatCannotBeMadeAsFailed() {
+    OriginLookup failing =
+        new OriginLookup(
+            table,
+            () -> daemons,
+            (address, request) -> {
+              throw new IllegalStateException("closed");
+            },
+            outcomes::add);
+    assertThat(failing.find("r").join().outcome()).isEqualTo(Outcome.UNANSWERED);
+  }
+
+  @Test
+  public void shouldBoundLookupsUnderWay() {
+    for (int i = 0; i < OriginLookup.MAX_UNDER_WAY; i++) {
+      lookup.find("r" + i);
+    }
+    int underWay = lookup.underWay();
+    calls.clear();
+    CompletableFuture<Answer> answer = lookup.find("one too many");
+    assertThat(underWay).isEqualTo(OriginLookup.MAX_UNDER_WAY);
+    assertThat(answer.join().outcome()).isEqualTo(Outcome.UNANSWERED);
+    assertThat(calls).isEmpty();
+  }
+}
