Report where streams began to all control daemons

A router's reports carry the origins that the stream to that control daemon has not carried yet; the first report of a stream carries all, so that a control daemon that starts again learns what living routers know. The control daemon merges them into its table. Origins recorded as prompt are reported at once, or 20 ms after the last such report, those of that time together; the others with the periodic report.

An extra report is a whole ControlFollower.step: a message to each control daemon, with the work and the accounts for the primary one.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -122,6 +122,7 @@
             () -> appliedDocument,
             registry,
             quarantine,
+            origins,
             replicaSet::addresses,
             System::nanoTime,
             settings.zone());
@@ -135,6 +136,8 @@
         "toucansaddle_gateway_followers", "Routers that follow.", followers::followerCount);
     metrics.registerGauge(
         "toucansaddle_gateway_configuration", "Version applied.", () -> appliedDocument.version());
+    metrics.registerGauge(
+        "toucansaddle_gateway_origins", "Origins of streams in memory.", origins::size);
     LOG.info("started: control daemon {} at {}", settings.name(), self);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayPeers.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayPeers.java
@@ -78,6 +78,15 @@
     }
   }
 
+  /** Runs an action once on the control executor after a delay; ignores it after close. */
+  void schedule(Runnable action, long delayNanos) {
+    try {
+      controlExecutor.schedule(() -> runLogged(action), delayNanos, TimeUnit.NANOSECONDS);
+    } catch (RejectedExecutionException e) {
+      LOG.debug("this daemon is closed; a control task is ignored", e);
+    }
+  }
+
   private static void runLogged(Runnable action) {
     try {
       action.run();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -32,6 +32,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
+import org.toucansaddle.daemon.internal.gateway.routing.ReportTrigger;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.http.RequestBody;
 import org.toucansaddle.protocol.GatewayMethods;
@@ -161,6 +162,9 @@
     startServers(buffers);
     new IoLagMonitor(ioLag, System::nanoTime).start(worker);
     state.quarantine().onStrike(this::reportStrikes);
+    ReportTrigger originReports =
+        new ReportTrigger(follower::step, peers::schedule, System::nanoTime);
+    state.origins().onPromptRecord(originReports::trigger);
     loadConfirmedDocument();
     peers.controlExecutor().execute(follower::step);
     peers.scheduleRepeatedly(REPORT_MILLIS, follower::step);
@@ -217,6 +221,8 @@
         "toucansaddle_gateway_suspected_parts",
         "Parts of prompts that are suspected to crash upstreams.",
         state.quarantine()::suspectedPartCount);
+    metrics.registerGauge(
+        "toucansaddle_gateway_origins", "Origins of streams in memory.", state.origins()::size);
     metrics.registerGauge(
         "toucansaddle_gateway_origin_lookups_under_way",
         "Lookups that wait for control daemons.",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.FleetUpdate;
@@ -53,12 +54,14 @@
   private volatile StoredDocumentMessage lastEncoded = StoredDocumentMessage.getDefaultInstance();
   private final Set<Follower> followers = ConcurrentHashMap.newKeySet();
   private final RequestQuarantine quarantine;
+  private final OriginTable origins;
 
   /**
    * Creates a server without followers.
    *
    * @param document supplies the document in force
    * @param quarantine strikes of all routers
+   * @param origins origins of the streams of all routers
    * @param controlAddresses supplies the peer addresses of the control daemons
    * @param clock supplies nanoseconds of a monotonic clock
    * @param zone availability zone of this daemon
@@ -67,6 +70,7 @@
       Supplier<StoredDocument> document,
       UpstreamRegistry registry,
       RequestQuarantine quarantine,
+      OriginTable origins,
       Supplier<List<String>> controlAddresses,
       LongSupplier clock,
       String zone) {
@@ -76,6 +80,7 @@
     this.controlAddresses = controlAddresses;
     this.clock = clock;
     this.quarantine = quarantine;
+    this.origins = origins;
   }
 
   /** Accepts a router's update stream and returns the observer of its reports. */
@@ -194,6 +199,7 @@
       synchronized (this) {
         routerVersion = Math.max(routerVersion, report.getDocumentVersion());
       }
+      origins.merge(report.getOriginsList());
       quarantine.mergeSuccesses(report.getSuccessesList());
       boolean strikesAdded = quarantine.merge(report.getStrikesList());
       if (strikesAdded) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.peer.PeerClients;
 import org.toucansaddle.protocol.GatewayMethods;
@@ -112,12 +113,13 @@
     private volatile long lastUpdateAt;
     private volatile boolean hasUpdate;
     private long lastSentStrike;
+    private long lastSentOrigin;
 
     UpdateStream(long openedAtNanos) {
       this.lastUpdateAt = openedAtNanos;
     }
 
-    /** Sends a report with the strikes that were not sent on this stream. */
+    /** Sends a report with the strikes and origins that were not sent on this stream. */
     private void send(FollowerReport.Builder report) {
       RequestQuarantine quarantine = state.quarantine();
       long strike = quarantine.lastChange();
@@ -126,6 +128,10 @@
         report.addAllSuccesses(quarantine.successesAfter(lastSentStrike));
       }
       lastSentStrike = strike;
+      OriginTable origins = state.origins();
+      long origin = origins.lastChange();
+      report.addAllOrigins(origins.changedAfter(lastSentOrigin));
+      lastSentOrigin = origin;
       reports.onNext(report.setRouter(self).build());
     }
 
