Ask for the origins of many streams with one call

When a router is lost, its streams return at the same moment, and most of them to a router that has just started.

A request now names several streams and a reply the origins of those that are known. Questions within 10 ms share a call, sent by the control executor.

The pacing of prompt reports serves both, so ReportTrigger becomes PacedTask with the interval as a parameter.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -22,6 +22,7 @@
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
 import org.toucansaddle.daemon.gateway.RouterGateway;
 import org.toucansaddle.daemon.internal.IoThreads;
+import org.toucansaddle.daemon.internal.PacedTask;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
 import org.toucansaddle.daemon.internal.gateway.relay.CallerConnections;
@@ -32,7 +33,6 @@
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
-import org.toucansaddle.daemon.internal.gateway.routing.ReportTrigger;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.http.RequestBody;
 import org.toucansaddle.protocol.GatewayMethods;
@@ -52,6 +52,9 @@
   /** Interval of reports to control daemons. */
   private static final int REPORT_MILLIS = 400;
 
+  /** Longest time until an origin that is to be known soon is reported. */
+  private static final int PROMPT_REPORT_MILLIS = 20;
+
   private static final int IDLE_SWEEP_MILLIS = 500;
   private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -128,9 +131,7 @@
             peers.clients(),
             peers::seeds,
             System::nanoTime);
-    this.originLookup =
-        new OriginLookup(
-            state.origins(), follower::liveAddresses, this::askForOrigin, this::countOriginLookup);
+    this.originLookup = createOriginLookup();
     this.store =
         new DocumentStore(
             settings.peerAddress(),
@@ -162,9 +163,7 @@
     startServers(buffers);
     new IoLagMonitor(ioLag, System::nanoTime).start(worker);
     state.quarantine().onStrike(this::reportStrikes);
-    ReportTrigger originReports =
-        new ReportTrigger(follower::step, peers::schedule, System::nanoTime);
-    state.origins().onPromptRecord(originReports::trigger);
+    reportPromptOrigins();
     loadConfirmedDocument();
     peers.controlExecutor().execute(follower::step);
     peers.scheduleRepeatedly(REPORT_MILLIS, follower::step);
@@ -186,7 +185,22 @@
     }
   }
 
-  private CompletableFuture<FindOriginReply> askForOrigin(
+  private void reportPromptOrigins() {
+    PacedTask report =
+        new PacedTask(follower::step, PROMPT_REPORT_MILLIS, peers::schedule, System::nanoTime);
+    state.origins().onPromptRecord(report::request);
+  }
+
+  private OriginLookup createOriginLookup() {
+    return new OriginLookup(
+        state.origins(),
+        follower::liveAddresses,
+        this::askForOrigins,
+        peers::schedule,
+        this::countOriginLookup);
+  }
+
+  private CompletableFuture<FindOriginReply> askForOrigins(
       String address, FindOriginRequest request) {
     Duration timeout = Duration.ofMillis(OriginLookup.TIMEOUT_MILLIS);
     return peers.clients().call(address, GatewayMethods.FIND_ORIGIN, request, timeout);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookup.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookup.java
@@ -1,9 +1,14 @@
 package org.toucansaddle.daemon.internal.gateway.origin;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -12,14 +17,19 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.daemon.internal.PacedTask;
+import org.toucansaddle.daemon.internal.PacedTask.DelayedExecutor;
 import org.toucansaddle.protocol.generated.FindOriginReply;
 import org.toucansaddle.protocol.generated.FindOriginRequest;
+import org.toucansaddle.protocol.generated.StreamOrigins;
 
 /**
  * Finds where a stream began: in the table of this router, or else by asking all followed control
  * daemons, of which the first that knows the stream decides.
  *
- * <p>Thread-safe; no thread waits for a reply.
+ * <p>Many streams return at once when their router is lost, often to one that has just started and
+ * makes calls slowly; so questions of a short time are sent together, and not by the thread that
+ * asks. Thread-safe; no thread waits for a reply.
  */
 public final class OriginLookup {
 
@@ -29,6 +39,8 @@
   /** Bounds the memory and the calls while many streams return and no control daemon replies. */
   static final int MAX_UNDER_WAY = 2_000;
 
+  private static final int BATCH_INTERVAL_MILLIS = 10;
+
   private static final Logger DECISIONS = LoggerFactory.getLogger("decision.relay");
 
   private final OriginTable table;
@@ -37,6 +49,8 @@
   private final Consumer<Outcome> observer;
   private final Executor afterTimeout =
       CompletableFuture.delayedExecutor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  private final PacedTask sending;
+  private final Queue<Question> unsent = new ConcurrentLinkedQueue<>();
   private final AtomicInteger underWay = new AtomicInteger();
 
   /** How a lookup ended. */
@@ -78,17 +92,21 @@
    *
    * @param table origins of the streams that this router began
    * @param daemons addresses of the control daemons to ask
+   * @param executor sends the questions
    * @param observer receives the outcome of each lookup
    */
   public OriginLookup(
       OriginTable table,
       Supplier<List<String>> daemons,
       ControlCall call,
+      DelayedExecutor executor,
       Consumer<Outcome> observer) {
     this.table = table;
     this.daemons = daemons;
     this.call = call;
     this.observer = observer;
+    this.sending =
+        new PacedTask(this::sendQuestions, BATCH_INTERVAL_MILLIS, executor, System::nanoTime);
   }
 
   /**
@@ -98,20 +116,61 @@
    * complete on any thread otherwise.
    */
   public CompletableFuture<Answer> find(String requestId) {
-    Optional<StreamOrigin> own = table.find(requestId);
-    List<String> asked = own.isPresent() ? List.of() : daemons.get();
-    Question question = new Question(requestId, asked.size());
+    Question question = new Question(requestId);
     boolean isOneTooMany = underWay.incrementAndGet() > MAX_UNDER_WAY;
+    Optional<StreamOrigin> own = table.find(requestId);
     if (own.isPresent()) {
       question.end(Answer.known(own.get()));
-    } else if (asked.isEmpty() || isOneTooMany) {
+    } else if (isOneTooMany) {
       question.end(Answer.without(Outcome.UNANSWERED));
     } else {
-      question.ask(asked);
+      afterTimeout.execute(question::endWithoutOrigin);
+      unsent.add(question);
+      sending.request();
     }
     return question.answer;
   }
 
+  private void sendQuestions() {
+    List<Question> questions = new ArrayList<>();
+    for (Question next = unsent.poll(); next != null; next = unsent.poll()) {
+      questions.add(next);
+    }
+    List<String> addresses = daemons.get();
+    FindOriginRequest.Builder request = FindOriginRequest.newBuilder();
+    for (Question question : questions) {
+      question.expectReplies(addresses.size());
+      request.addRequests(question.request);
+    }
+    FindOriginRequest built = request.build();
+    for (String address : addresses) {
+      send(address, built)
+          .whenComplete(
+              (reply, failure) -> {
+                Optional<Map<Long, StreamOrigin>> known =
+                    Optional.ofNullable(reply).map(OriginLookup::decode);
+                questions.forEach(question -> question.receive(known));
+              });
+    }
+  }
+
+  private CompletableFuture<FindOriginReply> send(String address, FindOriginRequest request) {
+    try {
+      return call.ask(address, request);
+    } catch (RuntimeException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  private static Map<Long, StreamOrigin> decode(FindOriginReply reply) {
+    Map<Long, StreamOrigin> known = new HashMap<>();
+    for (StreamOrigins message : reply.getOriginsList()) {
+      StreamOrigin origin = new StreamOrigin(message.getService(), message.getSoftwareVersion());
+      message.getRequestsList().forEach(request -> known.put(request, origin));
+    }
+    return known;
+  }
+
   /** Returns the number of lookups that wait for replies. */
   public int underWay() {
     return underWay.get();
@@ -120,41 +179,35 @@
   /** A question to several control daemons. */
   private final class Question {
     private final String requestId;
-    private final int asked;
+    private final long request;
     private final long startedAtNanos = System.nanoTime();
-    private final AtomicInteger pending;
+    private final AtomicInteger pending = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
+    private volatile int asked;
 
-    Question(String requestId, int asked) {
+    Question(String requestId) {
       this.requestId = requestId;
-      this.asked = asked;
-      this.pending = new AtomicInteger(asked);
+      this.request = OriginTable.hash(requestId);
     }
 
-    void ask(List<String> addresses) {
-      afterTimeout.execute(this::endWithoutOrigin);
-      FindOriginRequest request =
-          FindOriginRequest.newBuilder().setRequest(OriginTable.hash(requestId)).build();
-      for (String address : addresses) {
-        send(address, request).whenComplete(this::receive);
-      }
-    }
-
-    private CompletableFuture<FindOriginReply> send(String address, FindOriginRequest request) {
-      try {
-        return call.ask(address, request);
-      } catch (RuntimeException e) {
-        return CompletableFuture.failedFuture(e);
+    /** Prepares for the replies to be received; ends the lookup if nobody is asked. */
+    void expectReplies(int count) {
+      asked = count;
+      pending.set(count);
+      if (count == 0) {
+        endWithoutOrigin();
       }
     }
 
-    private void receive(FindOriginReply reply, Throwable failure) {
-      if (failure == null) {
+    /** Receives the origins that a control daemon knows; empty if the call failed. */
+    void receive(Optional<Map<Long, StreamOrigin>> known) {
+      if (known.isPresent()) {
         answered.incrementAndGet();
-        if (reply.getKnown()) {
-          end(Answer.known(new StreamOrigin(reply.getService(), reply.getSoftwareVersion())));
+        StreamOrigin origin = known.get().get(request);
+        if (origin != null) {
+          end(Answer.known(origin));
         }
       }
       if (pending.decrementAndGet() == 0) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginTable.java
@@ -124,15 +124,13 @@
 
   /** Answers the question of a router. */
   public FindOriginReply answer(FindOriginRequest question) {
-    return find(question.getRequest())
-        .map(
-            origin ->
-                FindOriginReply.newBuilder()
-                    .setKnown(true)
-                    .setService(origin.service())
-                    .setSoftwareVersion(origin.softwareVersion())
-                    .build())
-        .orElse(FindOriginReply.getDefaultInstance());
+    Map<StreamOrigin, StreamOrigins.Builder> known = new LinkedHashMap<>();
+    for (long request : question.getRequestsList()) {
+      find(request)
+          .ifPresent(
+              origin -> known.computeIfAbsent(origin, OriginTable::message).addRequests(request));
+    }
+    return FindOriginReply.newBuilder().addAllOrigins(build(known)).build();
   }
 
   /** Returns the number of origins in memory. */
@@ -154,6 +152,10 @@
           .computeIfAbsent(entries.origins()[i], OriginTable::message)
           .addRequests(entries.requests()[i]);
     }
+    return build(messages);
+  }
+
+  private static List<StreamOrigins> build(Map<StreamOrigin, StreamOrigins.Builder> messages) {
     return messages.values().stream().map(StreamOrigins.Builder::build).toList();
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/ReportTriggerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/PacedTaskTest.java
@@ -1,4 +1,4 @@
-package org.toucansaddle.daemon.internal.gateway.routing;
+package org.toucansaddle.daemon.internal;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -8,24 +8,27 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests of {@link ReportTrigger}. */
-public class ReportTriggerTest {
+/** Tests of {@link PacedTask}. */
+public class PacedTaskTest {
+
+  private static final int INTERVAL_MILLIS = 20;
 
   private final List<Runnable> scheduled = new ArrayList<>();
   private final List<Long> delaysMillis = new ArrayList<>();
   private long nowNanos;
   private int runs;
-  private ReportTrigger trigger;
+  private PacedTask task;
 
   @BeforeMethod
-  public void createTrigger() {
+  public void createTask() {
     scheduled.clear();
     delaysMillis.clear();
     nowNanos = TimeUnit.SECONDS.toNanos(100);
     runs = 0;
-    trigger =
-        new ReportTrigger(
+    task =
+        new PacedTask(
             () -> runs++,
+            INTERVAL_MILLIS,
             (action, delayNanos) -> {
               scheduled.add(action);
               delaysMillis.add(TimeUnit.NANOSECONDS.toMillis(delayNanos));
@@ -45,43 +48,44 @@
 
   @Test
   public void shouldRunAtOnceAfterPause() {
-    trigger.trigger();
+    task.request();
     runScheduled();
     advanceMillis(20);
-    trigger.trigger();
+    task.request();
     runScheduled();
     assertThat(delaysMillis).containsExactly(0L, 0L);
     assertThat(runs).isEqualTo(2);
   }
 
   @Test
-  public void shouldRunOnceForAllThatIsTriggeredWithinInterval() {
-    trigger.trigger();
+  public void shouldRunOnceForAllRequestsWithinInterval() {
+    task.request();
     runScheduled();
     advanceMillis(5);
-    trigger.trigger();
+    task.request();
     advanceMillis(5);
-    trigger.trigger();
+    task.request();
     assertThat(delaysMillis).containsExactly(0L, 15L);
     runScheduled();
     assertThat(runs).isEqualTo(2);
   }
 
-  /** Guards against what is triggered during a run staying unsent until the periodic report. */
+  /** Guards against what is recorded during a report staying unsent until the next periodic one. */
   @Test
-  public void shouldRunAgainForWhatIsTriggeredDuringRun() {
-    ReportTrigger[] self = new ReportTrigger[1];
+  public void shouldRunAgainForRequestDuringRun() {
+    PacedTask[] self = new PacedTask[1];
     self[0] =
-        new ReportTrigger(
+        new PacedTask(
             () -> {
               runs++;
               if (runs == 1) {
-                self[0].trigger();
+                self[0].request();
               }
             },
+            INTERVAL_MILLIS,
             (action, delayNanos) -> scheduled.add(action),
             () -> nowNanos);
-    self[0].trigger();
+    self[0].request();
     runScheduled();
     runScheduled();
     assertThat(runs).isEqualTo(2);
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookupTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookupTest.java
@@ -15,24 +15,24 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Answer;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.ControlCall;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Outcome;
 import org.toucansaddle.protocol.generated.FindOriginReply;
+import org.toucansaddle.protocol.generated.FindOriginRequest;
+import org.toucansaddle.protocol.generated.StreamOrigins;
 
 /** Tests of {@link OriginLookup}. */
 public class OriginLookupTest {
 
   private static final StreamOrigin V1 = new StreamOrigin("s", "v1");
   private static final FindOriginReply NOT_KNOWN = FindOriginReply.getDefaultInstance();
-  private static final FindOriginReply KNOWN =
-      FindOriginReply.newBuilder()
-          .setKnown(true)
-          .setService(V1.service())
-          .setSoftwareVersion(V1.softwareVersion())
-          .build();
+  private static final FindOriginReply KNOWN = known("r");
 
   private final OriginTable table = new OriginTable(System::nanoTime);
   private final Map<String, CompletableFuture<FindOriginReply>> calls = new ConcurrentHashMap<>();
+  private final List<Runnable> scheduled = new ArrayList<>();
   private List<Outcome> outcomes;
+  private FindOriginRequest lastQuestion;
   private List<String> daemons;
   private OriginLookup lookup;
 
@@ -41,16 +41,42 @@
     calls.clear();
     outcomes = new CopyOnWriteArrayList<>();
     daemons = List.of("a", "b", "c");
+    scheduled.clear();
     lookup =
-        new OriginLookup(
-            table,
-            () -> daemons,
+        createLookup(
             (address, request) -> {
+              lastQuestion = request;
               CompletableFuture<FindOriginReply> call = new CompletableFuture<>();
               calls.put(address, call);
               return call;
-            },
-            outcomes::add);
+            });
+  }
+
+  private OriginLookup createLookup(ControlCall call) {
+    return new OriginLookup(
+        table, () -> daemons, call, (action, delay) -> scheduled.add(action), outcomes::add);
+  }
+
+  private static FindOriginReply known(String requestId) {
+    return FindOriginReply.newBuilder()
+        .addOrigins(
+            StreamOrigins.newBuilder()
+                .setService(V1.service())
+                .setSoftwareVersion(V1.softwareVersion())
+                .addRequests(OriginTable.hash(requestId)))
+        .build();
+  }
+
+  private CompletableFuture<Answer> ask(OriginLookup asked) {
+    CompletableFuture<Answer> answer = asked.find("r");
+    runScheduled();
+    return answer;
+  }
+
+  private void runScheduled() {
+    List<Runnable> due = List.copyOf(scheduled);
+    scheduled.clear();
+    due.forEach(Runnable::run);
   }
 
   private static void fail(CompletableFuture<FindOriginReply> call) {
@@ -71,7 +97,7 @@
 
   @Test
   public void shouldTakeFirstKnownOrigin() {
-    CompletableFuture<Answer> answer = lookup.find("r");
+    CompletableFuture<Answer> answer = ask(lookup);
     calls.get("a").complete(NOT_KNOWN);
     fail(calls.get("b"));
     assertThat(answer).isNotDone();
@@ -83,7 +109,7 @@
 
   @Test
   public void shouldNotWaitForOthersOnceOriginIsKnown() {
-    CompletableFuture<Answer> answer = lookup.find("r");
+    CompletableFuture<Answer> answer = ask(lookup);
     calls.get("b").complete(KNOWN);
     assertThat(answer).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1)));
   }
@@ -103,7 +129,7 @@
   @Test(dataProvider = "repliesWithoutOrigin")
   public void shouldTellUnknownFromUnanswered(int replies, int failures, Outcome outcome)
       throws Exception {
-    CompletableFuture<Answer> answer = lookup.find("r");
+    CompletableFuture<Answer> answer = ask(lookup);
     List<CompletableFuture<FindOriginReply>> pending = new ArrayList<>(calls.values());
     pending.subList(0, replies).forEach(call -> call.complete(NOT_KNOWN));
     pending.subList(replies, replies + failures).forEach(OriginLookupTest::fail);
@@ -116,7 +142,7 @@
 
   @Test
   public void shouldNotAnswerTwice() throws Exception {
-    CompletableFuture<Answer> answer = lookup.find("r");
+    CompletableFuture<Answer> answer = ask(lookup);
     assertThat(await(answer).outcome()).isEqualTo(Outcome.UNANSWERED);
     calls.values().forEach(call -> call.complete(KNOWN));
     assertThat(outcomes).containsExactly(Outcome.UNANSWERED);
@@ -126,20 +152,43 @@
   @Test
   public void shouldNotAnswerIfNoControlDaemonIsKnown() {
     daemons = List.of();
-    assertThat(lookup.find("r").join().outcome()).isEqualTo(Outcome.UNANSWERED);
+    assertThat(ask(lookup).join().outcome()).isEqualTo(Outcome.UNANSWERED);
   }
 
   @Test
   public void shouldCountCallThatCannotBeMadeAsFailed() {
     OriginLookup failing =
-        new OriginLookup(
-            table,
-            () -> daemons,
+        createLookup(
             (address, request) -> {
               throw new IllegalStateException("closed");
-            },
-            outcomes::add);
-    assertThat(failing.find("r").join().outcome()).isEqualTo(Outcome.UNANSWERED);
+            });
+    assertThat(ask(failing).join().outcome()).isEqualTo(Outcome.UNANSWERED);
+  }
+
+  /** Guards against a router that has just started and makes too many calls to be in time. */
+  @Test
+  public void shouldAskForManyStreamsWithOneCall() {
+    List<CompletableFuture<Answer>> answers = new ArrayList<>();
+    for (String id : List.of("r", "s", "t")) {
+      answers.add(lookup.find(id));
+    }
+    assertThat(scheduled).hasSize(1);
+    runScheduled();
+    assertThat(lastQuestion.getRequestsList())
+        .containsExactly(OriginTable.hash("r"), OriginTable.hash("s"), OriginTable.hash("t"));
+    calls.get("a").complete(known("s"));
+    assertThat(answers.get(1).join().origin()).contains(V1);
+    assertThat(answers.get(0)).isNotDone();
+    calls.get("b").complete(known("t"));
+    calls.get("c").complete(NOT_KNOWN);
+    assertThat(answers.get(0).join().outcome()).isEqualTo(Outcome.UNKNOWN);
+    assertThat(answers.get(2).join().origin()).contains(V1);
+  }
+
+  @Test
+  public void shouldNotAnswerIfQuestionIsNotSent() throws Exception {
+    assertThat(await(lookup.find("r")).outcome()).isEqualTo(Outcome.UNANSWERED);
+    assertThat(calls).isEmpty();
   }
 
   @Test
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
@@ -26,13 +26,13 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.gateway.StoredDocument;
+import org.toucansaddle.daemon.internal.PacedTask;
 import org.toucansaddle.daemon.internal.gateway.control.FollowServer;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamRegistry;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Answer;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Outcome;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
-import org.toucansaddle.daemon.internal.gateway.routing.ReportTrigger;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.daemon.internal.peer.FleetProof;
 import org.toucansaddle.daemon.internal.peer.PeerClients;
@@ -49,6 +49,7 @@
   private static final StreamOrigin V2 = new StreamOrigin("s", "v2");
   private static final int CONTROL_COUNT = 3;
   private static final int STEP_MILLIS = 400;
+  private static final int PROMPT_MILLIS = 20;
 
   private final FleetProof proof = new FleetProof("gateway", "secret-of-the-test");
   private final PeerTls tls = new PeerTls(Optional.empty());
@@ -315,19 +316,21 @@
                       GatewayMethods.FIND_ORIGIN,
                       request,
                       Duration.ofMillis(OriginLookup.TIMEOUT_MILLIS)),
+              this::schedule,
               outcome -> {});
-      ReportTrigger trigger =
-          new ReportTrigger(
-              follower::step,
-              (action, delay) -> executor.schedule(action, delay, TimeUnit.NANOSECONDS),
-              System::nanoTime);
-      state.origins().onPromptRecord(trigger::trigger);
+      PacedTask reports =
+          new PacedTask(follower::step, PROMPT_MILLIS, this::schedule, System::nanoTime);
+      state.origins().onPromptRecord(reports::request);
       if (follows) {
         executor.scheduleWithFixedDelay(
             this::stepPeriodically, 0, STEP_MILLIS, TimeUnit.MILLISECONDS);
       }
     }
 
+    private void schedule(Runnable action, long delayNanos) {
+      executor.schedule(action, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
     private void stepPeriodically() {
       if (periodic) {
         follower.step();
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginTableTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginTableTest.java
@@ -108,16 +108,13 @@
   @Test
   public void shouldAnswerQuestion() {
     record("r", V2);
+    record("a", V1);
     FindOriginRequest.Builder question = FindOriginRequest.newBuilder();
-    assertThat(table.answer(question.setRequest(OriginTable.hash("r")).build()))
-        .isEqualTo(
-            FindOriginReply.newBuilder()
-                .setKnown(true)
-                .setService("s")
-                .setSoftwareVersion("v2")
-                .build());
-    assertThat(table.answer(question.setRequest(OriginTable.hash("other")).build()).getKnown())
-        .isFalse();
+    assertThat(table.answer(question.addRequests(OriginTable.hash("other")).build()))
+        .isEqualTo(FindOriginReply.getDefaultInstance());
+    question.addRequests(OriginTable.hash("r")).addRequests(OriginTable.hash("a"));
+    assertThat(table.answer(question.build()).getOriginsList())
+        .containsExactly(message(V2, "r"), message(V1, "a"));
   }
 
   @Test
--- a/toucansaddle-protocol/src/main/java/org/toucansaddle/protocol/GatewayMethods.java
+++ b/toucansaddle-protocol/src/main/java/org/toucansaddle/protocol/GatewayMethods.java
@@ -55,7 +55,7 @@
           JoinRequest.getDefaultInstance(),
           JoinReply.getDefaultInstance());
 
-  /** Asks a control daemon at which service and version a stream began. */
+  /** Asks a control daemon at which services and versions streams began. */
   public static final MethodDescriptor<FindOriginRequest, FindOriginReply> FIND_ORIGIN =
       PeerMethods.descriptor(
           SERVICE,
