Let streams go on only at the version that began them

Cause: nothing that decides where a stream goes on knew the version, and for a stream whose router was lost nobody knew where it had begun; with a route split over two services the service was drawn anew, too. Class of fault: state that must outlive the process that holds it, and was not even held.

A response of which its caller has received something is resumed at upstreams of its origin only. A request that takes a stream up goes on at the origin that this router or a control daemon knows; it is refused at once, not run, if no upstream of that origin accepts requests, if several may have begun the stream and none is known, or if no control daemon answers.

Not shown here: a fleet with older daemons, where the rule holds only once all are new.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -158,7 +158,8 @@
             buffers,
             draining::get,
             connections,
-            ioLag);
+            ioLag,
+            originLookup);
     this.handler = new GatewayHandler(context);
     startServers(buffers);
     new IoLagMonitor(ioLag, System::nanoTime).start(worker);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -127,13 +127,13 @@
   }
 
   private void start(Connection connection) {
-    byte[] body = call.onAttemptStarted();
+    byte[] body = call.onAttemptStarted(this);
     sentAtNanos = context.nowNanos();
     upstreamExchange = new UpstreamExchange(connection, body, this);
     stallDetector =
         new StallDetector(context, call, this, exchange.getIoThread(), expectedFirstTokenMillis);
     upstreamExchange.start(buildRequest(body));
-    call.onAttemptSent(this);
+    call.takeover().onSent(this);
   }
 
   private ClientRequest buildRequest(byte[] body) {
@@ -201,7 +201,7 @@
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
       fail("unsealed", "status " + status + " does not come from the upstream itself");
-    } else if ((call.isResponding() || call.isStandby(this)) && !isSuccess(status)) {
+    } else if ((call.isResponding() || call.takeover().isStandby(this)) && !isSuccess(status)) {
       fail("status-" + status, "the upstream did not take over the request");
     } else if (status >= 500 && call.mayRetryFailure()) {
       fail("status-" + status, "the upstream failed");
@@ -287,7 +287,7 @@
 
   @Override
   public Optional<String> findTruncation() {
-    if (call.isStandby(this)) {
+    if (call.takeover().isStandby(this)) {
       if (ResponseFraming.of(heldHead.getResponseHeaders()) == ResponseFraming.CONNECTION_END) {
         return Optional.of("the connection ended before the response took over");
       }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.concurrent.TimeUnit;
+import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.ShareCheck;
 import org.toucansaddle.daemon.internal.problem.RunState;
@@ -73,6 +74,26 @@
     return notRun("quarantined", detail, remainingMillis);
   }
 
+  static ErrorResponse originUnanswered(long retryAfterMillis) {
+    String detail =
+        "No control daemon told this router in time which version of the service began the stream.";
+    return notRun("origin-unanswered", detail, retryAfterMillis);
+  }
+
+  static ErrorResponse originUnknown() {
+    String detail =
+        "No daemon knows which version of the service began the stream, and several may serve it."
+            + " Send the request again without the id of its last event.";
+    return notRun("origin-unknown", detail, 0);
+  }
+
+  static ErrorResponse originGone(StreamOrigin origin) {
+    String detail =
+        "The stream began at version \"%s\" of service %s, of which no upstream accepts requests."
+            .formatted(origin.softwareVersion(), origin.service());
+    return notRun("origin-gone", detail, 0);
+  }
+
   static ErrorResponse notRun(String type, String detail, long retryAfterMillis) {
     return new ErrorResponse(503, type, RunState.NOT_RUN, detail, retryAfterMillis);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -6,9 +6,12 @@
 import io.undertow.util.SameThreadExecutor;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.Route;
+import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.request.HeadSize;
 import org.toucansaddle.http.RequestBody;
@@ -101,25 +104,53 @@
         exchange,
         maxBytes,
         bytes ->
-            exchange.dispatch(
-                SameThreadExecutor.INSTANCE,
-                () ->
+            dispatchFromOrigin(
+                exchange,
+                head,
+                route.get(),
+                origin ->
                     new RelayedCall(
-                            context,
-                            exchange,
-                            head,
-                            route.get(),
-                            view.get(),
-                            account.get(),
-                            bytes,
-                            startNanos)
-                        .start()),
+                        context,
+                        exchange,
+                        head,
+                        route.get(),
+                        view.get(),
+                        account.get(),
+                        origin,
+                        bytes,
+                        startNanos)),
         failure ->
             exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
                 () -> refuse(exchange, head, ErrorResponse.unreadableBody())));
   }
 
+  /** Relays a request; a stream that it takes up again goes on only where it began. */
+  private void dispatchFromOrigin(
+      HttpServerExchange exchange,
+      RequestHead head,
+      Route route,
+      Function<Optional<StreamOrigin>, RelayedCall> callFactory) {
+    if (!StreamReturn.isReturn(head, route)) {
+      exchange.dispatch(
+          SameThreadExecutor.INSTANCE, () -> callFactory.apply(Optional.empty()).start());
+      return;
+    }
+    Consumer<StreamReturn.Found> relay =
+        found ->
+            found
+                .refusal()
+                .ifPresentOrElse(
+                    error -> refuse(exchange, head, error),
+                    () -> callFactory.apply(found.origin()).start());
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () ->
+            new StreamReturn(context, head, route)
+                .findOrigin()
+                .thenAccept(found -> exchange.getIoThread().execute(() -> relay.accept(found))));
+  }
+
   private static Optional<String> findAccount(RoutingView view, Route route, RequestHead head) {
     if (route.open() || !view.requiresKey()) {
       return Optional.of("");
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.xnio.XnioIoThread;
 
@@ -26,6 +27,7 @@
   private final BooleanSupplier closing;
   private final CallerConnections connections;
   private final IoLag ioLag;
+  private final OriginLookup originLookup;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<String, OnTimeRate> onTimeRates = new ConcurrentHashMap<>();
   private final Map<String, FirstTokenEstimator> estimators = new ConcurrentHashMap<>();
@@ -40,6 +42,7 @@
    * @param closing whether the router shuts down
    * @param connections connections of callers
    * @param ioLag lag of the I/O threads
+   * @param originLookup finds where streams began that callers take up again
    */
   public RelayContext(
       RouterState state,
@@ -51,7 +54,8 @@
       ByteBufferPool bufferPool,
       BooleanSupplier closing,
       CallerConnections connections,
-      IoLag ioLag) {
+      IoLag ioLag,
+      OriginLookup originLookup) {
     this.state = state;
     this.codec = codec;
     this.admission = new AdmissionControl(state.shares());
@@ -63,6 +67,7 @@
     this.closing = closing;
     this.connections = connections;
     this.ioLag = ioLag;
+    this.originLookup = originLookup;
   }
 
   RouterState state() {
@@ -93,6 +98,10 @@
     return ioLag;
   }
 
+  OriginLookup originLookup() {
+    return originLookup;
+  }
+
   CallerConnections connections() {
     return connections;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.gateway.Repetition;
 import org.toucansaddle.daemon.gateway.Route;
+import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.AdmissionRequest;
 import org.toucansaddle.daemon.internal.gateway.relay.EventSplitter.Fault;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
@@ -67,6 +68,7 @@
       Route route,
       RoutingView view,
       String account,
+      Optional<StreamOrigin> origin,
       byte[] body,
       long startNanos) {
     this.context = context;
@@ -77,7 +79,7 @@
     this.account = account;
     this.body = body;
     this.times = new CallTimes(context::nowNanos, startNanos, head.timeoutMillis(route));
-    this.choice = new UpstreamChoice(context, head, route, view);
+    this.choice = new UpstreamChoice(context, head, route, view, origin);
     this.quarantine =
         new CallQuarantine(
             context.state().quarantine(),
@@ -226,16 +228,15 @@
   }
 
   /** Counts an attempt that is sent now and returns the body of the request. */
-  byte[] onAttemptStarted() {
+  byte[] onAttemptStarted(CallAttempt attempt) {
     attempts++;
+    if (isCurrent(attempt)) {
+      choice.recordOrigin(attempt.upstream());
+    }
     phase = phase == Phase.NOT_SENT ? Phase.AWAITING_RESPONSE : phase;
     return body;
   }
 
-  void onAttemptSent(CallAttempt attempt) {
-    takeover.onSent(attempt);
-  }
-
   /** Tries another upstream, since the request could not be sent. */
   void onUnavailable(CallAttempt attempt, ErrorResponse fallback) {
     attempt.releaseLoad();
@@ -261,7 +262,7 @@
     boolean maybeSent = earlierMayHaveRun || (currentAttempt != null && currentAttempt.isSent());
     RunState run = maybeSent ? RunState.UNKNOWN : RunState.NOT_RUN;
     cancelAttempt();
-    withdrawUnsentResponse();
+    prepareNextAttempt();
     if (phase == Phase.RESPONDING) {
       abortResponse("the time of the request is over");
     } else {
@@ -308,11 +309,12 @@
     ErrorResponseWriter.send(exchange, head.requestId(), error, context.closesConnections());
   }
 
-  /** Returns to the state before the response if the caller has received nothing of it. */
-  private void withdrawUnsentResponse() {
+  /** Discards what the caller has not received of the response. */
+  private void prepareNextAttempt() {
     if (phase == Phase.RESPONDING && response.withdrawUnsentHead()) {
       phase = Phase.AWAITING_RESPONSE;
     }
+    response.prepareResume();
   }
 
   private void abortResponse(String cause) {
@@ -333,23 +335,17 @@
     return currentAttempt == attempt && phase != Phase.ENDED;
   }
 
-  /** Returns whether an attempt may take over from the current one. */
-  boolean isStandby(CallAttempt attempt) {
-    return takeover.isStandby(attempt) && phase != Phase.ENDED;
-  }
-
   boolean isUnderWay(CallAttempt attempt) {
-    return isCurrent(attempt) || isStandby(attempt);
+    return isCurrent(attempt) || takeover.isStandby(attempt);
   }
 
-  /** Looks for an upstream that can take over from a silent one. */
-  void onStalled(CallAttempt attempt, long silentMillis) {
-    takeover.begin(attempt, silentMillis);
+  Takeover takeover() {
+    return takeover;
   }
 
   /** Continues with the attempt that makes progress, if there are two. */
   void onProgress(CallAttempt attempt) {
-    if (isStandby(attempt)) {
+    if (takeover.isStandby(attempt)) {
       replaceSilentAttempt();
     } else if (isCurrent(attempt)) {
       takeover.dismiss();
@@ -358,19 +354,20 @@
 
   /** Replaces the current attempt, whose upstream is silent, by the standby. */
   void replaceSilentAttempt() {
-    CallAttempt silent = currentAttempt;
-    silent.cancel();
+    currentAttempt.cancel();
     earlierMayHaveRun = true;
     context.metrics().recordAttempt("silent");
-    RelayLog.attemptFailed(this, silent.dispatch(), "silent", "another one takes over");
+    RelayLog.attemptFailed(this, currentAttempt.dispatch(), "silent", "another one takes over");
     continueWithStandby();
   }
 
   private void continueWithStandby() {
-    withdrawUnsentResponse();
-    response.prepareResume();
+    prepareNextAttempt();
     currentAttempt = takeover.take();
     lastDispatch = currentAttempt.dispatch();
+    if (currentAttempt.isSent()) {
+      choice.recordOrigin(currentAttempt.upstream());
+    }
     currentAttempt.deliverHead();
   }
 
@@ -423,8 +420,7 @@
     context.metrics().recordAttempt(outcome);
     RelayLog.attemptFailed(this, attempt.dispatch(), outcome, cause);
     if (!continuesWithout(attempt)) {
-      withdrawUnsentResponse();
-      response.prepareResume();
+      prepareNextAttempt();
       ErrorResponse fallback =
           ErrorResponse.upstreamLost("The upstream's answer was lost: " + cause + ".");
       retry(fallback, isMovable());
@@ -468,6 +464,9 @@
       context.metrics().recordFirstByte(route.name(), times.firstByteSeconds());
     }
     boolean hasRoom = response.write(data);
+    if (response.isHeadSent()) {
+      choice.fixOrigin(attempt.upstream());
+    }
     Optional<Fault> fault = response.fault();
     if (fault.isPresent()) {
       attempt.cancel();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StallDetector.java
@@ -122,7 +122,7 @@
 
   private void check() {
     if (!call.isCurrent(attempt)) {
-      if (call.isStandby(attempt)) {
+      if (call.takeover().isStandby(attempt)) {
         schedule(CHECK_INTERVAL_MILLIS);
       }
       return;
@@ -145,7 +145,7 @@
       return;
     }
     if (silentMillis >= STALL_TIMEOUT_MILLIS && mayRetry()) {
-      call.onStalled(attempt, silentMillis);
+      call.takeover().begin(attempt, silentMillis);
     }
     schedule(Math.max(CHECK_INTERVAL_MILLIS, STALL_TIMEOUT_MILLIS - silentMillis));
   }
@@ -170,7 +170,7 @@
     boolean timedOut =
         conclusive && silentMillis >= Math.max(STALL_TIMEOUT_MILLIS, 2L * targetMillis);
     if ((finding == Finding.OVERTAKEN || timedOut) && call.isMovable() && mayRetry()) {
-      call.onStalled(attempt, silentMillis);
+      call.takeover().begin(attempt, silentMillis);
     }
     schedule(CHECK_INTERVAL_MILLIS);
   }
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StreamReturn.java
@@ -0,0 +1,85 @@
+package org.toucansaddle.daemon.internal.gateway.relay;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.toucansaddle.daemon.gateway.Route;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Answer;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Outcome;
+import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
+
+/**
+ * A request that takes up a stream which began in an earlier request, maybe at another router.
+ *
+ * <p>Such a stream may go on only at the service and software version that began it. Immutable and
+ * thread-safe.
+ */
+final class StreamReturn {
+
+  private final RelayContext context;
+  private final RequestHead head;
+  private final Route route;
+
+  /**
+   * Where a stream may go on. Immutable.
+   *
+   * @param origin where it began; empty if only one version can have begun it
+   * @param refusal response if it cannot go on
+   */
+  record Found(Optional<StreamOrigin> origin, Optional<ErrorResponse> refusal) {
+
+    private static Found refused(ErrorResponse error) {
+      return new Found(Optional.empty(), Optional.of(error));
+    }
+  }
+
+  StreamReturn(RelayContext context, RequestHead head, Route route) {
+    this.context = context;
+    this.head = head;
+    this.route = route;
+  }
+
+  /** Returns whether a request takes up a stream. */
+  static boolean isReturn(RequestHead head, Route route) {
+    return route.isStream()
+        && route.resumable()
+        && !(head.resumes().isEmpty() && head.lastEventId().isEmpty());
+  }
+
+  /** Finds where the stream began; the future may complete on any thread and never fails. */
+  CompletableFuture<Found> findOrigin() {
+    return head.resumes().isEmpty()
+        ? CompletableFuture.completedFuture(decideWithoutOrigin())
+        : context.originLookup().find(head.resumes()).thenApply(this::decide);
+  }
+
+  private Found decide(Answer answer) {
+    if (answer.outcome() == Outcome.UNANSWERED) {
+      long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
+      return Found.refused(ErrorResponse.originUnanswered(delayMillis));
+    }
+    return answer.origin().map(this::decideAt).orElseGet(this::decideWithoutOrigin);
+  }
+
+  private Found decideAt(StreamOrigin origin) {
+    boolean served =
+        route.services().stream().anyMatch(service -> service.service().equals(origin.service()))
+            && context.state().upstreams().ready(origin.service()).stream()
+                .anyMatch(
+                    upstream ->
+                        upstream.report().softwareVersion().equals(origin.softwareVersion()));
+    return served
+        ? new Found(Optional.of(origin), Optional.empty())
+        : Found.refused(ErrorResponse.originGone(origin));
+  }
+
+  private Found decideWithoutOrigin() {
+    long possibleOrigins =
+        route.services().stream()
+            .filter(service -> service.weight() > 0)
+            .mapToLong(service -> context.state().softwareVersions(service.service()).size())
+            .sum();
+    return possibleOrigins > 1
+        ? Found.refused(ErrorResponse.originUnknown())
+        : new Found(Optional.empty(), Optional.empty());
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
@@ -80,7 +80,7 @@
   }
 
   private void takeOverAfterOverlap(CallAttempt attempt) {
-    if (call.isStandby(attempt)) {
+    if (isStandby(attempt)) {
       call.replaceSilentAttempt();
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -8,6 +8,7 @@
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.gateway.WeightedService;
+import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.EngineProfile;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
@@ -16,7 +17,9 @@
 /**
  * The upstreams that one call may still be sent to.
  *
- * <p>Each upstream is selected at most once for a call. Confined to the call's I/O thread.
+ * <p>Each upstream is selected at most once for a call. What different versions of a service's
+ * software write does not fit together, so a stream of which the caller has received something goes
+ * on only where it began. Confined to the call's I/O thread.
  */
 final class UpstreamChoice {
 
@@ -25,16 +28,29 @@
   private final Route route;
   private final RoutingView view;
   private final String service;
+
+  /** Where the stream began; empty while it may begin anywhere. */
+  private Optional<StreamOrigin> origin;
+
   private final Set<String> tried = new HashSet<>();
   private double nominalTokensPerMilli;
 
-  /** Draws one of the route's services. */
-  UpstreamChoice(RelayContext context, RequestHead head, Route route, RoutingView view) {
+  /** Takes the service of an earlier part of the stream, or else draws one of the route's. */
+  UpstreamChoice(
+      RelayContext context,
+      RequestHead head,
+      Route route,
+      RoutingView view,
+      Optional<StreamOrigin> origin) {
     this.context = context;
     this.head = head;
     this.route = route;
     this.view = view;
-    this.service = WeightedService.draw(route.services(), ThreadLocalRandom.current());
+    this.origin = origin;
+    this.service =
+        origin
+            .map(StreamOrigin::service)
+            .orElseGet(() -> WeightedService.draw(route.services(), ThreadLocalRandom.current()));
   }
 
   String service() {
@@ -51,15 +67,47 @@
     return nominalTokensPerMilli;
   }
 
-  /** Returns the upstreams that accept requests, whether or not they were tried. */
+  /** Returns the upstreams that accept the request, whether or not they were tried. */
   List<Upstream> usable() {
-    return context.state().usableUpstreams(service, route.isRepeatable());
+    return context
+        .state()
+        .usableUpstreams(
+            service,
+            route.isRepeatable(),
+            upstream -> origin.isEmpty() || origin.get().equals(originAt(upstream)));
+  }
+
+  private static StreamOrigin originAt(Upstream upstream) {
+    return new StreamOrigin(upstream.report().service(), upstream.report().softwareVersion());
+  }
+
+  /** Records that the caller has received something that an upstream wrote. */
+  void fixOrigin(Upstream upstream) {
+    if (origin.isEmpty()) {
+      origin = Optional.of(originAt(upstream));
+    }
+  }
+
+  /** Records, for routers that callers may return to, where a stream begins or goes on. */
+  void recordOrigin(Upstream upstream) {
+    if (!route.isStream() || !route.resumable()) {
+      return;
+    }
+    StreamOrigin current = originAt(upstream);
+    boolean mixed = context.state().softwareVersions(service).size() > 1;
+    context.state().origins().record(head.requestId(), current, mixed);
+    if (origin.isPresent()) {
+      context.state().origins().record(head.resumes(), current, mixed);
+    }
   }
 
   /** Selects one of the usable upstreams that was not tried; empty if all are busy. */
   Optional<Selection> select(List<Upstream> usable) {
-    EngineProfile profile =
-        EngineProfile.of(view, service, usable.size(), context.estimator(service));
+    int count =
+        origin.isEmpty()
+            ? usable.size()
+            : context.state().usableUpstreams(service, route.isRepeatable()).size();
+    EngineProfile profile = EngineProfile.of(view, service, count, context.estimator(service));
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
     return context.selector().select(usable, head, route.targetMillis(), profile, tried);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.DocumentException;
@@ -125,12 +126,21 @@
    * @param repeatable whether the request may be repeated at another upstream if this one hangs
    */
   public List<Upstream> usableUpstreams(String service, boolean repeatable) {
+    return usableUpstreams(service, repeatable, upstream -> true);
+  }
+
+  /**
+   * Returns those of {@link #usableUpstreams(String, boolean)} that also meet a condition. Those
+   * that do not are not counted when paused ones are left out.
+   */
+  public List<Upstream> usableUpstreams(
+      String service, boolean repeatable, Predicate<Upstream> condition) {
     long now = clock.getAsLong();
     List<Upstream> usable = new ArrayList<>();
     List<Upstream> notPaused = new ArrayList<>();
     List<Upstream> healthy = new ArrayList<>();
     for (Upstream upstream : upstreams.ready(service)) {
-      if (upstream.isUsable(now) && isReporting(upstream)) {
+      if (upstream.isUsable(now) && isReporting(upstream) && condition.test(upstream)) {
         usable.add(upstream);
         if (!upstream.hangDetector().isPaused(now)) {
           notPaused.add(upstream);
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
@@ -10,6 +10,7 @@
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.protocol.generated.FleetUpdate;
@@ -33,6 +34,7 @@
             StoredDocument::none,
             registry,
             new RequestQuarantine(() -> nowNanos),
+            new OriginTable(() -> nowNanos),
             List::of,
             () -> nowNanos,
             "z1");
