Test takeovers before the first event and cancelled connections

SilentUpstreamUsageTest starts with an on-time rate of 0, so that a missing first byte is never conclusive: of its cases on the route "repeatable" none reaches a second upstream, nor does any that is silent before the head. The new class raises the rate first.

--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
@@ -0,0 +1,164 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.usage.RawCaller.RawResponse;
+import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
+
+/**
+ * Usage tests of requests that a second upstream gets because the first one is silent.
+ *
+ * <p>A path {@code /ROUTE/SCENARIO/NUMBER} names what the upstreams of a request do.
+ */
+public class TakeoverUsageTest {
+
+  private static final String FIRST_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  private static final String THIRD_EVENT = "id: 3\ndata: c\n\n";
+  private static final String LAST_EVENT = "id: 4\ndata: d\n\n";
+  private static final int FROZEN_MILLIS = 15_000;
+
+  private static final int ANSWERS_IN_TIME = 60;
+
+  /** In four rounds more than a router may have connections to its two upstreams. */
+  private static final int CANCELLED_REQUESTS = 30;
+
+  private final AtomicInteger requests = new AtomicInteger();
+  private final Map<String, AtomicInteger> arrivals = new ConcurrentHashMap<>();
+  private LocalGateway gateway;
+  private ScriptedUpstreams upstreams;
+  private LocalGateway smallGateway;
+  private ScriptedUpstreams twoUpstreams;
+
+  @BeforeClass
+  public void startGateways() throws Exception {
+    gateway = new LocalGateway();
+    gateway.awaitServing();
+    upstreams = new ScriptedUpstreams(gateway, 4, this::answer);
+    smallGateway = new LocalGateway();
+    smallGateway.awaitServing();
+    twoUpstreams = new ScriptedUpstreams(smallGateway, 2, this::answer);
+    LocalGateway.await(() -> isServing(gateway) && isServing(smallGateway));
+    for (LocalGateway each : List.of(gateway, smallGateway)) {
+      raiseOnTimeRate(each, "repeatable");
+      raiseOnTimeRate(each, "stream");
+    }
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopGateways() throws Exception {
+    upstreams.close();
+    twoUpstreams.close();
+    gateway.close();
+    smallGateway.close();
+  }
+
+  private boolean isServing(LocalGateway current) {
+    return get(current, path("repeatable", "serve"), "1.1").status() == 200;
+  }
+
+  /** Makes a missing response conclusive, which the routes' usual response times decide. */
+  private void raiseOnTimeRate(LocalGateway current, String route) {
+    for (int i = 0; i < ANSWERS_IN_TIME; i++) {
+      get(current, path(route, "serve"), "1.1");
+    }
+  }
+
+  private String path(String route, String scenario) {
+    return "/" + route + "/" + scenario + "/" + requests.incrementAndGet();
+  }
+
+  private static RawResponse get(LocalGateway current, String path, String version) {
+    try {
+      return RawCaller.get(current.callerAddress(0), path, version);
+    } catch (IOException e) {
+      throw new AssertionError("no response to " + path, e);
+    }
+  }
+
+  private void answer(Exchange exchange) throws IOException {
+    int number =
+        arrivals.computeIfAbsent(exchange.path(), key -> new AtomicInteger()).incrementAndGet();
+    String scenario = exchange.path().split("/")[2];
+    switch (scenario) {
+      case "serve" -> exchange.writeAnswer(200, LAST_EVENT);
+      case "hold" -> exchange.pause(FROZEN_MILLIS);
+      case "headless" -> freezeAfterHead(exchange, number);
+      default -> throw new IllegalArgumentException(scenario);
+    }
+  }
+
+  private static void freezeAfterHead(Exchange exchange, int number) throws IOException {
+    if (number == 1) {
+      exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
+      exchange.pause(FROZEN_MILLIS);
+    } else {
+      exchange.writeAnswer(200, FIRST_EVENTS + THIRD_EVENT + LAST_EVENT);
+    }
+  }
+
+  @DataProvider(parallel = true)
+  public Object[][] versions() {
+    return new Object[][] {{"1.0"}, {"1.1"}};
+  }
+
+  /** Guards against two heads of responses to one request. */
+  @Test(dataProvider = "versions")
+  public void shouldDeliverWholeStreamOfUpstreamThatTakesOverAfterHead(String version) {
+    raiseOnTimeRate(gateway, "stream");
+    assertWhole(gateway, path("stream", "headless"), version);
+  }
+
+  private void assertWhole(LocalGateway current, String path, String version) {
+    RawResponse response = get(current, path, version);
+    assertThat(response.status())
+        .as("%s: %s, %s attempts", path, response, arrivals.get(path))
+        .isEqualTo(200);
+    assertThat(response.complete()).as("%s complete: %s", path, response).isTrue();
+    assertThat(response.body()).as(path).isEqualTo(FIRST_EVENTS + THIRD_EVENT + LAST_EVENT);
+  }
+
+  /** Guards against closed connections that still count as open. */
+  @Test
+  public void shouldNotCountConnectionsOfCancelledRequests() throws Exception {
+    for (int round = 0; round < 4; round++) {
+      List<Socket> sockets = new ArrayList<>();
+      List<String> paths = new ArrayList<>();
+      for (int i = 0; i < CANCELLED_REQUESTS; i++) {
+        String path = path("stream-once", "hold");
+        paths.add(path);
+        sockets.add(send(path));
+      }
+      LocalGateway.await(() -> paths.stream().allMatch(arrivals::containsKey));
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+      LocalGateway.await(() -> isServing(smallGateway));
+      Thread.sleep(300);
+    }
+    for (int i = 0; i < 20; i++) {
+      assertThat(get(smallGateway, path("once", "serve"), "1.1").status()).isEqualTo(200);
+    }
+  }
+
+  private Socket send(String path) throws IOException {
+    String[] hostAndPort = smallGateway.callerAddress(0).split(":");
+    Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]));
+    String head =
+        "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: r%d\r\nX-Api-Key: %s\r\n\r\n"
+            .formatted(path, LocalGateway.HOST, path.hashCode(), LocalGateway.API_KEY);
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    return socket;
+  }
+}
