Test responses without content of upstreams that take over

Callers got 504 at their deadline although a second upstream had answered 204. CallAttempt.findTruncation takes a response of a standby that neither has a length nor is chunked for one whose connection has ended; 204, 304 and answers to HEAD have no content. The attempt is dropped as broken, and a strike is recorded against the request.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
@@ -94,11 +94,23 @@
     switch (scenario) {
       case "serve" -> exchange.writeAnswer(200, LAST_EVENT);
       case "hold" -> exchange.pause(FROZEN_MILLIS);
+      case "no-content" -> answerOrFreeze(exchange, number, 204, "");
       case "headless" -> freezeAfterHead(exchange, number);
       default -> throw new IllegalArgumentException(scenario);
     }
   }
 
+  private static void answerOrFreeze(Exchange exchange, int number, int status, String body)
+      throws IOException {
+    if (number == 1) {
+      exchange.pause(FROZEN_MILLIS);
+    } else if (body.isEmpty()) {
+      exchange.writeHead(status);
+    } else {
+      exchange.writeAnswer(status, body);
+    }
+  }
+
   private static void freezeAfterHead(Exchange exchange, int number) throws IOException {
     if (number == 1) {
       exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
@@ -108,6 +120,20 @@
     }
   }
 
+  private int status(String scenario) {
+    raiseOnTimeRate(gateway, "repeatable");
+    String path = path("repeatable", scenario);
+    int status = get(gateway, path, "1.1").status();
+    assertThat(arrivals.get(path).get()).as(path).isGreaterThan(1);
+    return status;
+  }
+
+  /** Guards against a response without content that is taken for a lost one. */
+  @Test
+  public void shouldRelayResponseWithoutContentOfUpstreamThatTakesOver() {
+    assertThat(status("no-content")).isEqualTo(204);
+  }
+
   @DataProvider(parallel = true)
   public Object[][] versions() {
     return new Object[][] {{"1.0"}, {"1.1"}};
