Test rejections of upstreams that take over

Callers got 504 at their deadline although a second upstream had answered with a status of its own, 404 in the test. A standby with any status but 2xx is dropped as failed while the first upstream stays silent.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
@@ -95,6 +95,7 @@
       case "serve" -> exchange.writeAnswer(200, LAST_EVENT);
       case "hold" -> exchange.pause(FROZEN_MILLIS);
       case "no-content" -> answerOrFreeze(exchange, number, 204, "");
+      case "rejected" -> answerOrFreeze(exchange, number, 404, "{}");
       case "headless" -> freezeAfterHead(exchange, number);
       default -> throw new IllegalArgumentException(scenario);
     }
@@ -134,6 +135,12 @@
     assertThat(status("no-content")).isEqualTo(204);
   }
 
+  /** Guards against an answer that is discarded because another upstream is silent. */
+  @Test
+  public void shouldRelayRejectionOfUpstreamThatTakesOver() {
+    assertThat(status("rejected")).isEqualTo(404);
+  }
+
   @DataProvider(parallel = true)
   public Object[][] versions() {
     return new Object[][] {{"1.0"}, {"1.1"}};
