Test failures of a silent upstream while another one has the request

Callers got the 500 of a silent upstream while a second one worked on the request. mayRetryFailure asks only for attempts left, and the standby has used the last one, so the failure is relayed and the standby is dismissed.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
@@ -96,6 +96,7 @@
       case "hold" -> exchange.pause(FROZEN_MILLIS);
       case "no-content" -> answerOrFreeze(exchange, number, 204, "");
       case "rejected" -> answerOrFreeze(exchange, number, 404, "{}");
+      case "late-failure" -> answerLate(exchange, number);
       case "headless" -> freezeAfterHead(exchange, number);
       default -> throw new IllegalArgumentException(scenario);
     }
@@ -112,6 +113,11 @@
     }
   }
 
+  private static void answerLate(Exchange exchange, int number) throws IOException {
+    exchange.pause(number == 1 ? 3_000 : 2_500);
+    exchange.writeAnswer(number == 1 ? 500 : 200, "{}");
+  }
+
   private static void freezeAfterHead(Exchange exchange, int number) throws IOException {
     if (number == 1) {
       exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
@@ -141,6 +147,12 @@
     assertThat(status("rejected")).isEqualTo(404);
   }
 
+  /** Guards against the failure of one upstream while another one works on the request. */
+  @Test
+  public void shouldNotRelayFailureWhileAnotherUpstreamHasTheRequest() {
+    assertThat(status("late-failure")).isEqualTo(200);
+  }
+
   @DataProvider(parallel = true)
   public Object[][] versions() {
     return new Object[][] {{"1.0"}, {"1.1"}};
