Test upstreams that refuse a stream after the limit of the overlap

A resumable stream was broken off although its upstream went on after 2.5 s: the standby had neither accepted nor refused within 300 ms, the silent upstream was cancelled, and then the standby refused after 500 ms. Neither attempts nor an upstream that was not tried were left. An upstream that is itself silent for a while, or behind a slow link, refuses that late.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
@@ -97,6 +97,7 @@
       case "no-content" -> answerOrFreeze(exchange, number, 204, "");
       case "rejected" -> answerOrFreeze(exchange, number, 404, "{}");
       case "late-failure" -> answerLate(exchange, number);
+      case "late-refusal", "late-break", "late-error" -> pauseWithin(exchange, number, scenario);
       case "headless" -> freezeAfterHead(exchange, number);
       default -> throw new IllegalArgumentException(scenario);
     }
@@ -118,6 +119,35 @@
     exchange.writeAnswer(number == 1 ? 500 : 200, "{}");
   }
 
+  private static void writeFirstEvents(Exchange exchange) throws IOException {
+    exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
+    exchange.writeChunk(FIRST_EVENTS);
+  }
+
+  private static void pauseWithin(Exchange exchange, int number, String scenario)
+      throws IOException {
+    if (number == 1) {
+      writeFirstEvents(exchange);
+      exchange.pause(2_500);
+      exchange.writeChunk(THIRD_EVENT + LAST_EVENT);
+      exchange.writeChunk("");
+      return;
+    }
+    if (!exchange.header("Last-Event-Id").equals("2")) {
+      throw new IOException("unexpected event " + exchange.header("Last-Event-Id"));
+    }
+    if (number > 2) {
+      exchange.writeAnswer(200, THIRD_EVENT + LAST_EVENT);
+      return;
+    }
+    exchange.pause(500);
+    switch (scenario) {
+      case "late-refusal" -> exchange.writeHead(503, "X-Not-Run: full", "Content-Length: 0");
+      case "late-error" -> exchange.writeAnswer(500, "{}");
+      default -> exchange.close();
+    }
+  }
+
   private static void freezeAfterHead(Exchange exchange, int number) throws IOException {
     if (number == 1) {
       exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
@@ -153,6 +183,18 @@
     assertThat(status("late-failure")).isEqualTo(200);
   }
 
+  /** One after another, as a connection that breaks pauses its upstream for all requests. */
+  @DataProvider
+  public Object[][] lateScenarios() {
+    return new Object[][] {{"late-refusal"}, {"late-break"}, {"late-error"}};
+  }
+
+  /** Guards against a stream that is broken off because the upstream that got it refuses late. */
+  @Test(dataProvider = "lateScenarios")
+  public void shouldDeliverWholeStreamWhenTheOtherUpstreamDoesNotTakeItOver(String scenario) {
+    assertWhole(gateway, path("stream", scenario), "1.1");
+  }
+
   @DataProvider(parallel = true)
   public Object[][] versions() {
     return new Object[][] {{"1.0"}, {"1.1"}};
