Test streams that break after a pause

A resumable stream was broken off when its upstream reset the connection 400 ms after a pause. The standby of the pause, sound and dismissed, counts as tried and its attempt as used, so that one pause costs a stream its only retry. maxAttempts limits upstreams, not attempts: the dismissed one may get the request again.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TakeoverUsageTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -98,6 +99,7 @@
       case "rejected" -> answerOrFreeze(exchange, number, 404, "{}");
       case "late-failure" -> answerLate(exchange, number);
       case "late-refusal", "late-break", "late-error" -> pauseWithin(exchange, number, scenario);
+      case "break-after-pause" -> breakAfterPause(exchange, number);
       case "headless" -> freezeAfterHead(exchange, number);
       default -> throw new IllegalArgumentException(scenario);
     }
@@ -148,6 +150,21 @@
     }
   }
 
+  private void breakAfterPause(Exchange exchange, int number) throws IOException {
+    if (number == 1) {
+      writeFirstEvents(exchange);
+      await(() -> arrivals.get(exchange.path()).get() > 1);
+      exchange.pause(50);
+      exchange.writeChunk(THIRD_EVENT);
+      exchange.pause(400);
+      exchange.resetAfterDelivery();
+    } else if (number == 2) {
+      exchange.pause(FROZEN_MILLIS);
+    } else {
+      exchange.writeAnswer(200, LAST_EVENT);
+    }
+  }
+
   private static void freezeAfterHead(Exchange exchange, int number) throws IOException {
     if (number == 1) {
       exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
@@ -157,6 +174,14 @@
     }
   }
 
+  private static void await(BooleanSupplier condition) {
+    try {
+      LocalGateway.await(condition);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private int status(String scenario) {
     raiseOnTimeRate(gateway, "repeatable");
     String path = path("repeatable", scenario);
@@ -195,6 +220,17 @@
     assertWhole(gateway, path("stream", scenario), "1.1");
   }
 
+  @DataProvider(parallel = true)
+  public Object[][] gateways() {
+    return new Object[][] {{true}, {false}};
+  }
+
+  /** Guards against an upstream that cannot get a stream because an earlier pause has ended. */
+  @Test(dataProvider = "gateways")
+  public void shouldResumeStreamThatBreaksAfterPause(boolean two) {
+    assertWhole(two ? smallGateway : gateway, path("stream", "break-after-pause"), "1.1");
+  }
+
   @DataProvider(parallel = true)
   public Object[][] versions() {
     return new Object[][] {{"1.0"}, {"1.1"}};
