Let a second upstream take over when it responds, not after a time

Callers of a resumable stream got it broken off although its upstream went on: the second upstream had not refused within 300 ms, so the silent one was cancelled, and then the second one refused, failed or closed.

The second one now takes over with the head of its response and not before; the limit and the head that was held back are gone.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -44,10 +44,6 @@
   private boolean prefillCounted = true;
   private boolean loadCounted = true;
   private boolean responseAccepted;
-
-  /** Head of a response that was accepted while another attempt was the current one. */
-  private ClientResponse heldHead;
-
   private boolean survivalExpected;
   private long firstDataAtNanos;
 
@@ -133,7 +129,6 @@
     stallDetector =
         new StallDetector(context, call, this, exchange.getIoThread(), expectedFirstTokenMillis);
     upstreamExchange.start(buildRequest(body));
-    call.takeover().onSent(this);
   }
 
   private ClientRequest buildRequest(byte[] body) {
@@ -208,27 +203,17 @@
     } else {
       responseAccepted = true;
       survivalExpected = isSuccess(status);
-      heldHead = response;
-      if (call.isCurrent(this)) {
-        deliverHead();
+      if (call.takeover().isStandby(this)) {
+        call.replaceSilentAttempt();
       }
+      if (!call.route().isStream()) {
+        releasePrefillLoad();
+        stallDetector.onResponseStarted();
+      }
+      call.onResponseHead(status, headers);
     }
   }
 
-  /** Relays the head of the response if it has arrived. */
-  void deliverHead() {
-    ClientResponse response = heldHead;
-    heldHead = null;
-    if (response == null) {
-      return;
-    }
-    if (!call.route().isStream()) {
-      releasePrefillLoad();
-      stallDetector.onResponseStarted();
-    }
-    call.onResponseHead(response.getResponseCode(), response.getResponseHeaders());
-  }
-
   static boolean isSuccess(int status) {
     return status >= 200 && status < 300;
   }
@@ -251,10 +236,10 @@
 
   @Override
   public boolean onResponseData(ByteBuffer data) {
-    call.onProgress(this);
     if (!call.isCurrent(this)) {
       return false;
     }
+    call.takeover().dismiss();
     stallDetector.onData();
     recordSurvival(context.nowNanos());
     if (prefillCounted && prefillTokens > 0) {
@@ -287,19 +272,13 @@
 
   @Override
   public Optional<String> findTruncation() {
-    if (call.takeover().isStandby(this)) {
-      if (ResponseFraming.of(heldHead.getResponseHeaders()) == ResponseFraming.CONNECTION_END) {
-        return Optional.of("the connection ended before the response took over");
-      }
-      call.onProgress(this);
-    }
     return call.isCurrent(this) ? call.findTruncation() : Optional.empty();
   }
 
   @Override
   public void onResponseComplete() {
     if (call.isCurrent(this)) {
-      call.onProgress(this);
+      call.takeover().dismiss();
       releaseLoad();
       call.onResponseComplete();
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -85,7 +85,7 @@
             context.state().quarantine(),
             RequestDigest.of(head, account, body),
             RequestDigest.ofSharedParts(head));
-    this.takeover = new Takeover(context, this, exchange.getIoThread());
+    this.takeover = new Takeover(context, this);
     this.response =
         new ResponseRelay(
             context, exchange, route, this::resumeAttempt, this::onCallerDisconnected);
@@ -343,15 +343,6 @@
     return takeover;
   }
 
-  /** Continues with the attempt that makes progress, if there are two. */
-  void onProgress(CallAttempt attempt) {
-    if (takeover.isStandby(attempt)) {
-      replaceSilentAttempt();
-    } else if (isCurrent(attempt)) {
-      takeover.dismiss();
-    }
-  }
-
   /** Replaces the current attempt, whose upstream is silent, by the standby. */
   void replaceSilentAttempt() {
     currentAttempt.cancel();
@@ -368,7 +359,6 @@
     if (currentAttempt.isSent()) {
       choice.recordOrigin(currentAttempt.upstream());
     }
-    currentAttempt.deliverHead();
   }
 
   boolean isResponding() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
@@ -1,40 +1,29 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
-import org.xnio.XnioExecutor;
-import org.xnio.XnioIoThread;
 
 /**
  * Second attempt of a call whose upstream is silent, called the standby.
  *
  * <p>The silent attempt stays the current one until the standby responds: there may be no upstream
- * that takes over, it may refuse, and the silent one may go on. Whichever sends data first
- * continues, and the other one is cancelled. Confined to the call's I/O thread.
+ * that takes over, it may refuse, and the silent one may go on. Whichever does so first continues,
+ * and the other one is cancelled. An upstream responds as soon as it works on a request, so that
+ * two of them do not work on one stream for long. Confined to the call's I/O thread.
  */
 final class Takeover {
 
-  /**
-   * Time after which a standby that resumes a stream takes over without having sent data, so that
-   * two upstreams do not work on one stream for long. Upstreams that are full refuse sooner.
-   */
-  private static final long MAX_OVERLAP_MILLIS = 300;
-
   private static final ErrorResponse FALLBACK =
       ErrorResponse.upstreamLost("The upstream stopped responding and no other one took over.");
 
   private final RelayContext context;
   private final RelayedCall call;
-  private final XnioIoThread ioThread;
   private CallAttempt standby;
-  private XnioExecutor.Key timer;
   private String loggedObstacle = "";
 
-  Takeover(RelayContext context, RelayedCall call, XnioIoThread ioThread) {
+  Takeover(RelayContext context, RelayedCall call) {
     this.context = context;
     this.call = call;
-    this.ioThread = ioThread;
   }
 
   boolean isPending() {
@@ -70,25 +59,10 @@
     }
   }
 
-  /** Limits the overlap once a standby that resumes a stream is sent. */
-  void onSent(CallAttempt attempt) {
-    if (isStandby(attempt) && call.lastEventId() >= 0) {
-      timer =
-          ioThread.executeAfter(
-              () -> takeOverAfterOverlap(attempt), MAX_OVERLAP_MILLIS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void takeOverAfterOverlap(CallAttempt attempt) {
-    if (isStandby(attempt)) {
-      call.replaceSilentAttempt();
-    }
-  }
-
   /** Returns the standby, which becomes the current attempt. */
   CallAttempt take() {
     CallAttempt taken = standby;
-    clear();
+    standby = null;
     return taken;
   }
 
@@ -96,7 +70,7 @@
   boolean remove(CallAttempt attempt) {
     boolean found = isStandby(attempt);
     if (found) {
-      clear();
+      standby = null;
     }
     return found;
   }
@@ -116,12 +90,4 @@
       take().cancel();
     }
   }
-
-  private void clear() {
-    standby = null;
-    if (timer != null) {
-      timer.remove();
-      timer = null;
-    }
-  }
 }
