Relay the rejection of an upstream that takes over

Callers got 504 at their deadline although the second upstream had answered with a status of its own, 404 in the test, while the first was silent: any status but 2xx of a second upstream counted as a failure to take over. That is right only once the caller has received part of a response. Before that an answer below 500 is the answer; a failure from 500 on is dropped while the first upstream may still answer.

TakeoverUsageTest.shouldRelayRejectionOfUpstreamThatTakesOver failed before (504 after 8 s) and passes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -196,9 +196,9 @@
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
       fail("unsealed", "status " + status + " does not come from the upstream itself");
-    } else if ((call.isResponding() || call.takeover().isStandby(this)) && !isSuccess(status)) {
-      fail("status-" + status, "the upstream did not take over the request");
-    } else if (status >= 500 && call.mayRetryFailure()) {
+    } else if (call.isResponding() && !isSuccess(status)) {
+      fail("status-" + status, "the upstream did not resume the stream");
+    } else if (status >= 500 && (call.mayRetryFailure() || call.takeover().isStandby(this))) {
       fail("status-" + status, "the upstream failed");
     } else {
       responseAccepted = true;
