Continue with the other upstream when a silent one fails

Callers got the 500 of a silent upstream while a second one worked on the request: whether a failure is relayed depended on attempts that are left, and the second upstream had used the last one. A failure now counts as lost while another upstream has the request, which continues there.

TakeoverUsageTest.shouldNotRelayFailureWhileAnotherUpstreamHasTheRequest failed before (500) and passes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -387,9 +387,8 @@
 
   /** Returns whether an error response of the upstream is retried instead of relayed. */
   boolean mayRetryFailure() {
-    return phase == Phase.AWAITING_RESPONSE
-        && route.repetition() == Repetition.REPEATABLE
-        && hasAttemptsLeft();
+    boolean hasOther = hasAttemptsLeft() && route.repetition() == Repetition.REPEATABLE;
+    return phase == Phase.AWAITING_RESPONSE && (hasOther || takeover.isPending());
   }
 
   /** Retries a request that an upstream reported as not executed. */
