Allow an upstream again that was given up without a failure

A resumable stream was broken off when its upstream broke 400 ms after a pause: the second upstream that had got it in the pause, and was dismissed, counted as tried, and its attempt as used, so that one pause cost a stream its only retry. max_attempts limits the upstreams that a request is sent to. One that was dismissed, or whose silence another upstream took over, may get the request once more, within the budget for retries; the number of upstreams stays.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -85,7 +85,7 @@
             context.state().quarantine(),
             RequestDigest.of(head, account, body),
             RequestDigest.ofSharedParts(head));
-    this.takeover = new Takeover(context, this);
+    this.takeover = new Takeover(context, this, choice);
     this.response =
         new ResponseRelay(
             context, exchange, route, this::resumeAttempt, this::onCallerDisconnected);
@@ -230,6 +230,7 @@
   /** Counts an attempt that is sent now and returns the body of the request. */
   byte[] onAttemptStarted(CallAttempt attempt) {
     attempts++;
+    choice.markSent(attempt.upstream());
     if (isCurrent(attempt)) {
       choice.recordOrigin(attempt.upstream());
     }
@@ -346,6 +347,7 @@
   /** Replaces the current attempt, whose upstream is silent, by the standby. */
   void replaceSilentAttempt() {
     currentAttempt.cancel();
+    choice.allowAgain(currentAttempt.upstream());
     earlierMayHaveRun = true;
     context.metrics().recordAttempt("silent");
     RelayLog.attemptFailed(this, currentAttempt.dispatch(), "silent", "another one takes over");
@@ -382,7 +384,7 @@
   }
 
   boolean hasAttemptsLeft() {
-    return attempts < route.maxAttempts();
+    return choice.hasAttemptsLeft();
   }
 
   /** Returns whether an error response of the upstream is retried instead of relayed. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Takeover.java
@@ -18,12 +18,14 @@
 
   private final RelayContext context;
   private final RelayedCall call;
+  private final UpstreamChoice choice;
   private CallAttempt standby;
   private String loggedObstacle = "";
 
-  Takeover(RelayContext context, RelayedCall call) {
+  Takeover(RelayContext context, RelayedCall call, UpstreamChoice choice) {
     this.context = context;
     this.call = call;
+    this.choice = choice;
   }
 
   boolean isPending() {
@@ -79,6 +81,7 @@
   void dismiss() {
     if (isPending()) {
       context.metrics().recordAttempt("dismissed");
+      choice.allowAgain(standby.upstream());
       RelayLog.attemptFailed(call, standby.dispatch(), "dismissed", "the silent upstream goes on");
       cancel();
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -17,9 +17,10 @@
 /**
  * The upstreams that one call may still be sent to.
  *
- * <p>Each upstream is selected at most once for a call. What different versions of a service's
- * software write does not fit together, so a stream of which the caller has received something goes
- * on only where it began. Confined to the call's I/O thread.
+ * <p>Each upstream is selected at most once for a call, or once more if it was given up without a
+ * failure. What different versions of a service's software write does not fit together, so a stream
+ * of which the caller has received something goes on only where it began. Confined to the call's
+ * I/O thread.
  */
 final class UpstreamChoice {
 
@@ -33,6 +34,7 @@
   private Optional<StreamOrigin> origin;
 
   private final Set<String> tried = new HashSet<>();
+  private final Set<String> sentTo = new HashSet<>();
   private double nominalTokensPerMilli;
 
   /** Takes the service of an earlier part of the stream, or else draws one of the route's. */
@@ -109,7 +111,27 @@
             : context.state().usableUpstreams(service, route.isRepeatable()).size();
     EngineProfile profile = EngineProfile.of(view, service, count, context.estimator(service));
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
-    return context.selector().select(usable, head, route.targetMillis(), profile, tried);
+    List<Upstream> allowed = usable.stream().filter(this::mayBeSentTo).toList();
+    return context.selector().select(allowed, head, route.targetMillis(), profile, tried);
+  }
+
+  private boolean mayBeSentTo(Upstream upstream) {
+    return sentTo.size() < route.maxAttempts() || sentTo.contains(upstream.id());
+  }
+
+  /** Returns whether the route allows another attempt, at a new upstream or one given up. */
+  boolean hasAttemptsLeft() {
+    return sentTo.size() < route.maxAttempts() || !tried.containsAll(sentTo);
+  }
+
+  /** Records that an upstream gets the request; the route limits their number. */
+  void markSent(Upstream upstream) {
+    sentTo.add(upstream.id());
+  }
+
+  /** Allows an upstream again that was given up without a failure. */
+  void allowAgain(Upstream upstream) {
+    tried.remove(upstream.id());
   }
 
   /** Records that an upstream is tried, so that it is not selected again. */
