Ignore a caller's readiness before a response has a head

A caller that accepts data again while the stream that it reads waits for the head of another upstream led to a NullPointerException in the I/O thread, which was logged and had no other effect.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -206,7 +206,7 @@
   }
 
   private void read() {
-    if (ended || reading || awaitingTurn) {
+    if (ended || reading || awaitingTurn || source == null) {
       return;
     }
     reading = true;
