Serve requests that share a part with a deadly one

Callers saw 503 "quarantined" for ten minutes on sound requests that shared a part of their prompts with one whole request that had crashed three upstreams and came again. Refused requests cannot clear the part.

Cause: the crashes of an equal request were held against its parts as if three different requests had crashed upstreams. Class of fault: evidence that one suspect explains counts against the others as well; suspected parts explained each other's strikes, whole requests none.

A quarantined request now explains the strikes of parts, one at a time, unless two independent strikes remain: requests with a deadly part may each come again, so that explaining them together would hide the part.

DeadlyRequestUsageTest failed on two of four routes before (those with one attempt, whose crashes are far enough apart to count), two tests of PartQuarantineTest failed; all pass now, and DeadlyPartUsageTest and QuarantineUsageTest pass as before. The mutation parts-of-one-request fails PartQuarantineTest.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -37,6 +37,9 @@
   /** Strikes from which all routers know them, to notice when the request succeeds. */
   private static final int SPREAD_LIMIT = 2;
 
+  /** Strikes of a part beside those of one quarantined request from which the part is refused. */
+  private static final int UNEXPLAINED_LIMIT = 2;
+
   /**
    * Digests below the limit. A crash leaves a strike for each request that was running, so these
    * are bounded apart from those at the limit.
@@ -207,8 +210,8 @@
 
   /**
    * Returns the time until requests with these parts in their prompts are no longer refused, in
-   * milliseconds; 0 if they are not. Crashes that a suspected part outside the request explains are
-   * not held against it.
+   * milliseconds; 0 if they are not. Crashes that a suspected part outside the request, or one
+   * quarantined request, explains are not held against it.
    */
   public synchronized long remainingMillisOfParts(Set<Long> parts) {
     if (parts.stream().noneMatch(atLimit::containsKey)) {
@@ -219,13 +222,32 @@
     long remainingNanos = 0;
     for (long part : parts) {
       DigestStrikes strikes = atLimit.get(part);
-      if (strikes != null && strikes.countExcept(explainedUpstreams) >= DigestStrikes.LIMIT) {
+      if (strikes != null
+          && strikes.countExcept(explainedUpstreams) >= DigestStrikes.LIMIT
+          && !isExplainedByOneRequest(strikes, explainedUpstreams, now)) {
         remainingNanos = Math.max(remainingNanos, strikes.remainingNanos(now));
       }
     }
     return TimeUnit.NANOSECONDS.toMillis(remainingNanos);
   }
 
+  /**
+   * Returns whether one quarantined request leaves fewer than {@link #UNEXPLAINED_LIMIT} strikes of
+   * a part. Requests do not explain strikes together: each of those with a deadly part may itself
+   * have reached the limit.
+   */
+  private boolean isExplainedByOneRequest(
+      DigestStrikes part, Set<String> explainedUpstreams, long now) {
+    return atLimit.values().stream()
+        .filter(request -> !request.isPart() && request.isQuarantined(now))
+        .anyMatch(
+            request -> {
+              Set<String> explained = new HashSet<>(explainedUpstreams);
+              explained.addAll(request.upstreams());
+              return part.countExcept(explained) < UNEXPLAINED_LIMIT;
+            });
+  }
+
   /** Returns the upstreams that crashed under suspected parts which a request does not have. */
   private Set<String> explainedUpstreams(Set<Long> parts, long now) {
     Set<String> upstreams = new HashSet<>();
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/PartQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/PartQuarantineTest.java
@@ -18,6 +18,10 @@
   private static final long DEADLY = 3;
   private static final long OTHER_DEADLY = 4;
   private static final long BYSTANDER = 5;
+
+  /** Digest of a whole request that comes again. */
+  private static final long EQUAL_REQUEST = 100;
+
   private static final Set<Long> DEADLY_REQUEST = Set.of(SYSTEM, SUBJECT, DEADLY);
   private static final Set<Long> SOUND_REQUEST = Set.of(SYSTEM, SUBJECT);
 
@@ -122,6 +126,49 @@
     assertThat(isRefused(local, SOUND_REQUEST)).isFalse();
   }
 
+  /** Crashes one more upstream while it runs a request that comes again and again. */
+  private void crashEqual(RequestQuarantine quarantine, long digest, Set<Long> parts) {
+    crashes++;
+    quarantine.recordStrike(digest, parts, "u" + crashes);
+    passSecond();
+  }
+
+  /** Guards against sound requests refused for a part that they share with one that is deadly. */
+  @Test
+  public void shouldServeRequestsWithThePartsOfOneThatCrashesUpstreamsByItself() {
+    for (int i = 0; i < 3; i++) {
+      crashEqual(i == 0 ? remote : local, EQUAL_REQUEST, SOUND_REQUEST);
+    }
+    local.merge(remote.strikesAfter(0));
+    assertThat(local.isQuarantined(EQUAL_REQUEST)).isTrue();
+    assertThat(isRefused(local, SOUND_REQUEST)).isFalse();
+    crash(local, SOUND_REQUEST);
+    assertThat(isRefused(local, SOUND_REQUEST)).as("after one more crash").isFalse();
+  }
+
+  /** Guards against a deadly part that goes on because each request with it comes again. */
+  @Test
+  public void shouldRefusePartAfterFiveCrashesIfRequestsWithItComeAgain() {
+    for (int i = 0; i < 5; i++) {
+      assertThat(isRefused(local, DEADLY_REQUEST)).as("after %s crashes", i).isFalse();
+      crashEqual(local, EQUAL_REQUEST + i / 3, DEADLY_REQUEST);
+    }
+    assertThat(isRefused(local, DEADLY_REQUEST)).isTrue();
+  }
+
+  /** Guards against a bystander of all crashes that hides the deadly part. */
+  @Test
+  public void shouldRefusePartAfterFiveCrashesBesideARequestThatWasRunningInThreeOfThem() {
+    for (int i = 0; i < 5; i++) {
+      crash(local, DEADLY_REQUEST);
+      if (i < 3) {
+        local.recordStrike(EQUAL_REQUEST, Set.of(), "u" + crashes);
+      }
+      passSecond();
+    }
+    assertThat(isRefused(local, DEADLY_REQUEST)).isTrue();
+  }
+
   @Test
   public void shouldSuspectProvenPartsIfARequestHasNoOthers() {
     local.recordSurvival(SOUND_REQUEST);
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -23,8 +23,10 @@
  * Upstreams of a {@link LocalGateway} that crash when they run a request whose path ends with
  * {@code /crash}, or whose prompt has the part {@link #DEADLY_PART}.
  *
- * <p>A crash closes the connection; the upstream starts again at once, at the same address. Each
- * upstream reports to all control daemons every 300 ms. Thread-safe.
+ * <p>A crash closes the connection of that request, and the upstream starts again at once, at the
+ * same address. If a down time is given, a crash closes all connections, and the upstream accepts
+ * none and reports nothing until it starts again. Each upstream reports to all control daemons
+ * every 300 ms. Thread-safe.
  */
 final class CrashingUpstreams implements AutoCloseable {
 
@@ -50,6 +52,7 @@
 
   private final LocalGateway gateway;
   private final Restart restart;
+  private final long downMillis;
   private final List<CrashingUpstream> upstreams = new ArrayList<>();
   private final List<Crash> crashes = new CopyOnWriteArrayList<>();
   private final Queue<HttpServerExchange> heldRequests = new ConcurrentLinkedQueue<>();
@@ -57,9 +60,16 @@
   private volatile boolean holding;
   private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
 
+  private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
+
   CrashingUpstreams(LocalGateway gateway, int count, Restart restart) {
+    this(gateway, count, restart, 0);
+  }
+
+  CrashingUpstreams(LocalGateway gateway, int count, Restart restart, long downMillis) {
     this.gateway = gateway;
     this.restart = restart;
+    this.downMillis = downMillis;
     for (int index = 0; index < count; index++) {
       upstreams.add(new CrashingUpstream("u" + index));
     }
@@ -97,13 +107,17 @@
   private void report() {
     long current = sequence.incrementAndGet();
     for (CrashingUpstream upstream : upstreams) {
-      gateway.reportToAll(upstream.createReport(current));
+      if (!upstream.down) {
+        gateway.reportToAll(upstream.createReport(current));
+      }
     }
   }
 
   @Override
-  public void close() {
+  public void close() throws InterruptedException {
     reports.shutdownNow();
+    restarts.shutdownNow();
+    restarts.awaitTermination(1, TimeUnit.MINUTES);
     upstreams.forEach(upstream -> upstream.server.stop());
   }
 
@@ -111,18 +125,39 @@
   private final class CrashingUpstream {
     private final String name;
     private final AtomicInteger starts = new AtomicInteger(1);
-    private final Undertow server;
+    private final String address;
+    private volatile Undertow server;
+    private volatile boolean down;
 
     CrashingUpstream(String name) {
       this.name = name;
-      this.server =
+      this.server = startServer(0);
+      InetSocketAddress bound = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+      this.address = "127.0.0.1:" + bound.getPort();
+    }
+
+    private Undertow startServer(int port) {
+      Undertow started =
           Undertow.builder()
-              .addHttpListener(0, "127.0.0.1")
+              .addHttpListener(port, "127.0.0.1")
               .setIoThreads(1)
               .setWorkerThreads(2)
               .setHandler(this::handle)
               .build();
-      server.start();
+      started.start();
+      return started;
+    }
+
+    private void goDown() {
+      down = true;
+      restarts.execute(server::stop);
+      restarts.schedule(this::comeBack, downMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void comeBack() {
+      server = startServer(Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+      down = false;
+      reports.execute(CrashingUpstreams.this::report);
     }
 
     private String id(int start) {
@@ -130,8 +165,6 @@
     }
 
     private UpstreamReport createReport(long reportSequence) {
-      InetSocketAddress bound = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
-      String address = "127.0.0.1:" + bound.getPort();
       int start = starts.get();
       return new UpstreamReport(
           id(start), "desk", address, "z1", 6, State.READY, start, reportSequence);
@@ -151,7 +184,11 @@
         String sentTo = exchange.getRequestHeaders().getFirst(SENT_TO);
         crashes.add(new Crash(System.nanoTime(), sentTo == null ? "" : sentTo));
         IoUtils.safeClose(exchange.getConnection());
-        reports.execute(CrashingUpstreams.this::report);
+        if (downMillis > 0) {
+          goDown();
+        } else {
+          reports.execute(CrashingUpstreams.this::report);
+        }
       }
     }
   }
