Let cleared strikes stay cleared

Cause: strikes are passed on at once, successes with the next heartbeat. A daemon that had cleared a part took its strikes back from one that had not, as new ones, and passed them on to all others, which had cleared it as well, so that strikes and successes followed each other for ever. Class of fault: a set that grows and shrinks by messages without a memory of what was removed.

A daemon now keeps the strikes that it cleared, names of incarnations, and the time of the success, and adds none of them again. Without an answer a control daemon could keep strikes that no router would clear, so that a router which starts again refuses the part: a daemon that is sent only cleared strikes reports the success once more.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -27,8 +27,9 @@
  *
  * <p>Routers and control daemons hold one each and exchange strikes and successes: routers report
  * all of them, control daemons send those of requests near the limit to all routers. Each new
- * strike or success gets the next change number, so that a peer is sent what it has not received.
- * Thread-safe.
+ * strike or success gets the next change number, so that a peer is sent what it has not received. A
+ * strike that was cleared is not added again, whichever peer still reports it, so that the exchange
+ * ends. Thread-safe.
  */
 public final class RequestQuarantine {
 
@@ -47,7 +48,7 @@
   private static final int MAX_SUSPECTS = 5_000;
 
   private static final int MAX_AT_LIMIT = 1_000;
-  private static final int MAX_SUCCESSES = 1_000;
+  private static final int MAX_CLEARINGS = 5_000;
   private static final int MAX_SURVIVALS = 5_000;
 
   /** Time for which a part that an upstream survived is not suspected beside one without that. */
@@ -61,8 +62,8 @@
   /** Strikes at the limit, those with the latest strike last. */
   private final Map<Long, DigestStrikes> atLimit = new BoundedMap<>(MAX_AT_LIMIT);
 
-  /** Change number of each digest whose strikes were cleared, the latest last. */
-  private final Map<Long, Long> successes = new BoundedMap<>(MAX_SUCCESSES);
+  /** Digests whose strikes were cleared, the latest last. */
+  private final Map<Long, ClearedStrikes> clearings = new BoundedMap<>(MAX_CLEARINGS);
 
   /** Time of the last survival of each part at this daemon, in nanoseconds; the latest last. */
   private final Map<Long, Long> survivals = new BoundedMap<>(MAX_SURVIVALS);
@@ -97,15 +98,24 @@
   }
 
   /**
-   * Adds strikes that other daemons reported.
+   * Adds strikes that other daemons reported, unless they were cleared. If all those of a digest
+   * were, the success is reported once more, so that the others clear them, too.
    *
    * @return whether at least one of them was unknown
    */
   public synchronized boolean merge(List<DigestStrike> strikes) {
     boolean anyAdded = false;
+    Set<Long> cleared = new HashSet<>();
     for (DigestStrike strike : youngestFirst(strikes)) {
-      anyAdded |= add(strike);
+      if (isCleared(strike)) {
+        cleared.add(strike.getDigest());
+      } else {
+        anyAdded |= add(strike);
+      }
     }
+    cleared.stream()
+        .filter(digest -> find(digest).isEmpty())
+        .forEach(digest -> latestClearing(digest).setChange(++lastChange));
     return anyAdded;
   }
 
@@ -116,7 +126,7 @@
 
   private boolean add(DigestStrike reported) {
     long now = clock.getAsLong();
-    long struckAt = now - TimeUnit.MILLISECONDS.toNanos(reported.getAgeMillis());
+    long struckAt = struckAt(reported);
     evictForgotten(suspects, now);
     evictForgotten(atLimit, now);
     long digest = reported.getDigest();
@@ -145,6 +155,20 @@
     return true;
   }
 
+  /** Returns whether a success, or an upstream that survived the part, has cleared a strike. */
+  private boolean isCleared(DigestStrike strike) {
+    long struckAt = struckAt(strike);
+    long digest = strike.getDigest();
+    ClearedStrikes cleared = clearings.get(digest);
+    Long survivedAt = strike.getPart() ? survivals.get(digest) : null;
+    return (cleared != null && cleared.contains(strike.getUpstream(), struckAt))
+        || (survivedAt != null && struckAt - survivedAt < 0);
+  }
+
+  private long struckAt(DigestStrike strike) {
+    return clock.getAsLong() - TimeUnit.MILLISECONDS.toNanos(strike.getAgeMillis());
+  }
+
   private static void evictForgotten(Map<Long, DigestStrikes> strikes, long now) {
     Iterator<DigestStrikes> oldestFirst = strikes.values().iterator();
     while (oldestFirst.hasNext() && oldestFirst.next().isForgotten(now)) {
@@ -157,21 +181,32 @@
     return Optional.ofNullable(found == null ? suspects.get(digest) : found);
   }
 
-  private boolean remove(long digest) {
-    boolean wasSuspect = suspects.remove(digest) != null;
-    return atLimit.remove(digest) != null || wasSuspect;
+  private Optional<DigestStrikes> remove(long digest) {
+    DigestStrikes suspect = suspects.remove(digest);
+    DigestStrikes quarantined = atLimit.remove(digest);
+    return Optional.ofNullable(quarantined == null ? suspect : quarantined);
   }
 
   /** Clears the strikes of one digest after a success; other daemons clear them as well. */
   public synchronized void recordSuccess(long digest) {
     boolean wasAtLimit = atLimit.containsKey(digest);
-    if (remove(digest)) {
-      successes.remove(digest);
-      successes.put(digest, ++lastChange);
+    Optional<DigestStrikes> removed = remove(digest);
+    if (removed.isPresent()) {
+      ClearedStrikes cleared = latestClearing(digest);
+      cleared.add(removed.get().upstreams(), clock.getAsLong());
+      cleared.setChange(++lastChange);
       lastLimitChange = wasAtLimit ? lastChange : lastLimitChange;
     }
   }
 
+  /** Returns the cleared strikes of a digest, as those that are evicted last. */
+  private ClearedStrikes latestClearing(long digest) {
+    ClearedStrikes known = clearings.remove(digest);
+    ClearedStrikes latest = known == null ? new ClearedStrikes() : known;
+    clearings.put(digest, latest);
+    return latest;
+  }
+
   /** Returns the parts that upstreams have not survived lately; all of them if there is none. */
   private synchronized Set<Long> findSuspects(Set<Long> parts) {
     long now = clock.getAsLong();
@@ -190,9 +225,15 @@
     }
   }
 
-  /** Clears the strikes of requests whose success another daemon reported. */
-  public void mergeSuccesses(List<Long> digests) {
-    digests.forEach(this::recordSuccess);
+  /**
+   * Clears the strikes of requests whose success another daemon reported, and those that are on
+   * their way to this daemon.
+   */
+  public synchronized void mergeSuccesses(List<Long> digests) {
+    for (long digest : digests) {
+      recordSuccess(digest);
+      latestClearing(digest).add(Set.of(), clock.getAsLong());
+    }
   }
 
   /** Returns whether a request is to be refused. */
@@ -318,8 +359,8 @@
     if (change >= lastChange) {
       return List.of();
     }
-    return successes.entrySet().stream()
-        .filter(success -> success.getValue() > change)
+    return clearings.entrySet().stream()
+        .filter(cleared -> cleared.getValue().change() > change)
         .map(Map.Entry::getKey)
         .toList();
   }
