Let a request explain the strikes of its parts before its third crash

Callers saw sound requests refused for the part that they share with a request that crashed two upstreams, after one more, ordinary crash. The one that crashes upstreams had two strikes and was refused for its part as well, so that it never got its third.

Cause: a request explained the strikes of its parts from the limit on only.

Any one request with two strikes or more in common with the part now explains them. A deadly part is refused as before when three different requests crash upstreams, and after the fifth independent crash if its requests come again.

PartQuarantineTest.shouldServeRequestsWithThePartsOfOneThatCrashedTwo... failed before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/DigestStrikes.java
@@ -124,6 +124,11 @@
     return timesByUpstream.keySet();
   }
 
+  /** Returns the number of upstreams that crashed under both digests. */
+  long sharedWith(DigestStrikes other) {
+    return other.upstreams().stream().filter(timesByUpstream::containsKey).count();
+  }
+
   /** Returns whether all strikes are forgotten because the last one is old. */
   boolean isForgotten(long now) {
     return now - lastStrikeAt() > RETENTION_NANOS;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.protocol.generated.DigestStrike;
@@ -38,7 +39,7 @@
   /** Strikes from which all routers know them, to notice when the request succeeds. */
   private static final int SPREAD_LIMIT = 2;
 
-  /** Strikes of a part beside those of one quarantined request from which the part is refused. */
+  /** Strikes of a part beside those of one request from which the part is refused. */
   private static final int UNEXPLAINED_LIMIT = 2;
 
   /**
@@ -252,7 +253,7 @@
   /**
    * Returns the time until requests with these parts in their prompts are no longer refused, in
    * milliseconds; 0 if they are not. Crashes that a suspected part outside the request, or one
-   * quarantined request, explains are not held against it.
+   * request that came again, explains are not held against it.
    */
   public synchronized long remainingMillisOfParts(Set<Long> parts) {
     if (parts.stream().noneMatch(atLimit::containsKey)) {
@@ -265,7 +266,7 @@
       DigestStrikes strikes = atLimit.get(part);
       if (strikes != null
           && strikes.countExcept(explainedUpstreams) >= DigestStrikes.LIMIT
-          && !isExplainedByOneRequest(strikes, explainedUpstreams, now)) {
+          && !isExplainedByOneRequest(strikes, explainedUpstreams)) {
         remainingNanos = Math.max(remainingNanos, strikes.remainingNanos(now));
       }
     }
@@ -273,14 +274,13 @@
   }
 
   /**
-   * Returns whether one quarantined request leaves fewer than {@link #UNEXPLAINED_LIMIT} strikes of
-   * a part. Requests do not explain strikes together: each of those with a deadly part may itself
-   * have reached the limit.
+   * Returns whether a part has fewer than {@link #UNEXPLAINED_LIMIT} strikes beside those of one
+   * request, which may crash upstreams by itself. Requests do not explain strikes together: each of
+   * those with a deadly part may itself have several.
    */
-  private boolean isExplainedByOneRequest(
-      DigestStrikes part, Set<String> explainedUpstreams, long now) {
-    return atLimit.values().stream()
-        .filter(request -> !request.isPart() && request.isQuarantined(now))
+  private boolean isExplainedByOneRequest(DigestStrikes part, Set<String> explainedUpstreams) {
+    return Stream.concat(atLimit.values().stream(), suspects.values().stream())
+        .filter(request -> !request.isPart() && part.sharedWith(request) >= SPREAD_LIMIT)
         .anyMatch(
             request -> {
               Set<String> explained = new HashSet<>(explainedUpstreams);
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/PartQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/PartQuarantineTest.java
@@ -146,6 +146,18 @@
     assertThat(isRefused(local, SOUND_REQUEST)).as("after one more crash").isFalse();
   }
 
+  /** Guards against two crashes under one request that make an ordinary one prove a part guilty. */
+  @Test
+  public void shouldServeRequestsWithThePartsOfOneThatCrashedTwoUpstreamsBeforeAnOrdinaryCrash() {
+    crashEqual(local, EQUAL_REQUEST, SOUND_REQUEST);
+    crashEqual(local, EQUAL_REQUEST, SOUND_REQUEST);
+    crash(local, SOUND_REQUEST);
+    passSecond();
+    assertThat(isRefused(local, SOUND_REQUEST)).isFalse();
+    crash(local, SOUND_REQUEST);
+    assertThat(isRefused(local, SOUND_REQUEST)).as("after two other crashes").isTrue();
+  }
+
   /** Guards against a deadly part that goes on because each request with it comes again. */
   @Test
   public void shouldRefusePartAfterFiveCrashesIfRequestsWithItComeAgain() {
