--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -64,6 +64,7 @@
   private final List<ControlGateway> controls = new CopyOnWriteArrayList<>();
   private final List<RouterGateway> routers = new ArrayList<>();
   private final List<String> callerAddresses = new ArrayList<>();
+  private boolean controlsOpen = true;
 
   LocalGateway() throws IOException {
     this(LocalGateway::parseDocument);
@@ -248,12 +249,21 @@
     }
   }
 
+  /** Stops all control daemons; without effect if they are stopped. */
+  void closeControls() {
+    if (controlsOpen) {
+      controlsOpen = false;
+      controls.forEach(ControlGateway::close);
+    }
+  }
+
   /** Stops all control daemons and starts them again with their disks. */
   void restartControls() throws IOException {
-    controls.forEach(ControlGateway::close);
+    closeControls();
     for (int index = 0; index < CONTROL_COUNT; index++) {
       controls.set(index, startControl(index, false));
     }
+    controlsOpen = true;
   }
 
   /** Stops a router; it may be restarted. */
@@ -292,9 +302,7 @@
     for (RouterGateway router : routers) {
       router.close();
     }
-    for (ControlGateway control : controls) {
-      control.close();
-    }
+    closeControls();
     deleteRecursively(folder);
   }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -142,6 +142,11 @@
       return path;
     }
 
+    /** Returns the id of the upstream that received the request. */
+    String upstream() {
+      return upstream.id;
+    }
+
     /** Returns the service of the upstream that received the request. */
     String service() {
       return upstream.service;
