Log which requests a second an upstream takes, and tell all routers

Change: the head of each response of the expected upstream is read for a limit; the newest one counts, also one without a limit. Routers report what they read with their work, and the control daemon that sums it up passes on the newest notice of each start and each router's part, in proportion to its recent requests. A line and a gauge tell of changes; a value that is not a number is ignored and logged once.

Evidence: the unit tests of daemon, platform and protocol pass.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/HeaderNames.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/HeaderNames.java
@@ -19,6 +19,8 @@
  * @param lengthHint expected number of output tokens
  * @param resumes id of the request that brought the first event of the stream that a request takes
  *     up again after {@code Last-Event-Id}; the same one each time a stream is taken up
+ * @param requestLimit requests a second that the upstream takes from all routers together, as a
+ *     decimal number; absent if it has no limit
  * @param reservedFields further fields that are removed from callers' requests, comma-separated
  */
 public record HeaderNames(
@@ -35,6 +37,7 @@
     String prefix,
     String lengthHint,
     String resumes,
+    String requestLimit,
     String reservedFields) {
 
   /** Returns the native field names. */
@@ -53,6 +56,7 @@
         "X-Prompt-Parts",
         "X-Length-Hint",
         "X-Resumes",
+        "X-Rate-Limit",
         "");
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -267,6 +267,7 @@
   }
 
   private void registerGauges() {
+    StateGauges.register(metrics, state);
     metrics.registerGauge(
         "toucansaddle_gateway_io_lag_seconds",
         "Average time by which I/O threads are late.",
@@ -289,18 +290,6 @@
         () -> loadReadiness.takesCallers() ? 1 : 0);
     metrics.registerGauge(
         "toucansaddle_gateway_under_way", "Requests under way.", handler::requestsInFlight);
-    metrics.registerGauge(
-        "toucansaddle_gateway_configuration", "Version in force.", state::version);
-    metrics.registerGauge(
-        "toucansaddle_gateway_quarantined",
-        "Requests, by digest, that this router refuses because they crash upstreams.",
-        state.quarantine()::quarantinedCount);
-    metrics.registerGauge(
-        "toucansaddle_gateway_suspected_parts",
-        "Parts of prompts that are suspected to crash upstreams.",
-        state.quarantine()::suspectedPartCount);
-    metrics.registerGauge(
-        "toucansaddle_gateway_origins", "Origins of streams in memory.", state.origins()::size);
     metrics.registerGauge(
         "toucansaddle_gateway_origin_lookups_under_way",
         "Lookups that wait for control daemons.",
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
@@ -0,0 +1,30 @@
+package org.toucansaddle.daemon.internal.gateway;
+
+import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
+import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
+
+/** Gauges of what a router knows of the fleet. Stateless and thread-safe. */
+final class StateGauges {
+
+  private StateGauges() {}
+
+  /** Adds the gauges of a router's state. */
+  static void register(RelayMetrics metrics, RouterState state) {
+    metrics.registerGauge(
+        "toucansaddle_gateway_configuration", "Version in force.", state::version);
+    metrics.registerGauge(
+        "toucansaddle_gateway_quarantined",
+        "Requests, by digest, that this router refuses because they crash upstreams.",
+        state.quarantine()::quarantinedCount);
+    metrics.registerGauge(
+        "toucansaddle_gateway_suspected_parts",
+        "Parts of prompts that are suspected to crash upstreams.",
+        state.quarantine()::suspectedPartCount);
+    metrics.registerGauge(
+        "toucansaddle_gateway_limited_upstreams",
+        "Upstreams that say how many requests a second they take.",
+        state::limitedUpstreams);
+    metrics.registerGauge(
+        "toucansaddle_gateway_origins", "Origins of streams in memory.", state.origins()::size);
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -20,6 +20,8 @@
 import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
+import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.ServiceDemand;
 import org.toucansaddle.protocol.generated.StoredDocumentMessage;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
 import org.toucansaddle.protocol.generated.UpstreamWork;
@@ -124,12 +126,25 @@
     Map<String, UpstreamWork> sums = new HashMap<>();
     for (Follower other : followers) {
       if (other != excluded) {
-        other.work.forEach(work -> sums.merge(work.getUpstream(), work, FollowServer::add));
+        long reportAgeNanos = clock.getAsLong() - other.lastReportNanos;
+        for (UpstreamWork work : other.work) {
+          sums.merge(work.getUpstream(), aged(work, reportAgeNanos), FollowServer::add);
+        }
       }
     }
     return sums;
   }
 
+  /** Adds the time since a report to the age of what it says about a limit. */
+  private static UpstreamWork aged(UpstreamWork work, long nanos) {
+    if (!work.hasLimit()) {
+      return work;
+    }
+    LimitNotice.Builder notice = work.getLimit().toBuilder();
+    notice.setAgeMillis(notice.getAgeMillis() + (int) TimeUnit.NANOSECONDS.toMillis(nanos));
+    return work.toBuilder().setLimit(notice).build();
+  }
+
   private Map<String, AccountUse> sumAccountsOfOthers(Follower excluded) {
     Map<String, AccountUse> sums = new HashMap<>();
     for (Follower other : followers) {
@@ -140,6 +155,15 @@
     return sums;
   }
 
+  private LimitParts limitParts() {
+    return new LimitParts(
+        followers.stream()
+            .filter(follower -> follower.wantsSums && !follower.observer)
+            .map(follower -> follower.demands)
+            .toList(),
+        routerCount());
+  }
+
   private static AccountUse add(AccountUse a, AccountUse b) {
     return a.toBuilder()
         .setAsked(a.getAsked() + b.getAsked())
@@ -149,13 +173,23 @@
   }
 
   private static UpstreamWork add(UpstreamWork a, UpstreamWork b) {
-    return a.toBuilder()
-        .setRequests(a.getRequests() + b.getRequests())
-        .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
-        .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
-        .setStuck(a.getStuck() + b.getStuck())
-        .setAnswered(a.getAnswered() + b.getAnswered())
-        .build();
+    UpstreamWork.Builder sum =
+        a.toBuilder()
+            .setRequests(a.getRequests() + b.getRequests())
+            .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
+            .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
+            .setStuck(a.getStuck() + b.getStuck())
+            .setAnswered(a.getAnswered() + b.getAnswered());
+    if (b.hasLimit() && (!a.hasLimit() || isNewer(b.getLimit(), a.getLimit()))) {
+      sum.setLimit(b.getLimit());
+    }
+    return sum.build();
+  }
+
+  private static boolean isNewer(LimitNotice a, LimitNotice b) {
+    return a.getStartedAtMillis() == b.getStartedAtMillis()
+        ? a.getAgeMillis() < b.getAgeMillis()
+        : a.getStartedAtMillis() > b.getStartedAtMillis();
   }
 
   private StoredDocumentMessage encodeOnce(StoredDocument current) {
@@ -174,6 +208,7 @@
     private volatile long lastReportNanos = clock.getAsLong();
     private volatile List<UpstreamWork> work = List.of();
     private volatile List<AccountUse> accounts = List.of();
+    private volatile List<ServiceDemand> demands = List.of();
     private volatile String zoneOfRouter = "";
     private volatile boolean behind;
     private volatile boolean observer;
@@ -197,6 +232,7 @@
       lastReportNanos = clock.getAsLong();
       work = report.getWorkList();
       accounts = report.getAccountsList();
+      demands = report.getDemandsList();
       zoneOfRouter = report.getZone();
       behind = report.getBehind();
       observer = report.getObserver();
@@ -266,6 +302,7 @@
         update.setSums(true);
         update.addAllWork(sumWorkOfOthers(this).values());
         update.addAllAccounts(sumAccountsOfOthers(this).values());
+        update.addAllParts(limitParts().of(demands));
       }
       send(update, document.get());
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -195,7 +195,12 @@
     upstream.markReachable();
     if (!context.codec().matchesRequestId(call.head().requestId(), headers)) {
       fail("crossed", "the response belongs to another request");
-    } else if (context.codec().isNotExecuted(status, headers)) {
+      return;
+    }
+    if (status != HeaderCodec.MISDIRECTED_REQUEST) {
+      takeNotice(context.codec().readNotice(headers));
+    }
+    if (context.codec().isNotExecuted(status, headers)) {
       cancel();
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
@@ -218,6 +223,15 @@
     }
   }
 
+  /** Keeps the last limit that was readable if the upstream names one that is not. */
+  private void takeNotice(UpstreamNotice notice) {
+    if (notice.malformedLimit().isEmpty()) {
+      context.state().recordLimit(upstream, notice.requestsPerSecond());
+    } else if (upstream.limit().isFirstMalformed()) {
+      RelayLog.malformedLimit(call, upstream, notice.malformedLimit().get());
+    }
+  }
+
   static boolean isSuccess(int status) {
     return status >= 200 && status < 300;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -52,6 +52,7 @@
   private final HttpString promptParts;
   private final HttpString lengthHint;
   private final HttpString resumes;
+  private final HttpString requestLimit;
   private final Set<HttpString> withheldFromUpstreams;
 
   /** Creates a codec for a set of names. */
@@ -67,6 +68,7 @@
     this.promptParts = new HttpString(names.prefix());
     this.lengthHint = new HttpString(names.lengthHint());
     this.resumes = new HttpString(names.resumes());
+    this.requestLimit = new HttpString(names.requestLimit());
     Set<HttpString> withheldHeaders = new HashSet<>(HOP_BY_HOP);
     withheldHeaders.add(credential);
     withheldHeaders.add(account);
@@ -207,6 +209,11 @@
     return responseId == null || responseId.equals(id);
   }
 
+  /** Reads what an upstream says of itself in the head of a response. */
+  UpstreamNotice readNotice(HeaderMap headers) {
+    return UpstreamNotice.parse(headers.getFirst(requestLimit));
+  }
+
   /** Returns whether the content of a response is an event stream or of an unknown type. */
   static boolean mayBeEventStream(HeaderMap headers) {
     String type = headers.getFirst(Headers.CONTENT_TYPE);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -3,12 +3,16 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.Finding;
+import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 
 /** Logs the decisions about requests, one line each. Stateless and thread-safe. */
 final class RelayLog {
 
   private static final Logger LOG = LoggerFactory.getLogger("decision.relay");
 
+  /** Characters of a value from outside that are logged. */
+  private static final int MAX_LOGGED_VALUE = 40;
+
   private RelayLog() {}
 
   static void attemptFailed(RelayedCall call, Dispatch dispatch, String outcome, String cause) {
@@ -53,6 +57,17 @@
         skippedNow);
   }
 
+  /** Logs the first limit of an upstream that is not a number of requests. */
+  static void malformedLimit(RelayedCall call, Upstream upstream, String value) {
+    String shown = value.substring(0, Math.min(value.length(), MAX_LOGGED_VALUE));
+    LOG.warn(
+        "malformed_limit upstream={} request={} value=\"{}\" expected=\"requests a second, such as"
+            + " 5.8\"",
+        upstream.id(),
+        call.head().requestId(),
+        shown);
+  }
+
   /** Logs what is done about a silent upstream. */
   static void stalled(RelayedCall call, CallAttempt silent, long silentMillis, String takeover) {
     LOG.info(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -76,7 +76,8 @@
   /** Keeps one stream to each control daemon open and sends a report on it. */
   public void step() {
     FollowerReport.Builder fullReport = state.createReport().setZone(zone).setObserver(observer);
-    FollowerReport.Builder shortReport = fullReport.clone().clearWork().clearAccounts();
+    FollowerReport.Builder shortReport =
+        fullReport.clone().clearWork().clearAccounts().clearDemands();
     String primary = primary();
     String documentSource = documentSource(primary);
     List<String> known = addresses();
@@ -126,6 +127,7 @@
     if (update.getSums()) {
       state.updateRemoteWork(update.getWorkList());
       state.shares().updateRemoteUsage(update.getAccountsList());
+      state.updateLimitParts(update.getPartsList());
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -22,8 +23,11 @@
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
+import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
+import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.ServicePart;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
@@ -47,6 +51,8 @@
   private final AccountShares shares;
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
+  private final ArrivalRates arrivals;
+  private volatile LimitFractions limitFractions = LimitFractions.NONE;
   private final AtomicReference<Optional<RoutingView>> view =
       new AtomicReference<>(Optional.empty());
   private final Map<String, Long> lastUpdateBySource = new ConcurrentHashMap<>();
@@ -70,6 +76,7 @@
     this.shares = new AccountShares(clock);
     this.quarantine = new RequestQuarantine(clock);
     this.origins = new OriginTable(clock);
+    this.arrivals = new ArrivalRates(clock);
   }
 
   /** Returns the configuration in force; empty until a quorum has confirmed one. */
@@ -102,6 +109,23 @@
     return origins;
   }
 
+  /** Returns the recent requests of callers at this router. */
+  public ArrivalRates arrivals() {
+    return arrivals;
+  }
+
+  /** Returns this router's part in the limits that upstreams of a service name. */
+  public RequestLimit.Part limitPart(String service) {
+    int sharing = routers;
+    return new RequestLimit.Part(
+        limitFractions.find(service, clock.getAsLong()).orElse(1.0 / sharing), sharing);
+  }
+
+  /** Replaces this router's parts in limits by those that a control daemon computed. */
+  public void updateLimitParts(List<ServicePart> parts) {
+    limitFractions = LimitFractions.of(parts, clock.getAsLong());
+  }
+
   /** Returns the last reported number of routers; at least 1. */
   public int routers() {
     return routers;
@@ -254,6 +278,9 @@
     for (Upstream upstream : upstreams.all()) {
       UpstreamWork work = byId.getOrDefault(upstream.id(), UpstreamWork.getDefaultInstance());
       upstream.updateRemoteWork(work);
+      if (work.hasLimit()) {
+        mergeLimit(upstream, work.getLimit(), now);
+      }
       RequestCounts remoteCounts = new RequestCounts(work.getStuck(), work.getAnswered());
       if (upstream.hangDetector().updateRemoteCounts(remoteCounts, now)) {
         LOG.info(
@@ -265,6 +292,42 @@
     }
   }
 
+  private void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
+    if (notice.getStartedAtMillis() != upstream.startedAtMillis()) {
+      return;
+    }
+    OptionalDouble named =
+        notice.hasRequestsPerSecond()
+            ? OptionalDouble.of(notice.getRequestsPerSecond())
+            : OptionalDouble.empty();
+    long noticedAt = now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis());
+    if (upstream.limit().update(new Notice(named, noticedAt))) {
+      logLimit(upstream, "other routers");
+    }
+  }
+
+  /** Takes over what an upstream said in a response to this router. */
+  public void recordLimit(Upstream upstream, OptionalDouble requestsPerSecond) {
+    if (upstream.limit().update(new Notice(requestsPerSecond, clock.getAsLong()))) {
+      logLimit(upstream, "a response");
+    }
+  }
+
+  private static void logLimit(Upstream upstream, String source) {
+    OptionalDouble named =
+        upstream.limit().notice().map(Notice::requestsPerSecond).orElse(OptionalDouble.empty());
+    LOG.info(
+        "upstream {} takes {} requests a second from all routers, known from {}",
+        upstream.id(),
+        named.isPresent() ? named.getAsDouble() : "any number of",
+        source);
+  }
+
+  /** Returns the number of known upstreams whose newest response named a limit. */
+  public int limitedUpstreams() {
+    return (int) upstreams.all().stream().filter(upstream -> upstream.limit().isNamed()).count();
+  }
+
   /** Removes a control daemon that this router no longer follows. */
   public void removeControlDaemon(String source) {
     lastUpdateBySource.remove(source);
@@ -276,24 +339,40 @@
         FollowerReport.newBuilder()
             .setDocumentVersion(version())
             .setBehind(behind)
-            .addAllAccounts(shares.localUsage());
+            .addAllAccounts(shares.localUsage())
+            .addAllDemands(arrivals.demands());
     long now = clock.getAsLong();
     for (Upstream upstream : upstreams.all()) {
       RequestCounts counts = upstream.hangDetector().localCounts(now);
-      if (upstream.localRequests() > 0 || counts.stuck() > MIN_REPORTED_STUCK) {
-        report.addWork(
+      Optional<LimitNotice> limit = upstream.limit().notice().map(n -> encode(n, upstream, now));
+      if (upstream.localRequests() > 0
+          || counts.stuck() > MIN_REPORTED_STUCK
+          || limit.isPresent()) {
+        UpstreamWork.Builder work =
             UpstreamWork.newBuilder()
                 .setUpstream(upstream.id())
                 .setRequests(upstream.localRequests())
                 .setPendingTokens((int) Math.max(0, upstream.localPendingTokens()))
                 .setMemoryTokens((int) Math.max(0, upstream.localMemoryTokens()))
                 .setStuck((float) counts.stuck())
-                .setAnswered((float) counts.answered()));
+                .setAnswered((float) counts.answered());
+        limit.ifPresent(work::setLimit);
+        report.addWork(work);
       }
     }
     return report;
   }
 
+  private static LimitNotice encode(Notice notice, Upstream upstream, long now) {
+    long ageMillis = TimeUnit.NANOSECONDS.toMillis(now - notice.atNanos());
+    LimitNotice.Builder encoded =
+        LimitNotice.newBuilder()
+            .setAgeMillis((int) Math.min(Integer.MAX_VALUE, ageMillis))
+            .setStartedAtMillis(upstream.startedAtMillis());
+    notice.requestsPerSecond().ifPresent(encoded::setRequestsPerSecond);
+    return encoded.build();
+  }
+
   private static UpstreamReport decode(UpstreamMessage message) {
     UpstreamReport.State[] states = UpstreamReport.State.values();
     int state = Math.min(message.getState(), states.length - 1);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -31,6 +32,8 @@
   private volatile int remotePendingTokens;
   private volatile int remoteMemoryTokens;
   private final HangDetector hangDetector = new HangDetector();
+  private final RequestLimit limit =
+      new RequestLimit(() -> ThreadLocalRandom.current().nextDouble());
   private final AtomicInteger connectionFailures = new AtomicInteger();
   private final AtomicInteger localRequests = new AtomicInteger();
   private final AtomicLong localPendingTokens = new AtomicLong();
@@ -83,6 +86,11 @@
     return hangDetector;
   }
 
+  /** Returns the limit of the requests that this incarnation takes. */
+  public RequestLimit limit() {
+    return limit;
+  }
+
   /** Returns whether the last report is later than a time of this router's clock. */
   boolean hasReportedAfter(long nanos) {
     return lastReportAtNanos - nanos > 0;
@@ -111,6 +119,7 @@
    * @param memoryTokens tokens that the request occupies in the memory of the upstream
    */
   public void recordRequestStarted(int tokens, int memoryTokens) {
+    limit.recordSent();
     localRequests.incrementAndGet();
     localPendingTokens.addAndGet(tokens);
     localMemoryTokens.addAndGet(memoryTokens);
