Send an upstream no more requests than it says it takes

Cause: routers decided by load and prefix alone. The limit counts for the sum of all routers, so that each needs a part of it and few requests in hand.

Change: a router saves up its part of each limit and sends only with a whole request saved, also repeats and requests that move; with many routers a saved request expires, so that they do not all hold one. Without a part of the last 2 s a router takes an equal one. What no upstream takes is refused at once as upstreams-limited, with a time to return that is not before its part allows.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -116,6 +116,11 @@
     return notRun("origin-gone", detail, 0);
   }
 
+  static ErrorResponse upstreamsLimited(long retryAfterMillis) {
+    String detail = "The upstreams get as many requests as they say that they take.";
+    return notRun("upstreams-limited", detail, retryAfterMillis);
+  }
+
   static ErrorResponse notRun(String type, String detail, long retryAfterMillis) {
     return new ErrorResponse(503, type, RunState.NOT_RUN, detail, retryAfterMillis);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -145,6 +145,7 @@
       return;
     }
     context.retryBudget(service()).recordRequest();
+    context.state().arrivals().record(service());
     long callerWaitMillis = route.callerStallTimeoutMillis() - CALLER_TIMEOUT_MARGIN_MILLIS;
     setTimer(route.isStream() ? Math.min(remainingMillis(), callerWaitMillis) : remainingMillis());
     admission.begin();
@@ -196,7 +197,7 @@
     Optional<Selection> selected = choice.select(usable);
     if (selected.isEmpty() || choice.isThrottled(usable)) {
       boolean busy = choice.isFirst() && !usable.isEmpty();
-      fail(busy ? retryLater("upstreams-busy", "All upstreams are busy.") : fallback);
+      fail(busy ? choice.refuseForLoad(usable) : fallback);
       return;
     }
     expectedFirstTokenMillis = selected.get().expectedFirstTokenMillis();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.gateway.WeightedService;
@@ -12,6 +13,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.EngineProfile;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Reason;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
+import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.protocol.generated.PlacementAnswer;
@@ -114,7 +116,32 @@
     EngineProfile profile = EngineProfile.of(view, service, count, context.estimator(service));
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
     List<Upstream> allowed = usable.stream().filter(this::mayBeSentTo).toList();
-    return context.selector().select(allowed, head, route.targetMillis(), profile, tried);
+    Predicate<Upstream> takesMore = upstream -> !isTried(upstream) && isWithinLimit(upstream);
+    return context.selector().select(allowed, head, route.targetMillis(), profile, takesMore);
+  }
+
+  private boolean isTried(Upstream upstream) {
+    return tried.contains(upstream.id());
+  }
+
+  /** Returns whether the limit that an upstream names leaves this router a request now. */
+  boolean isWithinLimit(Upstream upstream) {
+    return upstream.limit().permits(context.nowNanos(), context.state().limitPart(service));
+  }
+
+  /** Returns the response to a call that none of the usable upstreams takes now. */
+  ErrorResponse refuseForLoad(List<Upstream> usable) {
+    long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
+    if (usable.stream().anyMatch(this::isWithinLimit)) {
+      return ErrorResponse.notRun("upstreams-busy", "All upstreams are busy.", delayMillis);
+    }
+    RequestLimit.Part part = context.state().limitPart(service);
+    long waitMillis =
+        usable.stream()
+            .mapToLong(upstream -> upstream.limit().waitMillis(context.nowNanos(), part))
+            .min()
+            .orElse(0);
+    return ErrorResponse.upstreamsLimited(Math.max(delayMillis, waitMillis));
   }
 
   /** Returns whether a control daemon may select the first upstream: any engine will do. */
@@ -132,6 +159,7 @@
             .nominalTokensPerMilli();
     return usable.stream()
         .filter(upstream -> upstream.id().equals(answer.getUpstream()))
+        .filter(this::isWithinLimit)
         .findFirst()
         .map(
             upstream ->
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -6,8 +6,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -120,6 +120,8 @@
    *
    * @param upstreams upstreams that accept requests
    * @param targetMillis target for the time to the first token, in milliseconds
+   * @param takesMore whether an upstream takes a request now; the others keep their place in the
+   *     order for a prefix
    * @return empty if all upstreams are at their limits
    */
   public Optional<Selection> select(
@@ -127,17 +129,10 @@
       RequestHead head,
       int targetMillis,
       EngineProfile profile,
-      Set<String> triedUpstreams) {
-    List<Upstream> candidates = new ArrayList<>();
-    for (Upstream upstream : upstreams) {
-      if (!triedUpstreams.contains(upstream.id())) {
-        candidates.add(upstream);
-      }
-    }
-    if (head.promptTokens() > 0) {
-      return selectEngine(candidates, head, targetMillis, profile);
-    }
-    return drawByFreeCapacity(candidates);
+      Predicate<Upstream> takesMore) {
+    return head.promptTokens() > 0
+        ? selectEngine(upstreams, head, targetMillis, profile, takesMore)
+        : drawByFreeCapacity(upstreams.stream().filter(takesMore).toList());
   }
 
   /**
@@ -171,12 +166,18 @@
   }
 
   private Optional<Selection> selectEngine(
-      List<Upstream> candidates, RequestHead head, int targetMillis, EngineProfile profile) {
+      Collection<Upstream> candidates,
+      RequestHead head,
+      int targetMillis,
+      EngineProfile profile,
+      Predicate<Upstream> takesMore) {
     String prefix = head.sharedPrefixKey();
     Selection best = null;
     boolean first = true;
     for (Upstream upstream : rankForPrefix(candidates, prefix)) {
-      if (loadPerSlot(upstream) > MAX_ENGINE_LOAD || !hasMemory(upstream, head, profile)) {
+      if (loadPerSlot(upstream) > MAX_ENGINE_LOAD
+          || !hasMemory(upstream, head, profile)
+          || !takesMore.test(upstream)) {
         first = false;
         continue;
       }
@@ -226,9 +227,9 @@
   }
 
   /** Returns the upstreams in an order that depends on the prefix and is equal on all routers. */
-  private static List<Upstream> rankForPrefix(List<Upstream> candidates, String prefix) {
+  private static List<Upstream> rankForPrefix(Collection<Upstream> candidates, String prefix) {
     if (prefix.isEmpty()) {
-      return candidates;
+      return List.copyOf(candidates);
     }
     List<RankedUpstream> ranked = new ArrayList<>(candidates.size());
     candidates.forEach(upstream -> ranked.add(new RankedUpstream(prefix, upstream)));
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
@@ -59,7 +59,7 @@
   }
 
   private Optional<Selection> select(List<Upstream> from, RequestHead head) {
-    return selector.select(from, head, TARGET_MILLIS, PROFILE, Set.of());
+    return selector.select(from, head, TARGET_MILLIS, PROFILE, upstream -> true);
   }
 
   private static void recordLoad(Selection selection) {
@@ -83,7 +83,7 @@
     String first = select(engines, head).orElseThrow().upstream().id();
     String other =
         new UpstreamSelector("z2")
-            .select(engines, head, TARGET_MILLIS, PROFILE, Set.of())
+            .select(engines, head, TARGET_MILLIS, PROFILE, upstream -> true)
             .orElseThrow()
             .upstream()
             .id();
@@ -218,10 +218,49 @@
   public void shouldNotSelectTriedUpstream() {
     List<Upstream> upstreams = upstreams(2, 6);
     Upstream first = select(upstreams, plainRequest()).orElseThrow().upstream();
+    Set<String> tried = Set.of(first.id());
     Selection second =
         selector
-            .select(upstreams, plainRequest(), TARGET_MILLIS, PROFILE, Set.of(first.id()))
+            .select(
+                upstreams,
+                plainRequest(),
+                TARGET_MILLIS,
+                PROFILE,
+                upstream -> !tried.contains(upstream.id()))
             .orElseThrow();
     assertThat(second.upstream()).isNotSameAs(first);
   }
+
+  @DataProvider
+  public Object[][] heads() {
+    return new Object[][] {{plainRequest()}, {promptRequest("session", 5_000, 1)}};
+  }
+
+  @Test(dataProvider = "heads")
+  public void shouldNotSelectUpstreamThatTakesNoMore(RequestHead head) {
+    List<Upstream> upstreams = upstreams(2, 6);
+    Upstream first = select(upstreams, head).orElseThrow().upstream();
+    Selection second =
+        selector
+            .select(upstreams, head, TARGET_MILLIS, PROFILE, upstream -> upstream != first)
+            .orElseThrow();
+    assertThat(second.upstream()).isNotSameAs(first);
+    assertThat(selector.select(upstreams, head, TARGET_MILLIS, PROFILE, upstream -> false))
+        .isEmpty();
+  }
+
+  /**
+   * Guards against counting a shared prefix as kept where it is not, beside a home at its limit.
+   */
+  @Test
+  public void shouldExpectToReadThePrefixAgainBesideAnEngineThatTakesNoMore() {
+    RequestHead head = promptRequest("session", 5_000, 1);
+    Upstream home = select(engines, head).orElseThrow().upstream();
+    Selection other =
+        selector
+            .select(engines, head, TARGET_MILLIS, PROFILE, upstream -> upstream != home)
+            .orElseThrow();
+    assertThat(other.reason()).isEqualTo(Reason.NEXT_FOR_PREFIX);
+    assertThat(other.prefillTokens()).isEqualTo(5_001);
+  }
 }
