Test that no stream goes on at another version after all daemons start again; it fails

What callers would see: a stream whose first events one software version wrote is taken up at another one, with nothing in the response to show it.

Cause, shown by the two tests, which fail on this code: control daemons keep origins and the versions of upstreams that left in memory only, and forget the version that an upstream had before it started again under its id. A router that starts later then knows one version, and takes it for the only one that can have begun a stream of unknown origin.

--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
@@ -5,6 +5,7 @@
 import io.grpc.stub.ServerCallStreamObserver;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.gateway.StoredDocument;
@@ -21,7 +22,7 @@
 
   private static final int REPORT_TIMEOUT_MILLIS = 6_000;
 
-  private final long nowNanos = 1_000;
+  private long nowNanos = 1_000;
   private UpstreamRegistry registry;
   private FollowServer server;
   private RouterState router;
@@ -38,14 +39,22 @@
             List::of,
             () -> nowNanos,
             "z1");
+    startRouter();
+  }
+
+  private void startRouter() {
     router = new RouterState(content -> null, REPORT_TIMEOUT_MILLIS, () -> nowNanos);
     FollowerReport first = FollowerReport.newBuilder().setFirst(true).setRouter("r").build();
     server.follow(new Updates()).onNext(first);
   }
 
   private static UpstreamReport report(String id, long sequence) {
+    return report(id, 10, sequence);
+  }
+
+  private static UpstreamReport report(String id, long startedAtMillis, long sequence) {
     String address = "10.0.0.1:" + id;
-    return new UpstreamReport(id, "desk", address, "z1", 6, State.READY, 10, sequence);
+    return new UpstreamReport(id, "desk", address, "z1", 6, State.READY, startedAtMillis, sequence);
   }
 
   private void update(UpstreamReport report) {
@@ -72,6 +81,32 @@
     assertThat(router.softwareVersions("desk")).isEqualTo(Set.of("v1"));
   }
 
+  /** Guards against a router that starts after upstreams changed their version under their ids. */
+  @Test
+  public void shouldPassReplacedSoftwareVersionsToRoutersThatStartLater() {
+    for (String id : List.of("1", "2")) {
+      update(report(id, 10, 1).withSoftwareVersion("v1"));
+      update(report(id, 20, 1).withSoftwareVersion("v1.1"));
+    }
+    startRouter();
+
+    assertThat(router.softwareVersions("desk")).isEqualTo(Set.of("v1", "v1.1"));
+    assertThat(router.upstreams().ready("desk"))
+        .extracting(upstream -> upstream.report().softwareVersion())
+        .containsExactlyInAnyOrder("v1.1", "v1.1");
+  }
+
+  @Test
+  public void shouldForgetReplacedSoftwareVersionsAfterAMinute() {
+    update(report("1", 10, 1).withSoftwareVersion("v1"));
+    update(report("1", 20, 1).withSoftwareVersion("v1.1"));
+    nowNanos += TimeUnit.SECONDS.toNanos(61);
+    update(report("1", 20, 2).withSoftwareVersion("v1.1"));
+    startRouter();
+
+    assertThat(router.softwareVersions("desk")).isEqualTo(Set.of("v1.1"));
+  }
+
   /** Delivers the updates of the server to the router. */
   private final class Updates extends ServerCallStreamObserver<FleetUpdate> {
 
