Keep the software versions of upstreams over restarts of all daemons

What callers would see: the first events of a stream from one software version and the rest from another, in responses that look whole.

Cause: a stream of unknown origin went on if one version was known. Control daemons knew versions from memory only, so that after all daemons had started again the version whose upstreams had left was unknown; and the version that an upstream had before it started again under its id was unknown to routers that started later. Class of fault: a lack of knowledge taken for knowledge.

Change: control daemons keep the versions of the last minute, also former ones of an id, in a file, and pass all of them on to routers that connect. Their reply about a stream says for how long they have known all versions; if that is shorter than a stream may last, it no longer counts as an answer, and the return is refused as origin-unknown.

Evidence: ReturnAfterRestartUsageTest and UpstreamVersionTest failed before (200 with events of v1.1 after those of v1; one version known instead of two) and pass; so do MixedVersionUsageTest, OriginLookupTest, OriginReportTest and VersionStoreTest. A return after a restart goes on as before where one version serves.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -3,6 +3,7 @@
 import io.grpc.ServerServiceDefinition;
 import io.grpc.stub.ServerCalls;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -25,6 +26,7 @@
 import org.toucansaddle.daemon.internal.gateway.control.FollowServer;
 import org.toucansaddle.daemon.internal.gateway.control.SeededReplicaSet;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamRegistry;
+import org.toucansaddle.daemon.internal.gateway.control.VersionStore;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementServer;
 import org.toucansaddle.daemon.internal.gateway.quarantine.QuarantineStore;
@@ -71,9 +73,12 @@
   /** Log entries per snapshot; each holds a whole configuration, so a few of them fill a disk. */
   private static final int SNAPSHOT_ENTRIES = 64;
 
+  private static final String REPLICA_FOLDER = "replica";
+
   private final DocumentFormat format;
   private final GatewayPeers peers;
   private final UpstreamRegistry registry = new UpstreamRegistry(System::nanoTime);
+  private final VersionStore versionStore;
   private final RequestQuarantine quarantine = new RequestQuarantine(System::nanoTime);
   private final OriginTable origins = new OriginTable(System::nanoTime);
   private final RelayMetrics metrics = new RelayMetrics();
@@ -97,10 +102,11 @@
     this.format = settings.format();
     this.peers = new GatewayPeers(settings);
     String self = settings.peerAddress();
+    this.versionStore = openVersionStore(control);
     PeerReplicaTransport links = new PeerReplicaTransport(Optional::of, peers.clients());
     this.replica =
         new ControlReplica(
-            control.dataFolder().resolve("replica"),
+            control.dataFolder().resolve(REPLICA_FOLDER),
             self,
             ReplicationSettings.defaults()
                 .withHeartbeatMillis(REPLICA_HEARTBEAT_MILLIS)
@@ -147,10 +153,19 @@
     peers.scheduleRepeatedly(FOLLOWER_HEARTBEAT_MILLIS, this::observeFleet);
     peers.scheduleRepeatedly(PLACEMENT_REFRESH_MILLIS, () -> refreshPlacement(observed));
     peers.scheduleRepeatedly(PLACEMENT_EXPIRY_MILLIS, placement::expire);
+    versionStore.start();
     registerGauges();
     LOG.info("started: control daemon {} at {}", settings.name(), self);
   }
 
+  /** Must be called before the replica, which leaves its own folder at the first start. */
+  private VersionStore openVersionStore(ControlSettings control) {
+    boolean isNewFleet =
+        control.firstStart() && !Files.exists(control.dataFolder().resolve(REPLICA_FOLDER));
+    return VersionStore.open(
+        control.dataFolder().resolve("versions"), registry, System::nanoTime, isNewFleet);
+  }
+
   private ControlFollower createObserver(GatewaySettings settings, RouterState observed) {
     return new ControlFollower(
         settings.peerAddress(),
@@ -223,7 +238,9 @@
         .addMethod(
             GatewayMethods.FIND_ORIGIN,
             PeerServer.unaryHandler(
-                question -> CompletableFuture.completedFuture(origins.answer(question))))
+                question ->
+                    CompletableFuture.completedFuture(
+                        versionStore.complete(origins.answer(question)))))
         .build();
   }
 
@@ -309,6 +326,7 @@
     server.close();
     replica.close();
     quarantineStore.close();
+    versionStore.close();
     peers.close();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -329,6 +329,7 @@
       }
       if (!initialUpdateSent) {
         update.addAllControlAddresses(controlAddresses.get()).setZone(zone);
+        update.addAllVersions(VersionCodec.encode(registry.versions(), clock.getAsLong()));
       }
       update.setComplete(!initialUpdateSent);
       long change = registry.lastChange();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
@@ -9,13 +9,14 @@
 import java.util.function.LongSupplier;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 
 /**
  * Latest reports of the upstreams that report to this control daemon.
  *
  * <p>For each id the report with the latest start and the highest sequence number is kept,
  * regardless of the order of arrival. An upstream that deregistered stays {@link State#GONE} for
- * that start. Entries without a report for 60 s are evicted. Thread-safe.
+ * that start. Entries and software versions without a report for 60 s are evicted. Thread-safe.
  */
 public final class UpstreamRegistry {
 
@@ -32,6 +33,10 @@
 
   private final LongSupplier clock;
   private final Map<String, Entry> entries = new HashMap<>();
+
+  /** Software versions that no entry may have any more, with the time of the last report. */
+  private final Map<StreamOrigin, Long> formerVersions = new HashMap<>();
+
   private long changes;
 
   /** Creates an empty registry; {@code clock} gives nanoseconds. */
@@ -50,6 +55,10 @@
       return false;
     }
     UpstreamReport completed = current == null ? report : report.completedBy(current.report());
+    if (current != null
+        && !current.report().softwareVersion().equals(completed.softwareVersion())) {
+      recordVersion(versionOf(current.report()), current.receivedAtNanos());
+    }
     store(completed);
     evictStale();
     return current == null || differs(current.report(), completed);
@@ -70,6 +79,35 @@
   private void evictStale() {
     long oldest = clock.getAsLong() - RETENTION_NANOS;
     entries.values().removeIf(entry -> entry.receivedAtNanos() - oldest < 0);
+    formerVersions.values().removeIf(reportedAt -> reportedAt - oldest < 0);
+  }
+
+  private static StreamOrigin versionOf(UpstreamReport report) {
+    return new StreamOrigin(report.service(), report.softwareVersion());
+  }
+
+  /**
+   * Adds a software version of upstreams that reported before this daemon started, or that started
+   * again with another version.
+   */
+  synchronized void recordVersion(StreamOrigin version, long reportedAtNanos) {
+    formerVersions.merge(version, reportedAtNanos, UpstreamRegistry::later);
+  }
+
+  private static long later(long a, long b) {
+    return a - b >= 0 ? a : b;
+  }
+
+  /** Returns the software versions of all services with the time of the last report of each. */
+  synchronized Map<StreamOrigin, Long> versions() {
+    evictStale();
+    Map<StreamOrigin, Long> versions = new HashMap<>(formerVersions);
+    for (Entry entry : entries.values()) {
+      if (!entry.report().service().isEmpty()) {
+        versions.merge(versionOf(entry.report()), entry.receivedAtNanos(), UpstreamRegistry::later);
+      }
+    }
+    return versions;
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookup.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookup.java
@@ -57,8 +57,13 @@
   public enum Outcome {
     /** The origin is known. */
     KNOWN,
-    /** At least one control daemon replied, and none of those that did knows the stream. */
+    /**
+     * At least one control daemon that knows all versions which may have begun the stream replied,
+     * and none of those that did knows the stream.
+     */
     UNKNOWN,
+    /** None of the control daemons that replied knows the stream, nor all versions. */
+    INCONCLUSIVE,
     /** No control daemon replied in time, or too many lookups are under way. */
     UNANSWERED
   }
@@ -114,9 +119,12 @@
    *
    * <p>The future never fails. It is complete on return if this router knows the stream, and may
    * complete on any thread otherwise.
+   *
+   * @param requestId id of the request that began the stream; empty if it is not known
+   * @param maxAgeMillis longest time since the stream began, in milliseconds
    */
-  public CompletableFuture<Answer> find(String requestId) {
-    Question question = new Question(requestId);
+  public CompletableFuture<Answer> find(String requestId, long maxAgeMillis) {
+    Question question = new Question(requestId, maxAgeMillis);
     boolean isOneTooMany = underWay.incrementAndGet() > MAX_UNDER_WAY;
     Optional<StreamOrigin> own = table.find(requestId);
     if (own.isPresent()) {
@@ -147,9 +155,8 @@
       send(address, built)
           .whenComplete(
               (reply, failure) -> {
-                Optional<Map<Long, StreamOrigin>> known =
-                    Optional.ofNullable(reply).map(OriginLookup::decode);
-                questions.forEach(question -> question.receive(known));
+                Optional<Knowledge> knowledge = Optional.ofNullable(reply).map(Knowledge::of);
+                questions.forEach(question -> question.receive(knowledge));
               });
     }
   }
@@ -162,13 +169,25 @@
     }
   }
 
-  private static Map<Long, StreamOrigin> decode(FindOriginReply reply) {
-    Map<Long, StreamOrigin> known = new HashMap<>();
-    for (StreamOrigins message : reply.getOriginsList()) {
-      StreamOrigin origin = new StreamOrigin(message.getService(), message.getSoftwareVersion());
-      message.getRequestsList().forEach(request -> known.put(request, origin));
+  /**
+   * What a control daemon replied. Immutable.
+   *
+   * @param origins origins of the streams that it knows
+   * @param versionsKnownMillis time for which it has known all software versions, in milliseconds
+   */
+  private record Knowledge(Map<Long, StreamOrigin> origins, long versionsKnownMillis) {
+
+    static Knowledge of(FindOriginReply reply) {
+      Map<Long, StreamOrigin> known = new HashMap<>();
+      for (StreamOrigins message : reply.getOriginsList()) {
+        StreamOrigin origin = new StreamOrigin(message.getService(), message.getSoftwareVersion());
+        message.getRequestsList().forEach(request -> known.put(request, origin));
+      }
+      // Older daemons do not say; they count as before.
+      long millis =
+          reply.hasVersionsKnownMillis() ? reply.getVersionsKnownMillis() : Long.MAX_VALUE;
+      return new Knowledge(known, millis);
     }
-    return known;
   }
 
   /** Returns the number of lookups that wait for replies. */
@@ -179,16 +198,19 @@
   /** A question to several control daemons. */
   private final class Question {
     private final String requestId;
+    private final long maxAgeMillis;
     private final long request;
     private final long startedAtNanos = System.nanoTime();
     private final AtomicInteger pending = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger conclusive = new AtomicInteger();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private volatile int asked;
 
-    Question(String requestId) {
+    Question(String requestId, long maxAgeMillis) {
       this.requestId = requestId;
+      this.maxAgeMillis = maxAgeMillis;
       this.request = OriginTable.hash(requestId);
     }
 
@@ -201,11 +223,14 @@
       }
     }
 
-    /** Receives the origins that a control daemon knows; empty if the call failed. */
-    void receive(Optional<Map<Long, StreamOrigin>> known) {
-      if (known.isPresent()) {
+    /** Receives what a control daemon knows; empty if the call failed. */
+    void receive(Optional<Knowledge> knowledge) {
+      if (knowledge.isPresent()) {
         answered.incrementAndGet();
-        StreamOrigin origin = known.get().get(request);
+        if (knowledge.get().versionsKnownMillis() >= maxAgeMillis) {
+          conclusive.incrementAndGet();
+        }
+        StreamOrigin origin = knowledge.get().origins().get(request);
         if (origin != null) {
           end(Answer.known(origin));
         }
@@ -216,7 +241,11 @@
     }
 
     private void endWithoutOrigin() {
-      end(Answer.without(answered.get() > 0 ? Outcome.UNKNOWN : Outcome.UNANSWERED));
+      if (answered.get() == 0) {
+        end(Answer.without(Outcome.UNANSWERED));
+      } else {
+        end(Answer.without(conclusive.get() > 0 ? Outcome.UNKNOWN : Outcome.INCONCLUSIVE));
+      }
     }
 
     /** Ends the lookup; later calls have no effect. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StreamReturn.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StreamReturn.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Answer;
-import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Outcome;
 import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 
 /**
@@ -47,17 +46,24 @@
 
   /** Finds where the stream began; the future may complete on any thread and never fails. */
   CompletableFuture<Found> findOrigin() {
-    return head.resumes().isEmpty()
-        ? CompletableFuture.completedFuture(decideWithoutOrigin())
-        : context.originLookup().find(head.resumes()).thenApply(this::decide);
+    return context
+        .originLookup()
+        .find(head.resumes(), route.timeoutMillis())
+        .thenApply(this::decide);
   }
 
   private Found decide(Answer answer) {
-    if (answer.outcome() == Outcome.UNANSWERED) {
-      long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
-      return Found.refused(ErrorResponse.originUnanswered(delayMillis));
-    }
-    return answer.origin().map(this::decideAt).orElseGet(this::decideWithoutOrigin);
+    return switch (answer.outcome()) {
+      case KNOWN -> decideAt(answer.origin().orElseThrow());
+      case UNKNOWN -> decideWithoutOrigin();
+      case INCONCLUSIVE -> Found.refused(ErrorResponse.originUnknown());
+      case UNANSWERED ->
+          head.resumes().isEmpty()
+              ? decideWithoutOrigin()
+              : Found.refused(
+                  ErrorResponse.originUnanswered(
+                      RetryAfter.randomDelayMillis(route.targetMillis())));
+    };
   }
 
   private Found decideAt(StreamOrigin origin) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -28,6 +28,7 @@
 import org.toucansaddle.protocol.generated.FollowerReport;
 import org.toucansaddle.protocol.generated.LimitNotice;
 import org.toucansaddle.protocol.generated.ServicePart;
+import org.toucansaddle.protocol.generated.ServiceVersion;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
@@ -240,6 +241,10 @@
     if (update.hasDocument()) {
       applyIfNewer(DocumentCodec.decode(update.getDocument()));
     }
+    for (ServiceVersion version : update.getVersionsList()) {
+      long reportedAt = now - TimeUnit.MILLISECONDS.toNanos(version.getAgeMillis());
+      upstreams.recordVersion(version.getService(), version.getSoftwareVersion(), reportedAt);
+    }
     quarantine.mergeSuccesses(update.getSuccessesList());
     quarantine.merge(update.getStrikesList());
     for (UpstreamMessage message : update.getUpstreamsList()) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -86,13 +86,27 @@
       if (current != null) {
         long lastReportAt = current.lastReportAtNanos();
         replacedVersions.merge(
-            ServiceVersion.of(current.report()), lastReportAt, (a, b) -> a - b >= 0 ? a : b);
+            ServiceVersion.of(current.report()), lastReportAt, UpstreamTable::laterTime);
       }
     }
     rebuild();
     return true;
   }
 
+  /** Adds a software version whose upstreams may all have left or started again with another. */
+  synchronized void recordVersion(String service, String version, long reportedAtNanos) {
+    Long known =
+        replacedVersions.merge(
+            new ServiceVersion(service, version), reportedAtNanos, UpstreamTable::laterTime);
+    if (known == reportedAtNanos) {
+      rebuild();
+    }
+  }
+
+  private static long laterTime(long a, long b) {
+    return a - b >= 0 ? a : b;
+  }
+
   /** Evicts upstreams and replaced software versions without a recent report. */
   public synchronized void evictSilent(long nowNanos) {
     long oldest = nowNanos - SILENCE_EVICTION_NANOS;
