Heed upstreams that leave or ask for a pause in their responses

Cause: only the limit was read from the heads of responses, and Retry-After of no upstream.

Change: one immutable type holds what an upstream says of itself: limit, leaving, pause. Leaving holds for the start of the upstream whatever it reports; control daemons pass it on to all routers; connections to it are not kept. A pause holds for the router that was asked, also for repeats and for requests whose connection was just opened; it is never shortened and counts for 60 s at most, and requests come back in steps. Where all upstreams pause or are at their limits, refused callers get times to return one after the other, which new callers respect as long as most do return. What cannot be read is ignored and logged once for each start.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/HeaderNames.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/HeaderNames.java
@@ -21,6 +21,7 @@
  *     up again after {@code Last-Event-Id}; the same one each time a stream is taken up
  * @param requestLimit requests a second that the upstream takes from all routers together, as a
  *     decimal number; absent if it has no limit
+ * @param leaving "1" if the upstream leaves
  * @param reservedFields further fields that are removed from callers' requests, comma-separated
  */
 public record HeaderNames(
@@ -38,6 +39,7 @@
     String lengthHint,
     String resumes,
     String requestLimit,
+    String leaving,
     String reservedFields) {
 
   /** Returns the native field names. */
@@ -57,6 +59,7 @@
         "X-Length-Hint",
         "X-Resumes",
         "X-Rate-Limit",
+        "X-Leaving",
         "");
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -145,7 +145,7 @@
   /** Refused connections up to the last update of the readiness; control executor only. */
   private long seenRefusals;
 
-  private final AtomicBoolean strikeReportPending = new AtomicBoolean();
+  private final AtomicBoolean reportPending = new AtomicBoolean();
 
   /** Starts a router and its listeners. */
   public GatewayRouter(GatewaySettings settings, RouterSettings router) throws IOException {
@@ -195,7 +195,8 @@
     this.handler = new GatewayHandler(context);
     startServers(buffers);
     this.lagMonitor = new IoLagMonitor(ioLag, System::nanoTime, worker);
-    state.quarantine().onStrike(this::reportStrikes);
+    state.quarantine().onStrike(this::reportAtOnce);
+    state.onLeaving(this::reportAtOnce);
     reportPromptOrigins();
     loadConfirmedDocument(FIRST_CONFIRM_TIMEOUT);
     startTasks(context);
@@ -230,12 +231,12 @@
     return (int) Math.min(byDescriptors, byHeap);
   }
 
-  /** Reports strikes at once rather than with the next periodic report. */
-  private void reportStrikes() {
-    if (strikeReportPending.compareAndSet(false, true)) {
+  /** Reports at once rather than with the next periodic report. */
+  private void reportAtOnce() {
+    if (reportPending.compareAndSet(false, true)) {
       peers.execute(
           () -> {
-            strikeReportPending.set(false);
+            reportPending.set(false);
             follower.step();
           });
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
@@ -24,6 +24,14 @@
         "toucansaddle_gateway_limited_upstreams",
         "Upstreams that say how many requests a second they take.",
         state::limitedUpstreams);
+    metrics.registerGauge(
+        "toucansaddle_gateway_paused_upstreams",
+        "Upstreams that get nothing from this router for a time, as they asked.",
+        state::pausedUpstreams);
+    metrics.registerGauge(
+        "toucansaddle_gateway_leaving_upstreams",
+        "Upstreams that said in a response that they leave.",
+        state::leavingUpstreams);
     metrics.registerGauge(
         "toucansaddle_gateway_origins", "Origins of streams in memory.", state.origins()::size);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -24,6 +24,7 @@
 import org.toucansaddle.protocol.generated.ServiceDemand;
 import org.toucansaddle.protocol.generated.StoredDocumentMessage;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
+import org.toucansaddle.protocol.generated.UpstreamStart;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -243,6 +244,13 @@
       }
       origins.merge(report.getOriginsList());
       quarantine.mergeSuccesses(report.getSuccessesList());
+      boolean leavingAdded = false;
+      for (UpstreamStart start : report.getLeavingList()) {
+        if (registry.markLeaving(start.getId(), start.getStartedAtMillis())) {
+          leavingAdded = true;
+          LOG.info("upstream {} leaves, reported by router {}", start.getId(), router);
+        }
+      }
       boolean strikesAdded = quarantine.merge(report.getStrikesList());
       if (strikesAdded) {
         LOG.info("strikes: {} reported by router {}", report.getStrikesCount(), report.getRouter());
@@ -253,7 +261,7 @@
         LOG.info("dependency regained: router {} follows", router);
         pushChanges();
       }
-      if (strikesAdded) {
+      if (strikesAdded || leavingAdded) {
         FollowServer.this.pushChanges();
       }
     }
@@ -359,6 +367,7 @@
           .setSequence(report.sequence())
           .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(ageNanos))
           .setSoftwareVersion(report.softwareVersion())
+          .setLeaving(registry.isLeaving(entry))
           .build();
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
@@ -34,6 +34,9 @@
   private final LongSupplier clock;
   private final Map<String, Entry> entries = new HashMap<>();
 
+  /** Starts, by id, that said in a response that they leave. */
+  private final Map<String, Long> leavingStarts = new HashMap<>();
+
   /** Software versions that no entry may have any more, with the time of the last report. */
   private final Map<StreamOrigin, Long> formerVersions = new HashMap<>();
 
@@ -80,6 +83,7 @@
     long oldest = clock.getAsLong() - RETENTION_NANOS;
     entries.values().removeIf(entry -> entry.receivedAtNanos() - oldest < 0);
     formerVersions.values().removeIf(reportedAt -> reportedAt - oldest < 0);
+    leavingStarts.keySet().retainAll(entries.keySet());
   }
 
   private static StreamOrigin versionOf(UpstreamReport report) {
@@ -125,6 +129,28 @@
     }
   }
 
+  /**
+   * Records that one start of an upstream said in a response that it leaves. Its later reports do
+   * not change that.
+   *
+   * @return whether that was not known
+   */
+  public synchronized boolean markLeaving(String id, long startedAtMillis) {
+    Entry entry = entries.get(id);
+    if (entry == null || entry.report().startedAtMillis() != startedAtMillis || isLeaving(entry)) {
+      return false;
+    }
+    leavingStarts.put(id, startedAtMillis);
+    entries.put(id, new Entry(entry.report(), entry.receivedAtNanos(), ++changes));
+    return true;
+  }
+
+  /** Returns whether the start of an entry said in a response that it leaves. */
+  public synchronized boolean isLeaving(Entry entry) {
+    Long start = leavingStarts.get(entry.report().id());
+    return start != null && start == entry.report().startedAtMillis();
+  }
+
   /** Returns the latest report of an upstream. */
   public synchronized Optional<UpstreamReport> find(String id) {
     return Optional.ofNullable(entries.get(id)).map(Entry::report);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
@@ -92,7 +92,7 @@
   private Set<String> unusableUpstreams() {
     Set<String> ids = new HashSet<>();
     List<Upstream> ready = context.state().upstreams().ready(call.service());
-    List<Upstream> usable = choice.usable().stream().filter(choice::isWithinLimit).toList();
+    List<Upstream> usable = choice.usable().stream().filter(choice::takesRequest).toList();
     if (ready.size() > usable.size()) {
       ready.forEach(upstream -> ids.add(upstream.id()));
       usable.forEach(upstream -> ids.remove(upstream.id()));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -104,15 +104,21 @@
       String detail = "All connections are in use.";
       call.onUnavailable(this, ErrorResponse.notRun("connections-used", detail, delayMillis));
     } else {
-      pool.connect(address, this::onConnected, failure -> onConnectFailed(failure, fallback));
+      pool.connect(
+          address,
+          connection -> onConnected(connection, fallback),
+          failure -> onConnectFailed(failure, fallback));
     }
   }
 
-  private void onConnected(Connection connection) {
-    if (call.isUnderWay(this)) {
-      start(connection);
-    } else {
+  private void onConnected(Connection connection, ErrorResponse fallback) {
+    if (!call.isUnderWay(this)) {
       connection.release(0);
+    } else if (upstream.turnsAway(context.nowNanos())) {
+      connection.close();
+      call.onUnavailable(this, fallback);
+    } else {
+      start(connection);
     }
   }
 
@@ -198,7 +204,7 @@
       return;
     }
     if (status != HeaderCodec.MISDIRECTED_REQUEST) {
-      takeNotice(context.codec().readNotice(headers));
+      takeNotice(context.codec().readNotice(status, headers));
     }
     if (context.codec().isNotExecuted(status, headers)) {
       cancel();
@@ -225,10 +231,17 @@
 
   /** Keeps the last limit that was readable if the upstream names one that is not. */
   private void takeNotice(UpstreamNotice notice) {
-    if (notice.malformedLimit().isEmpty()) {
+    if (!notice.malformedLimit()) {
       context.state().recordLimit(upstream, notice.requestsPerSecond());
-    } else if (upstream.limit().isFirstMalformed()) {
-      RelayLog.malformedLimit(call, upstream, notice.malformedLimit().get());
+    }
+    if (notice.leaving() && context.state().recordLeaving(upstream)) {
+      context.closeIdleConnections(upstream.report().address());
+    }
+    if (notice.pauseMillis() > 0) {
+      context.state().recordPause(upstream, notice.pauseMillis());
+    }
+    if (!notice.malformed().isEmpty() && upstream.isFirstMalformedNotice()) {
+      RelayLog.malformedNotice(call, upstream, notice.malformed());
     }
   }
 
@@ -295,6 +308,11 @@
     return call.isCurrent(this) ? call.findTruncation() : Optional.empty();
   }
 
+  @Override
+  public boolean keepsConnection() {
+    return !upstream.isLeaving();
+  }
+
   @Override
   public void onResponseComplete() {
     if (call.isCurrent(this)) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -116,8 +116,8 @@
     return notRun("origin-gone", detail, 0);
   }
 
-  static ErrorResponse upstreamsLimited(long retryAfterMillis) {
-    String detail = "The upstreams get as many requests as they say that they take.";
+  static ErrorResponse upstreamsTakeNoMore(long retryAfterMillis) {
+    String detail = "The upstreams get as many requests as they say that they take, or pause.";
     return notRun("upstreams-limited", detail, retryAfterMillis);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -5,6 +5,7 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.StatusCodes;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -53,6 +54,7 @@
   private final HttpString lengthHint;
   private final HttpString resumes;
   private final HttpString requestLimit;
+  private final HttpString leaving;
   private final Set<HttpString> withheldFromUpstreams;
 
   /** Creates a codec for a set of names. */
@@ -69,6 +71,7 @@
     this.lengthHint = new HttpString(names.lengthHint());
     this.resumes = new HttpString(names.resumes());
     this.requestLimit = new HttpString(names.requestLimit());
+    this.leaving = new HttpString(names.leaving());
     Set<HttpString> withheldHeaders = new HashSet<>(HOP_BY_HOP);
     withheldHeaders.add(credential);
     withheldHeaders.add(account);
@@ -210,8 +213,11 @@
   }
 
   /** Reads what an upstream says of itself in the head of a response. */
-  UpstreamNotice readNotice(HeaderMap headers) {
-    return UpstreamNotice.parse(headers.getFirst(requestLimit));
+  UpstreamNotice readNotice(int status, HeaderMap headers) {
+    String retryAfter =
+        status == StatusCodes.SERVICE_UNAVAILABLE ? headers.getFirst(Headers.RETRY_AFTER) : null;
+    return UpstreamNotice.parse(
+        headers.getFirst(requestLimit), headers.getFirst(leaving), retryAfter);
   }
 
   /** Returns whether the content of a response is an event stream or of an unknown type. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -35,6 +35,7 @@
   private final Map<String, OnTimeRate> onTimeRates = new ConcurrentHashMap<>();
   private final Map<String, FirstTokenEstimator> estimators = new ConcurrentHashMap<>();
   private final Map<String, ServiceThrottle> throttles = new ConcurrentHashMap<>();
+  private final Map<String, ReturnSchedule> returnSchedules = new ConcurrentHashMap<>();
   private final Map<XnioIoThread, UpstreamConnectionPool> connectionPools =
       new ConcurrentHashMap<>();
 
@@ -154,11 +155,20 @@
     return throttles.computeIfAbsent(service, name -> new ServiceThrottle(nanoClock));
   }
 
+  ReturnSchedule returnSchedule(String service) {
+    return returnSchedules.computeIfAbsent(service, name -> new ReturnSchedule());
+  }
+
   UpstreamConnectionPool connectionPool(XnioIoThread ioThread) {
     return connectionPools.computeIfAbsent(
         ioThread, t -> new UpstreamConnectionPool(t, bufferPool, connectOutcomes));
   }
 
+  /** Closes the connections to an upstream that carry no request. */
+  void closeIdleConnections(String address) {
+    connectionPools.forEach((ioThread, pool) -> ioThread.execute(() -> pool.closeIdle(address)));
+  }
+
   /** Closes connections that exceeded their keep-alive time. */
   public void closeExpiredConnections() {
     connectionPools.forEach((ioThread, pool) -> ioThread.execute(pool::closeExpired));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.Finding;
@@ -57,15 +58,15 @@
         skippedNow);
   }
 
-  /** Logs the first limit of an upstream that is not a number of requests. */
-  static void malformedLimit(RelayedCall call, Upstream upstream, String value) {
-    String shown = value.substring(0, Math.min(value.length(), MAX_LOGGED_VALUE));
+  /** Logs what an upstream says of itself that cannot be read. */
+  static void malformedNotice(RelayedCall call, Upstream upstream, List<String> values) {
+    String shown = String.join("; ", values);
     LOG.warn(
-        "malformed_limit upstream={} request={} value=\"{}\" expected=\"requests a second, such as"
-            + " 5.8\"",
+        "malformed_notice upstream={} request={} values=\"{}\" expected=\"a limit in requests a"
+            + " second such as 5.8, 1 if it leaves, a pause in seconds such as 2.5\"",
         upstream.id(),
         call.head().requestId(),
-        shown);
+        shown.substring(0, Math.min(shown.length(), MAX_LOGGED_VALUE)));
   }
 
   /** Logs what is done about a silent upstream. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -212,7 +212,9 @@
   }
 
   private ErrorResponse retryLater(String type, String detail) {
-    return ErrorResponse.notRun(type, detail, RetryAfter.randomDelayMillis(route.targetMillis()));
+    long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
+    long waitMillis = choice.waitMillis(choice.usable());
+    return ErrorResponse.notRun(type, detail, Math.max(delayMillis, waitMillis));
   }
 
   private void send(Selection selected, ErrorResponse fallback) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StreamReturn.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StreamReturn.java
@@ -70,6 +70,7 @@
     boolean served =
         route.services().stream().anyMatch(service -> service.service().equals(origin.service()))
             && context.state().upstreams().ready(origin.service()).stream()
+                .filter(upstream -> !upstream.isLeaving())
                 .anyMatch(
                     upstream ->
                         upstream.report().softwareVersion().equals(origin.softwareVersion()));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -14,6 +14,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Reason;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit;
+import org.toucansaddle.daemon.internal.gateway.routing.RequestedPause;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.protocol.generated.PlacementAnswer;
@@ -28,6 +29,8 @@
  */
 final class UpstreamChoice {
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private final RelayContext context;
   private final RequestHead head;
   private final Route route;
@@ -116,32 +119,76 @@
     EngineProfile profile = EngineProfile.of(view, service, count, context.estimator(service));
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
     List<Upstream> allowed = usable.stream().filter(this::mayBeSentTo).toList();
-    Predicate<Upstream> takesMore = upstream -> !isTried(upstream) && isWithinLimit(upstream);
+    if (isFirst() && !isTurn(usable)) {
+      return Optional.empty();
+    }
+    Predicate<Upstream> takesMore = upstream -> !isTried(upstream) && takesRequest(upstream);
     return context.selector().select(allowed, head, route.targetMillis(), profile, takesMore);
   }
 
+  /** Returns whether no caller that was asked to return is due before this one. */
+  private boolean isTurn(List<Upstream> usable) {
+    return !areScarce(usable)
+        || context.returnSchedule(service).admits(context.nowNanos(), head.isLikelyRetry(route));
+  }
+
   private boolean isTried(Upstream upstream) {
     return tried.contains(upstream.id());
   }
 
-  /** Returns whether the limit that an upstream names leaves this router a request now. */
-  boolean isWithinLimit(Upstream upstream) {
-    return upstream.limit().permits(context.nowNanos(), context.state().limitPart(service));
+  /** Returns whether an upstream takes a request of this router now, as far as it has said. */
+  boolean takesRequest(Upstream upstream) {
+    long now = context.nowNanos();
+    return upstream.requestedPause().permits(now, upstream.localRequests())
+        && upstream.limit().permits(now, context.state().limitPart(service));
+  }
+
+  /** Returns whether all upstreams have said that they take few requests or none. */
+  private boolean areScarce(List<Upstream> usable) {
+    long now = context.nowNanos();
+    return !usable.isEmpty()
+        && usable.stream().allMatch(u -> u.limit().isNamed() || u.requestedPause().isInEffect(now));
   }
 
   /** Returns the response to a call that none of the usable upstreams takes now. */
   ErrorResponse refuseForLoad(List<Upstream> usable) {
-    long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
-    if (usable.stream().anyMatch(this::isWithinLimit)) {
+    if (!areScarce(usable)) {
+      long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
       return ErrorResponse.notRun("upstreams-busy", "All upstreams are busy.", delayMillis);
     }
+    long delayMillis =
+        context
+            .returnSchedule(service)
+            .reserve(
+                context.nowNanos(),
+                waitMillis(usable),
+                Math.round(MILLIS_PER_SECOND / requestsPerSecond(usable)),
+                route.targetMillis());
+    return ErrorResponse.upstreamsTakeNoMore(delayMillis);
+  }
+
+  /** Returns the requests a second that scarce upstreams take of this router. */
+  private double requestsPerSecond(List<Upstream> usable) {
     RequestLimit.Part part = context.state().limitPart(service);
-    long waitMillis =
-        usable.stream()
-            .mapToLong(upstream -> upstream.limit().waitMillis(context.nowNanos(), part))
-            .min()
-            .orElse(0);
-    return ErrorResponse.upstreamsLimited(Math.max(delayMillis, waitMillis));
+    return usable.stream()
+        .mapToDouble(
+            upstream ->
+                Math.min(upstream.limit().requestsPerSecond(part), RequestedPause.STEPS_PER_SECOND))
+        .sum();
+  }
+
+  /** Returns the time until the first of some upstreams takes a request, in milliseconds. */
+  long waitMillis(List<Upstream> usable) {
+    RequestLimit.Part part = context.state().limitPart(service);
+    long now = context.nowNanos();
+    return usable.stream()
+        .mapToLong(
+            upstream ->
+                Math.max(
+                    upstream.requestedPause().remainingMillis(now),
+                    upstream.limit().waitMillis(now, part)))
+        .min()
+        .orElse(0);
   }
 
   /** Returns whether a control daemon may select the first upstream: any engine will do. */
@@ -159,7 +206,7 @@
             .nominalTokensPerMilli();
     return usable.stream()
         .filter(upstream -> upstream.id().equals(answer.getUpstream()))
-        .filter(this::isWithinLimit)
+        .filter(this::takesRequest)
         .findFirst()
         .map(
             upstream ->
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnectionPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnectionPool.java
@@ -106,6 +106,14 @@
     return null;
   }
 
+  /** Closes the idle connections to an address. */
+  void closeIdle(String address) {
+    Deque<Connection> idle = idleConnections.remove(address);
+    if (idle != null) {
+      idle.forEach(Connection::close);
+    }
+  }
+
   /** Closes connections that exceeded their keep-alive time. */
   void closeExpired() {
     long now = System.nanoTime();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -52,6 +52,9 @@
      */
     Optional<String> findTruncation();
 
+    /** Returns whether the connection may carry another request after a complete response. */
+    boolean keepsConnection();
+
     /** Called when the response is complete. */
     void onResponseComplete();
 
@@ -251,7 +254,7 @@
       return;
     }
     ended = true;
-    if (bodyWritten && !closeAfterResponse) {
+    if (bodyWritten && !closeAfterResponse && listener.keepsConnection()) {
       connection.release(keepAliveMillis);
     } else {
       connection.close();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RequestLimit.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RequestLimit.java
@@ -38,7 +38,6 @@
 
   private OptionalDouble named = OptionalDouble.empty();
   private long noticedAt;
-  private boolean malformedNoticed;
   private double saved;
   private long savedAt;
 
@@ -90,13 +89,6 @@
     return changed;
   }
 
-  /** Returns whether no limit that is not a number was noticed before. */
-  public synchronized boolean isFirstMalformed() {
-    boolean first = !malformedNoticed;
-    malformedNoticed = true;
-    return first;
-  }
-
   /** Returns whether the newest response named a limit. */
   public boolean isNamed() {
     return everNamed && named().isPresent();
@@ -125,14 +117,22 @@
     if (named.isEmpty()) {
       return 0;
     }
-    double limit = Math.max(MIN_REQUESTS_PER_SECOND, named.getAsDouble());
-    double rate = limit * part.fraction();
-    save(nowNanos, rate, part.routers() <= limit + MAX_HELD_REQUESTS);
+    double rate = rate(part);
+    save(nowNanos, rate, part.routers() <= rate / part.fraction() + MAX_HELD_REQUESTS);
     double seconds = Math.max(0, 1 - saved) / rate;
     double maxSeconds = TimeUnit.DAYS.toSeconds(1);
     return (long) Math.ceil(Math.min(maxSeconds, seconds) * TimeUnit.SECONDS.toMillis(1));
   }
 
+  /** Returns what this router may send, in requests a second; infinite without a limit. */
+  public synchronized double requestsPerSecond(Part part) {
+    return named.isPresent() ? rate(part) : Double.POSITIVE_INFINITY;
+  }
+
+  private double rate(Part part) {
+    return Math.max(MIN_REQUESTS_PER_SECOND, named.getAsDouble()) * part.fraction();
+  }
+
   private void save(long nowNanos, double rate, boolean holds) {
     saved += Math.max(0, nowNanos - savedAt) / NANOS_PER_SECOND * rate;
     savedAt = nowNanos;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -30,6 +30,7 @@
 import org.toucansaddle.protocol.generated.ServicePart;
 import org.toucansaddle.protocol.generated.ServiceVersion;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
+import org.toucansaddle.protocol.generated.UpstreamStart;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -54,6 +55,11 @@
   private final OriginTable origins;
   private final ArrivalRates arrivals;
   private volatile LimitFractions limitFractions = LimitFractions.NONE;
+
+  /** Upstreams that told this router that they leave, by id; evicted with their reports. */
+  private final Map<String, Upstream> toldLeaving = new ConcurrentHashMap<>();
+
+  private volatile Runnable leavingListener = () -> {};
   private final AtomicReference<Optional<RoutingView>> view =
       new AtomicReference<>(Optional.empty());
   private final Map<String, Long> lastUpdateBySource = new ConcurrentHashMap<>();
@@ -264,6 +270,9 @@
             source);
       }
     }
+    update.getUpstreamsList().stream()
+        .filter(UpstreamMessage::getLeaving)
+        .forEach(message -> upstreams.markLeaving(message.getId(), message.getStartedAtMillis()));
     if (update.getComplete()) {
       upstreamsCompleteAt = now;
     }
@@ -273,6 +282,7 @@
       zoneRoutersBehind = update.getZoneRoutersBehind();
     }
     upstreams.evictSilent(now);
+    toldLeaving.values().removeIf(upstream -> !upstreams.contains(upstream));
   }
 
   /** Replaces the load of the other routers at the upstreams. */
@@ -318,6 +328,45 @@
     }
   }
 
+  /** Records that an upstream said in a response to this router that it leaves. */
+  public boolean recordLeaving(Upstream upstream) {
+    boolean isNew = upstream.markLeaving();
+    if (isNew) {
+      toldLeaving.put(upstream.id(), upstream);
+      LOG.info("upstream {} leaves, known from a response", upstream.id());
+      leavingListener.run();
+    }
+    return isNew;
+  }
+
+  /** Sets an action that runs when a response is the first to say that an upstream leaves. */
+  public void onLeaving(Runnable listener) {
+    leavingListener = listener;
+  }
+
+  /** Records that an upstream wants no requests of this router for a time. */
+  public void recordPause(Upstream upstream, long millis) {
+    long now = clock.getAsLong();
+    if (upstream.requestedPause().begin(millis, now)) {
+      LOG.info(
+          "upstream {} asks for a pause of {} ms, is paused for {} ms",
+          upstream.id(),
+          millis,
+          upstream.requestedPause().remainingMillis(now));
+    }
+  }
+
+  /** Returns the number of upstreams that are paused since they asked for it. */
+  public int pausedUpstreams() {
+    long now = clock.getAsLong();
+    return (int) upstreams.all().stream().filter(u -> u.requestedPause().isActive(now)).count();
+  }
+
+  /** Returns the number of known upstreams that said in a response that they leave. */
+  public int leavingUpstreams() {
+    return (int) upstreams.all().stream().filter(Upstream::isLeaving).count();
+  }
+
   private static void logLimit(Upstream upstream, String source) {
     OptionalDouble named =
         upstream.limit().notice().map(Notice::requestsPerSecond).orElse(OptionalDouble.empty());
@@ -346,6 +395,12 @@
             .setBehind(behind)
             .addAllAccounts(shares.localUsage())
             .addAllDemands(arrivals.demands());
+    for (Upstream upstream : toldLeaving.values()) {
+      report.addLeaving(
+          UpstreamStart.newBuilder()
+              .setId(upstream.id())
+              .setStartedAtMillis(upstream.startedAtMillis()));
+    }
     long now = clock.getAsLong();
     for (Upstream upstream : upstreams.all()) {
       RequestCounts counts = upstream.hangDetector().localCounts(now);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
@@ -34,6 +35,9 @@
   private final HangDetector hangDetector = new HangDetector();
   private final RequestLimit limit =
       new RequestLimit(() -> ThreadLocalRandom.current().nextDouble());
+  private final RequestedPause requestedPause = new RequestedPause();
+  private final AtomicBoolean malformedNoticed = new AtomicBoolean();
+  private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
   private final AtomicInteger localRequests = new AtomicInteger();
   private final AtomicLong localPendingTokens = new AtomicLong();
@@ -78,7 +82,34 @@
 
   /** Returns whether new requests may be sent to the upstream. */
   public boolean isUsable(long nowNanos) {
-    return report.state() == State.READY && nowNanos - pausedUntilNanos >= 0;
+    return report.state() == State.READY && !leaving && nowNanos - pausedUntilNanos >= 0;
+  }
+
+  /** Returns whether this incarnation said in a response that it leaves; this is final. */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Records that this incarnation leaves; returns whether that was not known. */
+  synchronized boolean markLeaving() {
+    boolean isNew = !leaving;
+    leaving = true;
+    return isNew;
+  }
+
+  /** Returns whether nothing malformed was noticed of this incarnation before. */
+  public boolean isFirstMalformedNotice() {
+    return malformedNoticed.compareAndSet(false, true);
+  }
+
+  /** Returns the pause that this incarnation asked of this router. */
+  public RequestedPause requestedPause() {
+    return requestedPause;
+  }
+
+  /** Returns whether this incarnation wants none of this router's requests now. */
+  public boolean turnsAway(long nowNanos) {
+    return leaving || requestedPause.isActive(nowNanos);
   }
 
   /** Returns the detector of stuck requests at the upstream. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -93,6 +93,19 @@
     return true;
   }
 
+  /** Returns whether an upstream is the latest known incarnation of its id. */
+  synchronized boolean contains(Upstream upstream) {
+    return byId.get(upstream.id()) == upstream;
+  }
+
+  /** Records that one start of an upstream leaves, whatever it reports. */
+  synchronized void markLeaving(String id, long startedAtMillis) {
+    Upstream current = byId.get(id);
+    if (current != null && current.startedAtMillis() == startedAtMillis) {
+      current.markLeaving();
+    }
+  }
+
   /** Adds a software version whose upstreams may all have left or started again with another. */
   synchronized void recordVersion(String service, String version, long reportedAtNanos) {
     Long known =
