Count the wait for a document from the first version that a router lacks

The others send a document to such a router 800 ms after the latest change, so changes that follow each other within that time, here each 0.7 s, put it off for as long as they last. Class of fault: a timer that each event restarts.

Change: each control daemon keeps when it got a version, and counts from the first one that the router lacks. Routers that get documents elsewhere are sent none, as before (second test).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -6,8 +6,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -47,13 +49,18 @@
    */
   private static final long DOCUMENT_FALLBACK_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+  /** Versions whose times are kept: more than follow each other within the fallback time. */
+  private static final int MAX_DOCUMENT_TIMES = 256;
+
   private final Supplier<StoredDocument> document;
   private final UpstreamRegistry registry;
   private final Supplier<List<String>> controlAddresses;
   private final LongSupplier clock;
   private final String zone;
-  private volatile long documentVersion;
-  private volatile long documentChangedAtNanos;
+
+  /** Times at which this daemon got the latest versions of the document. */
+  private final NavigableMap<Long, Long> documentTimes = new ConcurrentSkipListMap<>();
+
   private volatile StoredDocumentMessage lastEncoded = StoredDocumentMessage.getDefaultInstance();
   private final Set<Follower> followers = ConcurrentHashMap.newKeySet();
   private final RequestQuarantine quarantine;
@@ -100,14 +107,24 @@
 
   /** Sends pending changes to all routers. */
   public void pushChanges() {
-    long version = document.get().version();
-    if (version > documentVersion) {
-      documentVersion = version;
-      documentChangedAtNanos = clock.getAsLong();
-    }
+    recordDocumentTime(document.get().version());
     followers.forEach(Follower::pushChanges);
   }
 
+  private void recordDocumentTime(long version) {
+    documentTimes.putIfAbsent(version, clock.getAsLong());
+    while (documentTimes.size() > MAX_DOCUMENT_TIMES) {
+      documentTimes.pollFirstEntry();
+    }
+  }
+
+  /** Returns whether a router has been without a version for long enough to be sent the latest. */
+  private boolean isOverdue(long routerVersion) {
+    Map.Entry<Long, Long> firstMissing = documentTimes.higherEntry(routerVersion);
+    return firstMissing != null
+        && clock.getAsLong() - firstMissing.getValue() > DOCUMENT_FALLBACK_NANOS;
+  }
+
   /**
    * Closes the streams of silent routers and sends a heartbeat with pending changes to all others.
    */
@@ -295,9 +312,7 @@
     }
 
     private boolean isDocumentDue(StoredDocument current) {
-      return current.version() > routerVersion
-          && (wantsDocument
-              || clock.getAsLong() - documentChangedAtNanos > DOCUMENT_FALLBACK_NANOS);
+      return current.version() > routerVersion && (wantsDocument || isOverdue(routerVersion));
     }
 
     synchronized void sendHeartbeat() {
