--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -129,6 +129,7 @@
    * Closes the streams of silent routers and sends a heartbeat with pending changes to all others.
    */
   public void sendHeartbeats() {
+    recordDocumentTime(document.get().version());
     long now = clock.getAsLong();
     for (Follower follower : followers) {
       if (now - follower.lastReportNanos > REPORT_TIMEOUT_NANOS) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -56,8 +56,10 @@
   private final ArrivalRates arrivals;
   private volatile LimitFractions limitFractions = LimitFractions.NONE;
 
-  /** Upstreams that told this router that they leave, by id; evicted with their reports. */
-  private final Map<String, Upstream> toldLeaving = new ConcurrentHashMap<>();
+  /**
+   * Upstreams that said in a response to this router that they leave; evicted with their reports.
+   */
+  private final Map<String, Upstream> leavingById = new ConcurrentHashMap<>();
 
   private volatile Runnable leavingListener = () -> {};
   private final AtomicReference<Optional<RoutingView>> view =
@@ -282,7 +284,7 @@
       zoneRoutersBehind = update.getZoneRoutersBehind();
     }
     upstreams.evictSilent(now);
-    toldLeaving.values().removeIf(upstream -> !upstreams.contains(upstream));
+    leavingById.values().removeIf(upstream -> !upstreams.contains(upstream));
   }
 
   /** Replaces the load of the other routers at the upstreams. */
@@ -332,7 +334,7 @@
   public boolean recordLeaving(Upstream upstream) {
     boolean isNew = upstream.markLeaving();
     if (isNew) {
-      toldLeaving.put(upstream.id(), upstream);
+      leavingById.put(upstream.id(), upstream);
       LOG.info("upstream {} leaves, known from a response", upstream.id());
       leavingListener.run();
     }
@@ -395,7 +397,7 @@
             .setBehind(behind)
             .addAllAccounts(shares.localUsage())
             .addAllDemands(arrivals.demands());
-    for (Upstream upstream : toldLeaving.values()) {
+    for (Upstream upstream : leavingById.values()) {
       report.addLeaving(
           UpstreamStart.newBuilder()
               .setId(upstream.id())
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
@@ -97,6 +97,18 @@
     }
   }
 
+  /** Guards against a daemon that started with a document and sends it to no router. */
+  @Test
+  public void shouldSendTheDocumentItStartedWith() {
+    document = document(5);
+    for (int elapsed = 0; elapsed < MAX_LAG_MILLIS; elapsed += REPORT_MILLIS) {
+      nowMillis += REPORT_MILLIS;
+      report(1, false);
+      server.sendHeartbeats();
+    }
+    assertThat(sentVersions).contains(5L);
+  }
+
   private long latestSent() {
     return sentVersions.stream().mapToLong(version -> version).max().orElse(1);
   }
