Share the request and the update observer of the new tests

Change: LocalGateway.request and UpdateObserver; no check or bound is changed.

Evidence: DocumentFallbackTest, UpstreamVersionTest, LeavingUpstreamUsageTest, PausingUpstreamUsageTest and UpstreamNoticeSoakTest pass as before.

--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -48,7 +47,7 @@
             this::nowNanos,
             "z1");
     server.pushChanges();
-    reports = server.follow(new Updates());
+    reports = server.follow(new UpdateObserver(this::recordDocument));
     report(1, true);
   }
 
@@ -130,50 +129,9 @@
     assertThat(sentVersions).isEmpty();
   }
 
-  /** Records the documents that the server sends. */
-  private final class Updates extends ServerCallStreamObserver<FleetUpdate> {
-
-    @Override
-    public void onNext(FleetUpdate update) {
-      if (update.hasDocument()) {
-        sentVersions.add(update.getDocument().getVersion());
-      }
-    }
-
-    @Override
-    public void onError(Throwable failure) {
-      throw new AssertionError(failure);
+  private void recordDocument(FleetUpdate update) {
+    if (update.hasDocument()) {
+      sentVersions.add(update.getDocument().getVersion());
     }
-
-    @Override
-    public void onCompleted() {}
-
-    @Override
-    public boolean isCancelled() {
-      return false;
-    }
-
-    @Override
-    public boolean isReady() {
-      return true;
-    }
-
-    @Override
-    public void setOnCancelHandler(Runnable handler) {}
-
-    @Override
-    public void setCompression(String compression) {}
-
-    @Override
-    public void setOnReadyHandler(Runnable handler) {}
-
-    @Override
-    public void disableAutoInboundFlowControl() {}
-
-    @Override
-    public void request(int count) {}
-
-    @Override
-    public void setMessageCompression(boolean enable) {}
   }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.grpc.stub.ServerCallStreamObserver;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +13,6 @@
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
-import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
 
 /** Tests that the software versions of upstreams pass from control daemons to routers. */
@@ -45,7 +43,7 @@
   private void startRouter() {
     router = new RouterState(content -> null, REPORT_TIMEOUT_MILLIS, () -> nowNanos);
     FollowerReport first = FollowerReport.newBuilder().setFirst(true).setRouter("r").build();
-    server.follow(new Updates()).onNext(first);
+    server.follow(new UpdateObserver(update -> router.update("control", update))).onNext(first);
   }
 
   private static UpstreamReport report(String id, long sequence) {
@@ -106,49 +104,4 @@
 
     assertThat(router.softwareVersions("desk")).isEqualTo(Set.of("v1.1"));
   }
-
-  /** Delivers the updates of the server to the router. */
-  private final class Updates extends ServerCallStreamObserver<FleetUpdate> {
-
-    @Override
-    public void onNext(FleetUpdate update) {
-      router.update("control", update);
-    }
-
-    @Override
-    public void onError(Throwable failure) {
-      throw new AssertionError(failure);
-    }
-
-    @Override
-    public void onCompleted() {}
-
-    @Override
-    public boolean isCancelled() {
-      return false;
-    }
-
-    @Override
-    public boolean isReady() {
-      return true;
-    }
-
-    @Override
-    public void setOnCancelHandler(Runnable handler) {}
-
-    @Override
-    public void setCompression(String compression) {}
-
-    @Override
-    public void setOnReadyHandler(Runnable handler) {}
-
-    @Override
-    public void disableAutoInboundFlowControl() {}
-
-    @Override
-    public void request(int count) {}
-
-    @Override
-    public void setMessageCompression(boolean enable) {}
-  }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LeavingUpstreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LeavingUpstreamUsageTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.undertow.util.Headers;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -15,7 +14,6 @@
 import org.testng.annotations.Test;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
-import org.toucansaddle.http.HttpRequest;
 import org.toucansaddle.http.HttpResponse;
 import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
@@ -91,12 +89,7 @@
   }
 
   private HttpResponse send(int router) {
-    HttpRequest request =
-        HttpRequest.post(gateway.callerAddress(router), "/repeatable/x", "body")
-            .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
-            .withHeader("X-Request-Id", "r" + System.nanoTime())
-            .withHeader("X-Api-Key", LocalGateway.API_KEY);
-    return client.send(request, TIMEOUT).join();
+    return client.send(gateway.request(router, "/repeatable/x"), TIMEOUT).join();
   }
 
   /** Lets a router receive a response that says that the upstream leaves. */
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LimitedUpstreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LimitedUpstreamUsageTest.java
@@ -17,7 +17,6 @@
 import org.testng.annotations.Test;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
-import org.toucansaddle.http.HttpRequest;
 import org.toucansaddle.http.HttpResponse;
 import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
@@ -84,12 +83,7 @@
   }
 
   private HttpResponse send(int router) {
-    HttpRequest request =
-        HttpRequest.post(gateway.callerAddress(router), "/repeatable/x", "body")
-            .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
-            .withHeader("X-Request-Id", "r" + System.nanoTime())
-            .withHeader("X-Api-Key", LocalGateway.API_KEY);
-    return client.send(request, TIMEOUT).join();
+    return client.send(gateway.request(router, "/repeatable/x"), TIMEOUT).join();
   }
 
   /** Sends at all routers for a time; {@code busyRouter} gets four times as many requests. */
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.usage;
 
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -12,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.toucansaddle.daemon.gateway.CallerLimits;
@@ -33,6 +35,7 @@
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.WeightedService;
+import org.toucansaddle.http.HttpRequest;
 import org.toucansaddle.standins.fleet.PortAllocator;
 
 /**
@@ -64,6 +67,7 @@
   private final List<ControlGateway> controls = new CopyOnWriteArrayList<>();
   private final List<RouterGateway> routers = new ArrayList<>();
   private final List<String> callerAddresses = new ArrayList<>();
+  private final AtomicInteger requests = new AtomicInteger();
   private boolean controlsOpen = true;
 
   LocalGateway() throws IOException {
@@ -277,6 +281,14 @@
     routers.set(index, startRouter(index));
   }
 
+  /** Returns a request of the client account of the tests, with an id of its own. */
+  HttpRequest request(int router, String path) {
+    return HttpRequest.post(callerAddress(router), path, "body")
+        .withHeader(Headers.HOST_STRING, HOST)
+        .withHeader("X-Request-Id", "r" + requests.incrementAndGet())
+        .withHeader("X-Api-Key", API_KEY);
+  }
+
   String callerAddress(int router) {
     return callerAddresses.get(router);
   }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PausingUpstreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PausingUpstreamUsageTest.java
@@ -16,7 +16,6 @@
 import org.testng.annotations.Test;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
-import org.toucansaddle.http.HttpRequest;
 import org.toucansaddle.http.HttpResponse;
 import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
@@ -85,12 +84,7 @@
   }
 
   private CompletableFuture<HttpResponse> send() {
-    HttpRequest request =
-        HttpRequest.post(gateway.callerAddress(0), "/repeatable/x", "body")
-            .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
-            .withHeader("X-Request-Id", "r" + System.nanoTime())
-            .withHeader("X-Api-Key", LocalGateway.API_KEY);
-    return client.send(request, TIMEOUT);
+    return client.send(gateway.request(0, "/repeatable/x"), TIMEOUT);
   }
 
   private List<HttpResponse> sendFor(long millis) {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/UpstreamNoticeSoakTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/UpstreamNoticeSoakTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.undertow.util.Headers;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -159,11 +158,7 @@
 
     private HttpResponse send(int router) {
       HttpRequest request =
-          HttpRequest.post(gateway.callerAddress(router), "/repeatable/x", "body")
-              .withHeader(Headers.HOST_STRING, LocalGateway.HOST)
-              .withHeader("X-Router", Integer.toString(router))
-              .withHeader("X-Request-Id", "r" + System.nanoTime())
-              .withHeader("X-Api-Key", LocalGateway.API_KEY);
+          gateway.request(router, "/repeatable/x").withHeader("X-Router", Integer.toString(router));
       return client.send(request, TIMEOUT).join();
     }
 
