Share out among accounts what the limits of upstreams allow

Cause: the shares of accounts were reckoned from the nominal throughput of the engines. The limits allow less, so no account was above its share, and requests were served in the order in which a place was free.

Change: the throughput that is shared out is bounded by the limits times the mean size of the requests that arrive.

UpstreamLimitTest; AccountSharesTest, AdmissionControlTest and LimitedUpstreamUsageTest pass as before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
@@ -65,7 +65,7 @@
         call.route(),
         call.head(),
         call.request().account(),
-        call.request().view().tokensPerSecond(),
+        context.state().tokensPerSecond(call.service(), call.request().view().tokensPerSecond()),
         call.remainingMillis());
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -40,6 +40,9 @@
   /** Demand up to which an account is left out of reports, in tokens. */
   private static final double MIN_REPORTED_TOKENS = 10;
 
+  /** Requests from which their mean work is known. */
+  private static final double MIN_MEAN_REQUESTS = 1;
+
   /** Age above which the fair share is recomputed. */
   private static final long FAIR_SHARE_MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -58,11 +61,12 @@
     this.clock = clock;
   }
 
-  /** Tokens of one account at this router; they decay over time. */
+  /** Tokens and requests of one account at this router; they decay over time. */
   private static final class LocalUsage {
     private double demanded;
     private double admitted;
     private double work;
+    private double requests;
     private long updatedAt;
 
     void decay(long now) {
@@ -70,6 +74,7 @@
       demanded *= factor;
       admitted *= factor;
       work *= factor;
+      requests *= factor;
       updatedAt = now;
     }
   }
@@ -82,7 +87,9 @@
 
   /** Records the tokens that a request demands. */
   public synchronized void recordDemand(String account, long tokens) {
-    usage(account).demanded += tokens;
+    LocalUsage usage = usage(account);
+    usage.demanded += tokens;
+    usage.requests++;
   }
 
   /**
@@ -97,6 +104,21 @@
     usage.work += work;
   }
 
+  /**
+   * Returns the mean work of the requests that lately arrived here, in tokens; 0 if there were few.
+   * Those admitted would tell less: they are the smaller ones while accounts are above their share.
+   */
+  public synchronized double meanWorkTokens() {
+    double demanded = 0;
+    double requests = 0;
+    for (String account : localUsage.keySet()) {
+      LocalUsage usage = usage(account);
+      demanded += usage.demanded;
+      requests += usage.requests;
+    }
+    return requests < MIN_MEAN_REQUESTS ? 0 : demanded / requests / tokensPerWorkToken();
+  }
+
   /**
    * Returns the recently admitted work as a fraction of the capacity of the engines.
    *
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -46,6 +46,8 @@
   /** Decayed count of stuck requests up to which an upstream without requests is not reported. */
   private static final double MIN_REPORTED_STUCK = 0.05;
 
+  private static final RequestLimit.Part WHOLE_LIMIT = new RequestLimit.Part(1, 1);
+
   private final DocumentFormat format;
   private final LongSupplier clock;
   private final long reportTimeoutNanos;
@@ -130,6 +132,29 @@
         limitFractions.find(service, clock.getAsLong()).orElse(1.0 / sharing), sharing);
   }
 
+  /**
+   * Returns what the upstreams of a service process, in tokens a second, as far as the limits that
+   * they name allow it for requests of the mean size.
+   *
+   * @param nominal what they process without limits
+   */
+  public double tokensPerSecond(String service, double nominal) {
+    List<Upstream> ready = upstreams.ready(service);
+    if (ready.stream().noneMatch(upstream -> upstream.limit().isNamed())) {
+      return nominal;
+    }
+    double meanTokens = shares.meanWorkTokens();
+    double nominalEach = nominal / ready.size();
+    return meanTokens == 0
+        ? nominal
+        : ready.stream()
+            .mapToDouble(
+                upstream ->
+                    Math.min(
+                        nominalEach, upstream.limit().requestsPerSecond(WHOLE_LIMIT) * meanTokens))
+            .sum();
+  }
+
   /** Replaces this router's parts in limits by those that a control daemon computed. */
   public void updateLimitParts(List<ServicePart> parts) {
     limitFractions = LimitFractions.of(parts, clock.getAsLong());
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamLimitTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamLimitTest.java
@@ -109,6 +109,35 @@
     assertThat(state.limitPart("s").fraction()).isEqualTo(1.0 / ROUTERS);
   }
 
+  @DataProvider
+  public Object[][] capacities() {
+    return new Object[][] {
+      // limit in requests a second, capacity in tokens a second for requests of 1,000 tokens
+      {OptionalDouble.empty(), 20_000},
+      {OptionalDouble.of(5), 5_000},
+      {OptionalDouble.of(50), 20_000}
+    };
+  }
+
+  /**
+   * Guards against shares of accounts in a throughput that the limits of upstreams do not allow.
+   */
+  @Test(dataProvider = "capacities")
+  public void shouldShareOutWhatTheLimitsAllow(OptionalDouble limit, double tokensPerSecond) {
+    for (int i = 0; i < 10; i++) {
+      state.shares().recordDemand("large", 1_500);
+      state.shares().recordDemand("small", 500);
+    }
+    state.recordLimit(upstreamOf(state), limit);
+    assertThat(state.tokensPerSecond("s", 20_000)).isEqualTo(tokensPerSecond);
+  }
+
+  @Test
+  public void shouldShareOutTheNominalThroughputWhileTheSizeOfRequestsIsUnknown() {
+    state.recordLimit(upstreamOf(state), LIMIT);
+    assertThat(state.tokensPerSecond("s", 20_000)).isEqualTo(20_000);
+  }
+
   @Test
   public void shouldMergeLimitByTheTimeOfItsResponse() {
     state.recordLimit(upstreamOf(state), LIMIT);
