--- a/review/stand-ins/Lab.java
+++ b/review/stand-ins/Lab.java
@@ -9,6 +9,9 @@
 
 /** A small deployment on loopback: the project's programs as processes, and stand-ins in threads. */
 final class Lab implements AutoCloseable {
+  /** A script runs for 120 s at most. */
+  static final int MAX_SECONDS = 115;
+
   static final long START = System.nanoTime();
   final Path root = Path.of("").toAbsolutePath();
   final Path temp;
@@ -19,9 +22,7 @@
   final List<Proc> routers = new ArrayList<>();
   final List<Closeable> closeables = new CopyOnWriteArrayList<>();
   final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4, daemon("timer"));
-  int memoryMb = 430;
-  String bounds = "";
-  int port;
+  int memoryMb = 280;
 
   static ThreadFactory daemon(String name) {
     return r -> { Thread t = new Thread(r, name); t.setDaemon(true); return t; };
@@ -39,6 +40,13 @@
     }
     block = found;
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+    timers.schedule(
+        () -> {
+          note("result: the case could not end in time");
+          System.exit(2);
+        },
+        MAX_SECONDS,
+        TimeUnit.SECONDS);
   }
 
   static double now() { return (System.nanoTime() - START) / 1e9; }
@@ -78,16 +86,17 @@
     String front() { return ip + ":8783"; }
   }
 
-  String runLine2(String role) throws IOException {
-    boolean in = false;
+  /** Returns the run line of a role in the deploy file, with its placeholder filled in. */
+  List<String> runLine(String role) throws IOException {
+    boolean inRole = false;
     for (String line : Files.readAllLines(root.resolve("deploy/system.toml"))) {
-      if (line.startsWith("[")) in = line.trim().equals("[roles." + role + "]");
-      if (in && line.startsWith("run = ")) return line.substring(7, line.lastIndexOf('"'));
+      inRole = line.startsWith("[") ? line.trim().equals("[roles." + role + "]") : inRole;
+      if (inRole && line.startsWith("run = ")) {
+        String run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+        return List.of(run.replace("{{Limits.MemoryMb}}", Integer.toString(memoryMb)).split(" "));
+      }
     }
-    throw new IOException("no role " + role);
-  }
-  List<String> runLine(String role) throws IOException {
-    return new ArrayList<>(List.of(runLine2(role).replace("{{Limits.MemoryMb}}", "" + memoryMb).split(" ")));
+    throw new IOException("the deploy file has no role " + role);
   }
 
   String seeds() {
@@ -95,8 +104,6 @@
     for (Proc c : controls.subList(0, Math.min(3, controls.size()))) s.append(s.length() == 0 ? "" : ",").append('"').append(c.ip).append(":8785\"");
     return "[" + s + "]";
   }
-  boolean fleetFirst = true;
-
   void writeSettings(Proc p) throws IOException {
     StringBuilder s = new StringBuilder();
     s.append("Node = \"").append(p.name).append("\"\nRole = \"").append(p.role).append("\"\n");
@@ -110,7 +117,7 @@
     s.append("[Zones]\na = \"r\"\n[Listen]\n");
     if (p.core) s.append("Control = \"").append(p.ip).append(":8785\"\n");
     else s.append("Front = \"").append(p.ip).append(":8783\"\nReadiness = \"").append(p.ip).append(":8780\"\n");
-    s.append("[Limits]\nCpuShare = 0.75\nCores = 1\nMemoryMb = ").append(memoryMb).append("\nMaxFds = 4100\nLinkMbps = 1000.0\nDiskMb = ").append(p.core ? 128 : 0).append('\n');
+    s.append("[Limits]\nCpuShare = 0.75\nCores = 1\nMemoryMb = ").append(p.core ? 426 : memoryMb).append("\nMaxFds = 4100\nLinkMbps = 1000.0\nDiskMb = ").append(p.core ? 128 : 0).append('\n');
     s.append("[FaultTolerance]\nMachines = ").append((controls.size() - 1) / 2).append("\nZones = 0\nRegions = 0\n");
     s.append("[Bounds]\nSeedLagS = 3\nReuseAfterS = 2\nStableWindowMs = 3000\nAckMs = 4000\nCatchUpS = 4\nDrainMs = 2000\nGraceS = 8\nLossSlackMs = 200\nConfigMs = 2000\nRollbackSlackMs = 250\nOuterMs = 5000\nStrictRevoke = false\nRevokeMs = 5000\nRetryRatio = 0.2\nRetryWindowS = 10\nRetrySlack = 54\nRecoveryS = 12\nPassMs = 120\nReuseWindowS = 10\nQuotaWindowS = 4\n");
     Path t = temp.resolve(p.name + ".tmp");
--- a/review/stand-ins/LastTenant.java
+++ b/review/stand-ins/LastTenant.java
@@ -32,7 +32,7 @@
     List<String> routes = List.of(Manifest.route("r-tdhbjph", "/pufi791/", "non_idempotent", "huvo11a", false));
     List<String> services = List.of("huvo11a");
     String first = Manifest.of(7, services, routes, List.of(Manifest.tenant("hule930", "asnmgkcuyj8pjbvk9m68"), Manifest.tenant("bova112", "k7b2ex5wa5xwyhks8nbk")));
-    if (!lab.putManifest(first, 20)) return 2;
+    if (!lab.putManifest(first, 30)) return 2;
     for (Lab.Proc router : lab.routers) if (!lab.await(20, () -> lab.ready(router))) return 2;
     Thread.sleep(3000);
     int served = 0;
@@ -44,7 +44,7 @@
     // With trouble the keys of all tenants are taken away; without it one tenant stays.
     List<String> left = trouble ? List.of() : List.of(Manifest.tenant("bova112", "k7b2ex5wa5xwyhks8nbk"));
     lab.note("operator: the tenants of version 11 are %s", left);
-    if (!lab.putManifest(Manifest.of(11, services, routes, left), 20)) return 2;
+    if (!lab.putManifest(Manifest.of(11, services, routes, left), 30)) return 2;
     Thread.sleep(4000); // ConfigMs is 2,000
     int broken = 0;
     for (int i = 0; i < REQUESTS; i++) {
--- a/review/stand-ins/QueryMark.java
+++ b/review/stand-ins/QueryMark.java
@@ -31,7 +31,7 @@
     }
     String manifest = Manifest.of(7, List.of("huvo11a"),
         List.of(Manifest.route("r-tdhbjph", "/pufi791/", "idempotent", "huvo11a", true)), null);
-    if (!lab.putManifest(manifest, 20)) return 2;
+    if (!lab.putManifest(manifest, 30)) return 2;
     for (Lab.Proc router : lab.routers) if (!lab.await(20, () -> lab.ready(router))) return 2;
     Thread.sleep(3000);
     int changed = 0;
