Repeat only idempotent requests and resumable streams

Cause: Route.isRepeatable was true for every route marked as resumable. The mark is for streams only, and both document formats pass it on as it stands. RelayedCall.isMovable, the takeover of a silent upstream and the choice of upstreams for repeatable requests all rest on it.

Change: a Route that is not one of streams is never resumable. The rule is in the record itself, so both formats, embedders and stored documents of earlier versions get it. The fleet of classes of work has no such mark: it repeats by WorkClass.idempotent (read, not run).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/Route.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/Route.java
@@ -17,7 +17,8 @@
  * @param services services that execute the requests, with their weights
  * @param maxAttempts maximum number of upstreams that one request may be sent to
  * @param open whether requests are accepted without a key
- * @param resumable whether an interrupted stream may be resumed at another upstream
+ * @param resumable whether an interrupted stream may be resumed at another upstream; false unless
+ *     the route is one of streams, whatever a document says
  */
 public record Route(
     String name,
@@ -39,9 +40,10 @@
   private static final int STALL_TIMEOUT_PER_TARGET = 4;
   private static final int STALL_TIMEOUT_PER_GAP_TARGET = 8;
 
-  /** Copies the services. */
+  /** Copies the services; only streams can be resumed. */
   public Route {
     services = List.copyOf(services);
+    resumable = resumable && repetition == Repetition.STREAM;
   }
 
   /** Returns whether a request may be sent again although it may have been executed already. */
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/RouteTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/RouteTest.java
@@ -23,21 +23,46 @@
   @Test(dataProvider = "stallTimeouts")
   public void shouldDeriveTheCallerStallTimeoutFromTheTargets(
       int target, int gapTarget, int expected) {
-    List<WeightedService> services = List.of(new WeightedService("s", 1));
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/",
-            Repetition.STREAM,
-            9_000,
-            target,
-            gapTarget,
-            0,
-            services,
-            1,
-            false,
-            false);
+    Route route = route(Repetition.STREAM, target, gapTarget, false);
     assertThat(route.callerStallTimeoutMillis()).isEqualTo(expected);
   }
+
+  private static Route route(
+      Repetition repetition, int targetMillis, int gapTargetMillis, boolean resumable) {
+    return new Route(
+        "r",
+        "h",
+        "/",
+        repetition,
+        9_000,
+        targetMillis,
+        gapTargetMillis,
+        0,
+        List.of(new WeightedService("s", 1)),
+        1,
+        false,
+        resumable);
+  }
+
+  @DataProvider
+  public Object[][] repetitions() {
+    return new Object[][] {
+      // repetition, marked as resumable, resumable, repeatable
+      {Repetition.ONCE, false, false, false},
+      {Repetition.ONCE, true, false, false},
+      {Repetition.STREAM, false, false, false},
+      {Repetition.STREAM, true, true, true},
+      {Repetition.REPEATABLE, false, false, true},
+      {Repetition.REPEATABLE, true, false, true},
+    };
+  }
+
+  /** Guards against requests that run twice since a route without streams is marked resumable. */
+  @Test(dataProvider = "repetitions")
+  public void shouldRepeatOnlyRepeatableRequestsAndResumableStreams(
+      Repetition repetition, boolean marked, boolean resumable, boolean repeatable) {
+    Route route = route(repetition, 1_000, 0, marked);
+    assertThat(route.resumable()).isEqualTo(resumable);
+    assertThat(route.isRepeatable()).isEqualTo(repeatable);
+  }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
@@ -81,6 +81,14 @@
     assertThat(buoy.open()).isTrue();
   }
 
+  /** Guards against requests that run twice since a route without streams is marked resumable. */
+  @Test
+  public void shouldNotRepeatNonIdempotentRequestsOfRouteMarkedAsResumable()
+      throws DocumentException {
+    FleetDocument document = read(VALID.replace("\"stream\"", "\"once\""));
+    assertThat(document.routes().get(0).isRepeatable()).isFalse();
+  }
+
   @DataProvider
   public Object[][] invalidEdits() {
     return new Object[][] {
