Send names of accounts and ids of upstreams as UTF-8 or extended values

A name with U+010D U+010A added a header field of its own to the request.

Cause: a Java string went into the header field as it was, and the HTTP library writes the low byte of each character. Nothing on the way defined how text becomes bytes.

Change: FieldText maps text to values one to one: UTF-8, or an extended value (RFC 8187) for control characters, unpaired surrogates, outer spaces and what looks extended itself. Plain ASCII names stay as they are. The same on related paths: the id of the expected upstream; the other way round, keys of callers are read as UTF-8 (before, U+010D matched no bytes and U+00F1 only ISO 8859-1, which still works); log lines escape control characters.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -95,7 +95,7 @@
         hostOf(firstValue(headers, Headers.HOST)),
         pathOf(exchange.getRequestURI()),
         parseNumber(firstValue(headers, deadline), MAX_DEADLINE_MILLIS),
-        firstValue(headers, credential),
+        FieldText.decode(firstValue(headers, credential)),
         comma < 0 ? 0 : parseNumber(counts.substring(0, comma), MAX_TOKENS),
         comma < 0 ? 0 : parseNumber(counts.substring(comma + 1), MAX_TOKENS),
         parseNumber(firstValue(headers, lengthHint), MAX_TOKENS),
@@ -194,10 +194,10 @@
   /** Sets the expected upstream, the remaining time and the client account, if any. */
   void setUpstreamHeaders(
       HeaderMap headers, String upstreamId, String clientAccount, long remainingMillis) {
-    headers.put(expectedUpstream, upstreamId);
+    headers.put(expectedUpstream, FieldText.encode(upstreamId));
     headers.put(deadline, Long.toString(remainingMillis));
     if (!clientAccount.isEmpty()) {
-      headers.put(account, clientAccount);
+      headers.put(account, FieldText.encode(clientAccount));
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/BoundedAppender.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/BoundedAppender.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Semaphore;
@@ -102,7 +103,7 @@
         .append(" logger=")
         .append(logger, logger.lastIndexOf('.') + 1, logger.length())
         .append(' ')
-        .append(event.getFormattedMessage());
+        .append(withoutControls(event.getFormattedMessage()));
     IThrowableProxy failure = event.getThrowableProxy();
     if (failure != null) {
       String trace = ThrowableProxyUtil.asString(failure).replace('\n', '|').replace('\t', ' ');
@@ -110,4 +111,23 @@
     }
     text.append('\n');
   }
+
+  /** Escapes control characters, so that a value of a document or a caller begins no line. */
+  private static String withoutControls(String message) {
+    if (message.codePoints().noneMatch(Character::isISOControl)) {
+      return message;
+    }
+    StringBuilder escaped = new StringBuilder();
+    message
+        .codePoints()
+        .forEach(
+            c -> {
+              if (Character.isISOControl(c)) {
+                escaped.append(String.format(Locale.ROOT, "\\u%04x", c));
+              } else {
+                escaped.appendCodePoint(c);
+              }
+            });
+    return escaped.toString();
+  }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodecTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodecTest.java
@@ -45,4 +45,14 @@
     assertThat(forwarded.getFirst("X-Resumes")).isEqualTo("r1");
     assertThat(forwarded.getFirst("Last-Event-Id")).isEqualTo("12");
   }
+
+  /** Guards against an upstream's id that ends its field early and adds another one. */
+  @Test
+  public void shouldSendIdOfUpstreamInOneField() {
+    HeaderMap headers = new HeaderMap();
+    codec.setUpstreamHeaders(headers, "u\u010D\u010AX-Injected: 1", "", 100);
+    String value = headers.getFirst("X-Expect-Upstream");
+    assertThat(value.chars()).allMatch(c -> c >= ' ' && c <= 0xFF);
+    assertThat(FieldText.decode(value)).isEqualTo("u\u010D\u010AX-Injected: 1");
+  }
 }
