Keep requiring keys once the last client account has left

Cause: a document without a list of accounts, which needs no keys, and one with an empty list were both read as an empty list, and RoutingView asked for a key only if there was an account. The removal of the last account opened what it was to close.

A router without a document, or with one that it cannot read, lets nothing in (503), as before.

--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/DocumentCommands.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/DocumentCommands.java
@@ -84,13 +84,22 @@
     }
     printer()
         .printLine(
-            "version %s %s: %s routes, %s services, %s accounts"
+            "version %s %s: %s routes, %s services, %s accounts%s"
                 .formatted(
                     response.path("version").asText(),
                     outcome,
                     response.path("routes").asText(),
                     response.path("services").asText(),
-                    response.path("accounts").asText()));
+                    response.path("accounts").asText(),
+                    describeKeys(response.path("requires_keys"))));
+  }
+
+  /** Returns whether requests need keys; empty if an older daemon does not say. */
+  private static String describeKeys(JsonNode required) {
+    if (required.isMissingNode()) {
+      return "";
+    }
+    return required.asBoolean() ? ", keys required" : ", no keys required";
   }
 
   private static String readFile(Path file) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/FleetDocument.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/FleetDocument.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -11,7 +12,8 @@
  *
  * <pre>{@code
  * FleetDocument document =
- *     new FleetDocument(7, routes, services, accounts, CallerLimits.defaults()).validated();
+ *     new FleetDocument(7, routes, services, Optional.of(accounts), CallerLimits.defaults())
+ *         .validated();
  * }</pre>
  *
  * <p>Immutable.
@@ -19,14 +21,15 @@
  * @param version version of the document; the highest one takes effect
  * @param routes routes, in any order
  * @param services services that the routes refer to
- * @param accounts client accounts; if empty, requests need no key
+ * @param accounts client accounts, whose keys requests need on all routes that are not open; an
+ *     empty list lets no key in. Empty if requests need no key
  * @param limits limits on callers
  */
 public record FleetDocument(
     long version,
     List<Route> routes,
     List<ServiceDefinition> services,
-    List<ClientAccount> accounts,
+    Optional<List<ClientAccount>> accounts,
     CallerLimits limits) {
 
   private static final long MAX_VERSION = 1L << 53;
@@ -38,7 +41,12 @@
   public FleetDocument {
     routes = List.copyOf(routes);
     services = List.copyOf(services);
-    accounts = List.copyOf(accounts);
+    accounts = accounts.map(List::copyOf);
+  }
+
+  /** Returns whether requests need the key of a client account on routes that are not open. */
+  public boolean requiresKeys() {
+    return accounts.isPresent();
   }
 
   /**
@@ -105,7 +113,7 @@
 
   private void checkKeys() throws DocumentException {
     Map<String, String> owners = new HashMap<>();
-    for (ClientAccount account : accounts) {
+    for (ClientAccount account : accounts.orElse(List.of())) {
       for (String key : account.keys()) {
         String other = owners.putIfAbsent(key, account.name());
         if (other != null) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/TomlDocuments.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/TomlDocuments.java
@@ -123,13 +123,20 @@
     return engine;
   }
 
-  private static List<ClientAccount> readAccounts(TomlTable root) throws DocumentException {
+  /**
+   * Reads the client accounts; a missing list, unlike an empty one, lets requests in without keys.
+   */
+  private static Optional<List<ClientAccount>> readAccounts(TomlTable root)
+      throws DocumentException {
+    if (!root.has("accounts")) {
+      return Optional.empty();
+    }
     List<ClientAccount> accounts = new ArrayList<>();
     for (TomlTable table : root.tables("accounts")) {
       accounts.add(new ClientAccount(table.string("name"), new HashSet<>(table.strings("keys"))));
       table.rejectUnknownFields();
     }
-    return accounts;
+    return Optional.of(accounts);
   }
 
   private static CallerLimits readLimits(TomlTable table) throws DocumentException {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/DocumentOperations.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/DocumentOperations.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.toucansaddle.daemon.gateway.ControlGateway;
 import org.toucansaddle.daemon.gateway.ControlGateway.PutOutcome;
@@ -71,7 +72,8 @@
         .put("version", document.version())
         .put("routes", document.routes().size())
         .put("services", document.services().size())
-        .put("accounts", document.accounts().size());
+        .put("accounts", document.accounts().map(List::size).orElse(0))
+        .put("requires_keys", document.requiresKeys());
   }
 
   private CompletableFuture<ObjectNode> put(AdminRequest request) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -148,7 +148,7 @@
   }
 
   private static Optional<String> findAccount(RoutingView view, Route route, RequestHead head) {
-    if (route.open() || !view.requiresKey()) {
+    if (route.open() || !view.document().requiresKeys()) {
       return Optional.of("");
     }
     return view.account(head.credential());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.toucansaddle.daemon.gateway.ClientAccount;
@@ -19,7 +20,7 @@
   public RoutingView(FleetDocument document) {
     this.document = document;
     this.routes = new RouteTable(document.routes());
-    for (ClientAccount account : document.accounts()) {
+    for (ClientAccount account : document.accounts().orElse(List.of())) {
       account.keys().forEach(key -> accountByKey.put(key, account.name()));
     }
     document.services().forEach(service -> services.put(service.name(), service));
@@ -40,11 +41,6 @@
     return Optional.ofNullable(accountByKey.get(key));
   }
 
-  /** Returns whether callers must send a key, which is so once there are client accounts. */
-  public boolean requiresKey() {
-    return !document.accounts().isEmpty();
-  }
-
   /** Returns the service of a name. */
   public Optional<ServiceDefinition> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/FleetDocumentTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/FleetDocumentTest.java
@@ -37,7 +37,8 @@
   }
 
   private static FleetDocument document(List<Route> routes, List<ClientAccount> accounts) {
-    return new FleetDocument(3, routes, List.of(SERVICE), accounts, CallerLimits.defaults());
+    return new FleetDocument(
+        3, routes, List.of(SERVICE), Optional.of(accounts), CallerLimits.defaults());
   }
 
   @Test
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
@@ -69,7 +69,7 @@
     assertThat(document.limits().maxHeaderBytes()).isEqualTo(16 << 10);
     assertThat(document.services().get(0).engine().orElseThrow().memoryTokens()).isEqualTo(345_009);
     assertThat(document.services().get(1).engine()).isEmpty();
-    assertThat(document.accounts())
+    assertThat(document.accounts().orElseThrow())
         .containsExactly(new ClientAccount("puntarenas", Set.of("k1", "k2")));
     Route stream = document.routes().get(0);
     assertThat(stream.host()).isEqualTo("charts.example");
@@ -89,6 +89,18 @@
     assertThat(document.routes().get(0).isRepeatable()).isFalse();
   }
 
+  @DataProvider
+  public Object[][] documentsWithoutAccount() {
+    return new Object[][] {{"version = 1", false}, {"version = 1\naccounts = []", true}};
+  }
+
+  /** Guards against a document that lets any key in once its last account has left. */
+  @Test(dataProvider = "documentsWithoutAccount")
+  public void shouldRequireKeysIfThereIsAListOfAccounts(String document, boolean requiresKeys)
+      throws DocumentException {
+    assertThat(read(document).requiresKeys()).isEqualTo(requiresKeys);
+  }
+
   @DataProvider
   public Object[][] invalidEdits() {
     return new Object[][] {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementServerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementServerTest.java
@@ -95,7 +95,7 @@
             "model", "/healthz", 100, Optional.of(new EngineCapacity(SLOTS, 100_000)));
     ServiceDefinition desk = new ServiceDefinition("desk", "/healthz", 100, Optional.empty());
     CallerLimits limits = new CallerLimits(16 << 10, 4 << 20, 3_000, 15_000, 100_000);
-    return new FleetDocument(1, List.of(), List.of(model, desk), List.of(), limits);
+    return new FleetDocument(1, List.of(), List.of(model, desk), Optional.empty(), limits);
   }
 
   private static PlacementAsk.Builder ask(long id) {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/AccountNameUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/AccountNameUsageTest.java
@@ -87,7 +87,8 @@
     }
     accounts.add(new ClientAccount("caron", Set.of(KEY_OF_CARON)));
     accounts.add(new ClientAccount("tilde", Set.of(KEY_OF_TILDE)));
-    return new FleetDocument(version, routes, List.of(desk), accounts, CallerLimits.defaults())
+    return new FleetDocument(
+            version, routes, List.of(desk), Optional.of(accounts), CallerLimits.defaults())
         .validated();
   }
 
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -156,7 +156,8 @@
             route("stream", Repetition.STREAM, 2, true));
     ServiceDefinition desk = new ServiceDefinition("desk", "/healthz", 100, Optional.empty());
     List<ClientAccount> accounts = List.of(new ClientAccount("captain", Set.of(API_KEY)));
-    return new FleetDocument(version, routes, List.of(desk), accounts, CallerLimits.defaults())
+    return new FleetDocument(
+            version, routes, List.of(desk), Optional.of(accounts), CallerLimits.defaults())
         .validated();
   }
 
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LostAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LostAnswerUsageTest.java
@@ -86,7 +86,8 @@
     ServiceDefinition desk = new ServiceDefinition("desk", "/healthz", 100, Optional.empty());
     List<ClientAccount> accounts =
         List.of(new ClientAccount("captain", Set.of(LocalGateway.API_KEY)));
-    return new FleetDocument(version, routes, List.of(desk), accounts, CallerLimits.defaults())
+    return new FleetDocument(
+            version, routes, List.of(desk), Optional.of(accounts), CallerLimits.defaults())
         .validated();
   }
 
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/MixedVersionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/MixedVersionUsageTest.java
@@ -142,7 +142,8 @@
     SPLIT_SERVICES.forEach(name -> services.add(service(name)));
     List<ClientAccount> accounts =
         List.of(new ClientAccount("captain", Set.of(LocalGateway.API_KEY)));
-    return new FleetDocument(version, routes, services, accounts, CallerLimits.defaults())
+    return new FleetDocument(
+            version, routes, services, Optional.of(accounts), CallerLimits.defaults())
         .validated();
   }
 
