Tell requests apart by query and method when upstreams crash

Cause: RequestDigest took host, path, account and body for the whole request. RequestHead had no query, so the digest could not have it, and the target for upstreams was built elsewhere from the exchange. Each success of a sound request cleared the strikes of the deadly one.

Change: RequestHead has method and query; its target is what upstreams get and what is digested. The digest of a POST request without a query is as before, so that strikes stored or sent by earlier versions still hold for those. The same in the fleet of classes of work: its digest lacked the method (its service calls have no query). Large bodies cost no more: the body was digested before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -142,9 +142,7 @@
 
   private ClientRequest buildRequest(byte[] body) {
     ClientRequest request = new ClientRequest();
-    String query = exchange.getQueryString();
-    String path = call.head().path() + (query.isEmpty() ? "" : "?" + query);
-    request.setMethod(exchange.getRequestMethod()).setPath(path);
+    request.setMethod(exchange.getRequestMethod()).setPath(call.head().target());
     HeaderMap headers = request.getRequestHeaders();
     context.codec().copyRequestHeaders(exchange.getRequestHeaders(), headers);
     long remaining = Math.max(1, call.remainingMillis());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -92,8 +92,10 @@
     int comma = counts.indexOf(',');
     return new RequestHead(
         firstValue(headers, requestId),
+        exchange.getRequestMethod().toString(),
         hostOf(firstValue(headers, Headers.HOST)),
         pathOf(exchange.getRequestURI()),
+        exchange.getQueryString(),
         parseNumber(firstValue(headers, deadline), MAX_DEADLINE_MILLIS),
         FieldText.decode(firstValue(headers, credential)),
         comma < 0 ? 0 : parseNumber(counts.substring(0, comma), MAX_TOKENS),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestDigest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestDigest.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -13,15 +14,20 @@
 
   private RequestDigest() {}
 
-  /** Returns the digest of a request; equal for requests with the same path, account and body. */
+  /**
+   * Returns the digest of a request; equal for requests with the same method, host, path, query,
+   * account and body, whatever their other header fields.
+   */
   static long of(RequestHead head, String account, byte[] body) {
-    return Hashing.komihash5_0()
-        .hashStream()
-        .putString(head.host())
-        .putString(head.path())
-        .putString(account)
-        .putByteArray(body)
-        .getAsLong();
+    HashStream64 stream =
+        Hashing.komihash5_0()
+            .hashStream()
+            .putString(head.host())
+            .putString(head.target())
+            .putString(account)
+            .putByteArray(body);
+    // Digests that earlier versions stored are those of POST requests without a query.
+    return (head.method().equals("POST") ? stream : stream.putString(head.method())).getAsLong();
   }
 
   /** Returns the digests of the parts of a prompt that other requests may share. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
@@ -7,8 +7,10 @@
  * Parsed head of a request. Immutable.
  *
  * @param requestId id of the request; empty if the caller sent none
+ * @param method method as received
  * @param host host name in lower case, without a port
  * @param path path as received, without the query
+ * @param query query as received, without the question mark before it; empty if there is none
  * @param deadlineMillis time until the deadline of the caller, in milliseconds; 0 if not given
  * @param credential the caller's key; empty if there is none
  * @param promptTokens tokens of the prompt; 0 if it has none
@@ -21,8 +23,10 @@
  */
 public record RequestHead(
     String requestId,
+    String method,
     String host,
     String path,
+    String query,
     int deadlineMillis,
     String credential,
     int promptTokens,
@@ -48,6 +52,11 @@
     parts = List.copyOf(parts);
   }
 
+  /** Returns path and query, as they are sent to upstreams. */
+  public String target() {
+    return query.isEmpty() ? path : path + "?" + query;
+  }
+
   /** Returns the smaller of the caller's deadline and the route's timeout, in milliseconds. */
   public int timeoutMillis(Route route) {
     return deadlineMillis > 0
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/Digests.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/Digests.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.request;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -38,8 +39,10 @@
     }
   }
 
-  /** Returns a 64-bit, non-cryptographic digest of a request's path and body. */
-  public static long contentDigest(String path, byte[] body) {
-    return Hashing.komihash5_0().hashStream().putString(path).putBytes(body).getAsLong();
+  /** Returns a 64-bit, non-cryptographic digest of a request's method, path and body. */
+  public static long contentDigest(String method, String path, byte[] body) {
+    HashStream64 stream = Hashing.komihash5_0().hashStream().putString(path).putBytes(body);
+    // Earlier versions, which send strikes to this one, digest all requests as POST ones.
+    return (method.equals("POST") ? stream : stream.putString(method)).getAsLong();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/WorkClassFilter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/WorkClassFilter.java
@@ -44,7 +44,8 @@
     } else {
       classifyService(request, workClass, path);
     }
-    request.setDigest(Digests.contentDigest(path, request.body()));
+    String method = request.exchange().getRequestMethod().toString();
+    request.setDigest(Digests.contentDigest(method, path, request.body()));
     chain.next(request);
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControlTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControlTest.java
@@ -50,7 +50,8 @@
 
   private static AdmissionRequest admissionRequest(String account, int prompt, int leftMillis) {
     RequestHead head =
-        new RequestHead("r", "h", "/", leftMillis, "k", prompt, 400, 400, "", "", List.of());
+        new RequestHead(
+            "r", "POST", "h", "/", "", leftMillis, "k", prompt, 400, 400, "", "", List.of());
     return new AdmissionRequest(ROUTE, head, account, CAPACITY_TOKENS_PER_SECOND, leftMillis);
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
@@ -51,11 +51,12 @@
   private static RequestHead promptRequest(String session, int sharedTokens, int ownTokens) {
     List<PromptPart> parts =
         List.of(new PromptPart(session, sharedTokens), new PromptPart("own", ownTokens));
-    return new RequestHead("r", "h", "/", 0, "", sharedTokens + ownTokens, 60, 0, "", "", parts);
+    return new RequestHead(
+        "r", "POST", "h", "/", "", 0, "", sharedTokens + ownTokens, 60, 0, "", "", parts);
   }
 
   private static RequestHead plainRequest() {
-    return new RequestHead("r", "h", "/", 0, "", 0, 0, 0, "", "", List.of());
+    return new RequestHead("r", "POST", "h", "/", "", 0, "", 0, 0, 0, "", "", List.of());
   }
 
   private Optional<Selection> select(List<Upstream> from, RequestHead head) {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -21,7 +21,8 @@
 
 /**
  * Upstreams of a {@link LocalGateway} that crash when they run a request whose path ends with
- * {@code /crash}, or whose prompt has the part {@link #DEADLY_PART}.
+ * {@code /crash}, whose query is {@link #DEADLY_QUERY}, or whose prompt has the part {@link
+ * #DEADLY_PART}.
  *
  * <p>A crash closes the connection of that request, and the upstream starts again at once, at the
  * same address. If a down time is given, a crash closes all connections, and the upstream accepts
@@ -35,6 +36,9 @@
   /** Id of a part of a prompt that crashes upstreams. */
   static final String DEADLY_PART = "deadly";
 
+  /** Query that crashes upstreams. */
+  static final String DEADLY_QUERY = "part=17";
+
   /** Header with the parts of a prompt. */
   static final String PROMPT_PARTS = "X-Prompt-Parts";
 
@@ -196,6 +200,7 @@
   private static boolean isDeadly(HttpServerExchange exchange) {
     String parts = exchange.getRequestHeaders().getFirst(PROMPT_PARTS);
     return exchange.getRequestURI().endsWith("/crash")
+        || exchange.getQueryString().equals(DEADLY_QUERY)
         || (parts != null && parts.contains(DEADLY_PART));
   }
 
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/DeadlyRequestUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/DeadlyRequestUsageTest.java
@@ -95,6 +95,39 @@
     }
   }
 
+  @DataProvider
+  public Object[][] differences() {
+    return new Object[][] {
+      {"/once/x", CrashingUpstreams.DEADLY_QUERY, "part=100"},
+      {"/repeatable/x", CrashingUpstreams.DEADLY_QUERY, ""},
+      {"/repeatable/x", CrashingUpstreams.DEADLY_QUERY, "part=17&page=2"},
+    };
+  }
+
+  /** Guards against sound requests with another query that clear the strikes of a deadly one. */
+  @Test(dataProvider = "differences")
+  public void shouldRefuseRequestBesideSoundOnesWithAnotherQuery(
+      String path, String deadlyQuery, String soundQuery) throws Exception {
+    String deadly = path + "?" + deadlyQuery;
+    String sound = soundQuery.isEmpty() ? path : path + "?" + soundQuery;
+    for (int i = 0; upstreams.crashes() < 3; i++) {
+      send(i % ROUTERS, deadly, "same body", "");
+      for (int router = 0; router < ROUTERS; router++) {
+        int index = router;
+        LocalGateway.await(() -> send(index, sound, "same body", "").status() == 200);
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    Thread.sleep(SPREAD_MILLIS);
+    int crashes = upstreams.crashes();
+    for (int i = 0; i < 2 * ROUTERS; i++) {
+      HttpResponse response = send(i % ROUTERS, deadly, "same body", "");
+      assertThat(response.text()).contains("quarantined").contains("not-run");
+      assertThat(send(i % ROUTERS, sound, "same body", "").status()).isEqualTo(200);
+    }
+    assertThat(upstreams.crashes()).isEqualTo(crashes);
+  }
+
   @DataProvider
   public Object[][] routes() {
     return new Object[][] {{"/once/"}, {"/repeatable/"}, {"/stream-once/"}, {"/stream/"}};
