Let a stream of unknown origin go on only by what most control daemons know

Cause: without any reply of a control daemon such a return went on at the only version that the router itself knew; with one reply of however many daemons, too. A router that stood still or was cut off, alone or with a few control daemons, knows the old version only: a lack of knowledge taken for knowledge. Besides, the place found was not kept, so that a retry within that response could take a version that became known in between.

Change: a reply names the software versions that its daemon knows, and the router adds them to its own. A stream is unknown only if most control daemons of the fleet replied; else it is refused as not run, with a time to return. A stream of unknown origin is bound to the one version that can have begun it. Callers that name no request are never taken for one another's. Older control daemons name no versions and count as before.

OriginLookupTest and OriginReportTest expected UNKNOWN from one reply of three daemons; that was the fault, they now ask for a majority and expect UNANSWERED below it.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -252,6 +252,7 @@
     return new OriginLookup(
         state.origins(),
         follower::liveAddresses,
+        follower::fleetSize,
         this::askForOrigins,
         peers::schedule,
         this::countOriginLookup);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/VersionStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/VersionStore.java
@@ -130,9 +130,12 @@
     writer.shutdown();
   }
 
-  /** Adds to a reply for how long this daemon has known all versions. */
+  /** Adds to a reply the versions that this daemon knows, and for how long it has known all. */
   public FindOriginReply complete(FindOriginReply reply) {
     long nanos = knowsAllBefore ? Long.MAX_VALUE : clock.getAsLong() - startedAtNanos;
-    return reply.toBuilder().setVersionsKnownMillis(TimeUnit.NANOSECONDS.toMillis(nanos)).build();
+    return reply.toBuilder()
+        .setVersionsKnownMillis(TimeUnit.NANOSECONDS.toMillis(nanos))
+        .addAllVersions(VersionCodec.encode(registry.versions(), clock.getAsLong()))
+        .build();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookup.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookup.java
@@ -7,14 +7,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.internal.PacedTask;
@@ -27,6 +31,10 @@
  * Finds where a stream began: in the table of this router, or else by asking all followed control
  * daemons, of which the first that knows the stream decides.
  *
+ * <p>That a stream is unknown counts only if most control daemons of the fleet say so: a router may
+ * be cut off from the others together with a few of them. Their replies name the software versions
+ * that they know, since a router that stood still does not know the latest ones.
+ *
  * <p>Many streams return at once when their router is lost, often to one that has just started and
  * makes calls slowly; so questions of a short time are sent together, and not by the thread that
  * asks. Thread-safe; no thread waits for a reply.
@@ -45,6 +53,7 @@
 
   private final OriginTable table;
   private final Supplier<List<String>> daemons;
+  private final IntSupplier fleetSize;
   private final ControlCall call;
   private final Consumer<Outcome> observer;
   private final Executor afterTimeout =
@@ -58,13 +67,13 @@
     /** The origin is known. */
     KNOWN,
     /**
-     * At least one control daemon that knows all versions which may have begun the stream replied,
-     * and none of those that did knows the stream.
+     * Most control daemons replied, at least one of them knows all versions which may have begun
+     * the stream, and none of them knows the stream.
      */
     UNKNOWN,
-    /** None of the control daemons that replied knows the stream, nor all versions. */
+    /** Most control daemons replied, and none of them knows the stream, nor all versions. */
     INCONCLUSIVE,
-    /** No control daemon replied in time, or too many lookups are under way. */
+    /** Too few control daemons replied in time, or too many lookups are under way. */
     UNANSWERED
   }
 
@@ -72,15 +81,18 @@
    * Result of a lookup. Immutable.
    *
    * @param origin where the stream began; empty unless the outcome is {@link Outcome#KNOWN}
+   * @param versions the software versions of all services that the control daemons which replied
+   *     know; empty if the origin is known
    */
-  public record Answer(Outcome outcome, Optional<StreamOrigin> origin) {
+  public record Answer(Outcome outcome, Optional<StreamOrigin> origin, Set<StreamOrigin> versions) {
 
-    private static Answer known(StreamOrigin origin) {
-      return new Answer(Outcome.KNOWN, Optional.of(origin));
+    /** Copies the versions. */
+    public Answer {
+      versions = Set.copyOf(versions);
     }
 
-    private static Answer without(Outcome outcome) {
-      return new Answer(outcome, Optional.empty());
+    private static Answer known(StreamOrigin origin) {
+      return new Answer(Outcome.KNOWN, Optional.of(origin), Set.of());
     }
   }
 
@@ -97,17 +109,20 @@
    *
    * @param table origins of the streams that this router began
    * @param daemons addresses of the control daemons to ask
+   * @param fleetSize number of control daemons that the fleet has, as far as is known
    * @param executor sends the questions
    * @param observer receives the outcome of each lookup
    */
   public OriginLookup(
       OriginTable table,
       Supplier<List<String>> daemons,
+      IntSupplier fleetSize,
       ControlCall call,
       DelayedExecutor executor,
       Consumer<Outcome> observer) {
     this.table = table;
     this.daemons = daemons;
+    this.fleetSize = fleetSize;
     this.call = call;
     this.observer = observer;
     this.sending =
@@ -126,11 +141,11 @@
   public CompletableFuture<Answer> find(String requestId, long maxAgeMillis) {
     Question question = new Question(requestId, maxAgeMillis);
     boolean isOneTooMany = underWay.incrementAndGet() > MAX_UNDER_WAY;
-    Optional<StreamOrigin> own = table.find(requestId);
+    Optional<StreamOrigin> own = requestId.isEmpty() ? Optional.empty() : table.find(requestId);
     if (own.isPresent()) {
       question.end(Answer.known(own.get()));
     } else if (isOneTooMany) {
-      question.end(Answer.without(Outcome.UNANSWERED));
+      question.end(new Answer(Outcome.UNANSWERED, Optional.empty(), Set.of()));
     } else {
       afterTimeout.execute(question::endWithoutOrigin);
       unsent.add(question);
@@ -145,9 +160,10 @@
       questions.add(next);
     }
     List<String> addresses = daemons.get();
+    int required = fleetSize.getAsInt() / 2 + 1;
     FindOriginRequest.Builder request = FindOriginRequest.newBuilder();
     for (Question question : questions) {
-      question.expectReplies(addresses.size());
+      question.expectReplies(addresses.size(), required);
       request.addRequests(question.request);
     }
     FindOriginRequest built = request.build();
@@ -174,8 +190,10 @@
    *
    * @param origins origins of the streams that it knows
    * @param versionsKnownMillis time for which it has known all software versions, in milliseconds
+   * @param versions the software versions that it knows; an older daemon names none
    */
-  private record Knowledge(Map<Long, StreamOrigin> origins, long versionsKnownMillis) {
+  private record Knowledge(
+      Map<Long, StreamOrigin> origins, long versionsKnownMillis, Set<StreamOrigin> versions) {
 
     static Knowledge of(FindOriginReply reply) {
       Map<Long, StreamOrigin> known = new HashMap<>();
@@ -186,7 +204,11 @@
       // Older daemons do not say; they count as before.
       long millis =
           reply.hasVersionsKnownMillis() ? reply.getVersionsKnownMillis() : Long.MAX_VALUE;
-      return new Knowledge(known, millis);
+      Set<StreamOrigin> versions =
+          reply.getVersionsList().stream()
+              .map(version -> new StreamOrigin(version.getService(), version.getSoftwareVersion()))
+              .collect(Collectors.toSet());
+      return new Knowledge(known, millis, versions);
     }
   }
 
@@ -204,9 +226,11 @@
     private final AtomicInteger pending = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger conclusive = new AtomicInteger();
+    private final Set<StreamOrigin> versions = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private volatile int asked;
+    private volatile int required = Integer.MAX_VALUE;
 
     Question(String requestId, long maxAgeMillis) {
       this.requestId = requestId;
@@ -215,8 +239,9 @@
     }
 
     /** Prepares for the replies to be received; ends the lookup if nobody is asked. */
-    void expectReplies(int count) {
+    void expectReplies(int count, int requiredCount) {
       asked = count;
+      required = requiredCount;
       pending.set(count);
       if (count == 0) {
         endWithoutOrigin();
@@ -226,12 +251,13 @@
     /** Receives what a control daemon knows; empty if the call failed. */
     void receive(Optional<Knowledge> knowledge) {
       if (knowledge.isPresent()) {
-        answered.incrementAndGet();
+        versions.addAll(knowledge.get().versions());
         if (knowledge.get().versionsKnownMillis() >= maxAgeMillis) {
           conclusive.incrementAndGet();
         }
+        answered.incrementAndGet();
         StreamOrigin origin = knowledge.get().origins().get(request);
-        if (origin != null) {
+        if (origin != null && !requestId.isEmpty()) {
           end(Answer.known(origin));
         }
       }
@@ -241,11 +267,11 @@
     }
 
     private void endWithoutOrigin() {
-      if (answered.get() == 0) {
-        end(Answer.without(Outcome.UNANSWERED));
-      } else {
-        end(Answer.without(conclusive.get() > 0 ? Outcome.UNKNOWN : Outcome.INCONCLUSIVE));
+      Outcome outcome = Outcome.UNANSWERED;
+      if (answered.get() >= required) {
+        outcome = conclusive.get() > 0 ? Outcome.UNKNOWN : Outcome.INCONCLUSIVE;
       }
+      end(new Answer(outcome, Optional.empty(), versions));
     }
 
     /** Ends the lookup; later calls have no effect. */
@@ -256,14 +282,16 @@
       underWay.decrementAndGet();
       observer.accept(result.outcome());
       DECISIONS.info(
-          "origin request={} outcome={} service={} version={} daemons_asked={}"
-              + " daemons_answered={} millis={}",
+          "origin request={} outcome={} service={} version={} versions={} daemons_asked={}"
+              + " daemons_answered={} daemons_required={} millis={}",
           requestId,
           result.outcome().name().toLowerCase(Locale.ROOT),
           result.origin().map(StreamOrigin::service).orElse(""),
           result.origin().map(StreamOrigin::softwareVersion).orElse(""),
+          result.versions().size(),
           asked,
           answered.get(),
+          required,
           TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos));
       answer.complete(result);
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StreamReturn.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/StreamReturn.java
@@ -1,8 +1,11 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.toucansaddle.daemon.gateway.Route;
+import org.toucansaddle.daemon.gateway.WeightedService;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Answer;
 import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 
@@ -21,11 +24,15 @@
   /**
    * Where a stream may go on. Immutable.
    *
-   * @param origin where it began; empty if only one version can have begun it
+   * @param origin where it began; empty if it is refused
    * @param refusal response if it cannot go on
    */
   record Found(Optional<StreamOrigin> origin, Optional<ErrorResponse> refusal) {
 
+    private static Found at(StreamOrigin origin) {
+      return new Found(Optional.of(origin), Optional.empty());
+    }
+
     private static Found refused(ErrorResponse error) {
       return new Found(Optional.empty(), Optional.of(error));
     }
@@ -55,17 +62,17 @@
   private Found decide(Answer answer) {
     return switch (answer.outcome()) {
       case KNOWN -> decideAt(answer.origin().orElseThrow());
-      case UNKNOWN -> decideWithoutOrigin();
+      case UNKNOWN -> decideWithoutOrigin(answer.versions());
       case INCONCLUSIVE -> Found.refused(ErrorResponse.originUnknown());
-      case UNANSWERED ->
-          head.resumes().isEmpty()
-              ? decideWithoutOrigin()
-              : Found.refused(
-                  ErrorResponse.originUnanswered(
-                      RetryAfter.randomDelayMillis(route.targetMillis())));
+      case UNANSWERED -> refuseForNow();
     };
   }
 
+  private Found refuseForNow() {
+    long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
+    return Found.refused(ErrorResponse.originUnanswered(delayMillis));
+  }
+
   private Found decideAt(StreamOrigin origin) {
     boolean served =
         route.services().stream().anyMatch(service -> service.service().equals(origin.service()))
@@ -74,19 +81,25 @@
                 .anyMatch(
                     upstream ->
                         upstream.report().softwareVersion().equals(origin.softwareVersion()));
-    return served
-        ? new Found(Optional.of(origin), Optional.empty())
-        : Found.refused(ErrorResponse.originGone(origin));
+    return served ? Found.at(origin) : Found.refused(ErrorResponse.originGone(origin));
   }
 
-  private Found decideWithoutOrigin() {
-    long possibleOrigins =
-        route.services().stream()
-            .filter(service -> service.weight() > 0)
-            .mapToLong(service -> context.state().softwareVersions(service.service()).size())
-            .sum();
-    return possibleOrigins > 1
-        ? Found.refused(ErrorResponse.originUnknown())
-        : new Found(Optional.empty(), Optional.empty());
+  /** Lets the stream go on where it must have begun; refuses it if there are several places. */
+  private Found decideWithoutOrigin(Set<StreamOrigin> versions) {
+    Set<StreamOrigin> possible = new HashSet<>();
+    for (WeightedService weighted : route.services()) {
+      String service = weighted.service();
+      if (weighted.weight() > 0) {
+        versions.stream().filter(v -> v.service().equals(service)).forEach(possible::add);
+        for (String version : context.state().softwareVersions(service)) {
+          possible.add(new StreamOrigin(service, version));
+        }
+      }
+    }
+    return switch (possible.size()) {
+      case 0 -> refuseForNow();
+      case 1 -> Found.at(possible.iterator().next());
+      default -> Found.refused(ErrorResponse.originUnknown());
+    };
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -63,6 +64,13 @@
     return List.copyOf(all);
   }
 
+  /** Returns the number of control daemons that those followed list, or of the seeds. */
+  public int fleetSize() {
+    Set<String> listed = new HashSet<>();
+    addressesBySource.values().forEach(listed::addAll);
+    return listed.isEmpty() ? seeds.get().size() : listed.size();
+  }
+
   /** Returns the addresses of the live control daemons, or of all known ones if none is live. */
   public List<String> liveAddresses() {
     List<String> live =
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookupTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginLookupTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -19,12 +20,14 @@
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Outcome;
 import org.toucansaddle.protocol.generated.FindOriginReply;
 import org.toucansaddle.protocol.generated.FindOriginRequest;
+import org.toucansaddle.protocol.generated.ServiceVersion;
 import org.toucansaddle.protocol.generated.StreamOrigins;
 
 /** Tests of {@link OriginLookup}. */
 public class OriginLookupTest {
 
   private static final long MAX_AGE_MILLIS = 15_000;
+  private static final int FLEET_SIZE = 3;
   private static final StreamOrigin V1 = new StreamOrigin("s", "v1");
   private static final FindOriginReply NOT_KNOWN = FindOriginReply.getDefaultInstance();
   private static final FindOriginReply KNOWN = known("r");
@@ -55,7 +58,12 @@
 
   private OriginLookup createLookup(ControlCall call) {
     return new OriginLookup(
-        table, () -> daemons, call, (action, delay) -> scheduled.add(action), outcomes::add);
+        table,
+        () -> daemons,
+        () -> FLEET_SIZE,
+        call,
+        (action, delay) -> scheduled.add(action),
+        outcomes::add);
   }
 
   private static FindOriginReply known(String requestId) {
@@ -92,7 +100,7 @@
   public void shouldAnswerFromOwnTableAtOnce() {
     table.record("own", V1, false);
     assertThat(lookup.find("own", MAX_AGE_MILLIS))
-        .isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1)));
+        .isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1), Set.of()));
     assertThat(calls).isEmpty();
     assertThat(outcomes).containsExactly(Outcome.KNOWN);
   }
@@ -104,7 +112,7 @@
     fail(calls.get("b"));
     assertThat(answer).isNotDone();
     calls.get("c").complete(KNOWN);
-    assertThat(answer).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1)));
+    assertThat(answer).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1), Set.of()));
     assertThat(outcomes).containsExactly(Outcome.KNOWN);
     assertThat(lookup.underWay()).isZero();
   }
@@ -113,7 +121,7 @@
   public void shouldNotWaitForOthersOnceOriginIsKnown() {
     CompletableFuture<Answer> answer = ask(lookup);
     calls.get("b").complete(KNOWN);
-    assertThat(answer).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1)));
+    assertThat(answer).isCompletedWithValue(new Answer(Outcome.KNOWN, Optional.of(V1), Set.of()));
   }
 
   @DataProvider
@@ -121,8 +129,10 @@
     return new Object[][] {
       // replies, failures, outcome once the rest stays silent
       {3, 0, Outcome.UNKNOWN},
-      {1, 2, Outcome.UNKNOWN},
-      {1, 0, Outcome.UNKNOWN},
+      {2, 1, Outcome.UNKNOWN},
+      {2, 0, Outcome.UNKNOWN},
+      {1, 2, Outcome.UNANSWERED},
+      {1, 0, Outcome.UNANSWERED},
       {0, 3, Outcome.UNANSWERED},
       {0, 0, Outcome.UNANSWERED},
     };
@@ -137,7 +147,7 @@
     pending.subList(replies, replies + failures).forEach(OriginLookupTest::fail);
     boolean allEnded = replies + failures == 3;
     assertThat(answer.isDone()).isEqualTo(allEnded);
-    assertThat(await(answer)).isEqualTo(new Answer(outcome, Optional.empty()));
+    assertThat(await(answer)).isEqualTo(new Answer(outcome, Optional.empty(), Set.of()));
     assertThat(outcomes).containsExactly(outcome);
     assertThat(lookup.underWay()).isZero();
   }
@@ -233,6 +243,33 @@
     assertThat(await(answer).outcome()).isEqualTo(outcome);
   }
 
+  /** Guards against a router that decides by its own versions, which may be out of date. */
+  @Test
+  public void shouldReturnVersionsThatControlDaemonsKnow() throws Exception {
+    CompletableFuture<Answer> answer = ask(lookup);
+    calls.get("a").complete(knowing("v1"));
+    calls.get("b").complete(knowing("v2"));
+    calls.get("c").complete(NOT_KNOWN);
+    assertThat(await(answer).outcome()).isEqualTo(Outcome.UNKNOWN);
+    assertThat(await(answer).versions())
+        .containsExactlyInAnyOrder(new StreamOrigin("s", "v1"), new StreamOrigin("s", "v2"));
+  }
+
+  private static FindOriginReply knowing(String version) {
+    return FindOriginReply.newBuilder()
+        .addVersions(ServiceVersion.newBuilder().setService("s").setSoftwareVersion(version))
+        .build();
+  }
+
+  /** Guards against streams whose callers name none and that are all taken for the same one. */
+  @Test
+  public void shouldKnowNoOriginWithoutRequestId() throws Exception {
+    CompletableFuture<Answer> answer = lookup.find("", MAX_AGE_MILLIS);
+    runScheduled();
+    calls.values().forEach(call -> call.complete(known("")));
+    assertThat(await(answer).outcome()).isEqualTo(Outcome.UNKNOWN);
+  }
+
   @Test
   public void shouldTakeTheOriginOfADaemonThatHasJustStarted() throws Exception {
     CompletableFuture<Answer> answer = lookup.find("r", MAX_AGE_MILLIS);
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -118,7 +119,7 @@
     second.awaitLive();
     first.state.origins().record("r", V1, false);
     awaitKnownToAll("r", V1);
-    assertThat(second.find("r")).isEqualTo(new Answer(Outcome.KNOWN, Optional.of(V1)));
+    assertThat(second.find("r")).isEqualTo(new Answer(Outcome.KNOWN, Optional.of(V1), Set.of()));
     assertThat(second.find("other").outcome()).isEqualTo(Outcome.UNKNOWN);
   }
 
@@ -187,9 +188,10 @@
     first.state.origins().record("r", V1, false);
     awaitKnownToAll("r", V1);
     controls.get(0).close();
+    assertThat(second.find("other").outcome()).isEqualTo(Outcome.UNKNOWN);
     controls.get(1).close();
     assertThat(second.find("r").origin()).contains(V1);
-    assertThat(second.find("other").outcome()).isEqualTo(Outcome.UNKNOWN);
+    assertThat(second.find("other").outcome()).as("most are gone").isEqualTo(Outcome.UNANSWERED);
     controls.get(2).close();
     assertThat(second.find("r").outcome()).isEqualTo(Outcome.UNANSWERED);
   }
@@ -312,6 +314,7 @@
           new OriginLookup(
               state.origins(),
               follower::liveAddresses,
+              follower::fleetSize,
               (address, request) ->
                   clients.call(
                       address,
