Take a refusal for that of a request only if it names the request

What callers of other operators saw: a faulty upstream wrote an earlier refusal once more, and requests that it ran were refused as not run (REFUSED) or ran at a second upstream (TWICE). It can happen here if the copy carries no id.

Cause: a response without a request id counted as that of the request which waits on the connection, and the mark of a refusal was read before anything else was checked. Upstreams repeat the id in their responses; a refusal without one is that of a request without one.

Change: a response that says not run, or has status 421, must carry the id of the request; otherwise the response is lost (attempt_failed, outcome=unidentified) and the request counts as run. Its notices (limit, pause, leaving) are not read either. A refusal still closes its connection.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -201,10 +201,15 @@
       fail("crossed", "the response belongs to another request");
       return;
     }
+    boolean isRefusal = context.codec().isNotExecuted(status, headers);
+    if (isRefusal && !context.codec().namesRequest(call.head().requestId(), headers)) {
+      fail("unidentified", "status " + status + " does not say which request was not run");
+      return;
+    }
     if (status != HeaderCodec.MISDIRECTED_REQUEST) {
       takeNotice(context.codec().readNotice(status, headers));
     }
-    if (context.codec().isNotExecuted(status, headers)) {
+    if (isRefusal) {
       cancel();
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -214,6 +214,11 @@
     return responseId == null || responseId.equals(id);
   }
 
+  /** Returns whether a response carries the id of the request; none if the request has none. */
+  boolean namesRequest(String id, HeaderMap headers) {
+    return firstValue(headers, requestId).equals(id);
+  }
+
   /** Reads what an upstream says of itself in the head of a response. */
   UpstreamNotice readNotice(int status, HeaderMap headers) {
     String retryAfter =
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -178,6 +178,7 @@
       String expected = exchange.getRequestHeaders().getFirst("X-Expect-Upstream");
       int start = starts.get();
       if (!id(start).equals(expected)) {
+        repeatRequestId(exchange);
         exchange.setStatusCode(421);
       } else if (!isDeadly(exchange)) {
         answer(exchange, 200);
@@ -207,8 +208,12 @@
   private static void answer(HttpServerExchange exchange, int status) {
     exchange.setStatusCode(status);
     exchange.getResponseHeaders().put(new HttpString("X-Answer-Seal"), "seal");
+    repeatRequestId(exchange);
+    exchange.getResponseSender().send("data: answer\n\n");
+  }
+
+  private static void repeatRequestId(HttpServerExchange exchange) {
     String requestId = exchange.getRequestHeaders().getFirst("X-Request-Id");
     exchange.getResponseHeaders().put(new HttpString("X-Request-Id"), requestId);
-    exchange.getResponseSender().send("data: answer\n\n");
   }
 }
