Continue a broken stream only with the next events of an event stream

Cause: a continuation was accepted by its status alone. Its head was not asked whether it is an event stream, an event without an id passed as an event of the stream, and the end of the second response was the end of the stream whether or not an event had come. A stream whose events have no ids was begun once more in the same response.

Change: a continuation has status 200, and the type text/event-stream or none. EventSplitter forwards nothing of it until the event with the next id; an event without an id before that is a fault (outcome=not-continued), comments are dropped, and an end before it leaves the stream incomplete. A stream is not resumed within a response once an event without an id was forwarded.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -214,7 +214,7 @@
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
       fail("unsealed", "status " + status + " does not come from the upstream itself");
-    } else if (call.isResponding() && !isSuccess(status)) {
+    } else if (call.isResponding() && !HeaderCodec.continuesEventStream(status, headers)) {
       fail("status-" + status, "the upstream did not resume the stream");
     } else if (status >= 500 && (call.mayRetryFailure() || call.takeover().isStandby(this))) {
       fail("status-" + status, "the upstream failed");
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
@@ -10,7 +10,9 @@
  *
  * <p>Bytes after the last complete event are buffered, since the upstream may fail within an event.
  * Events up to the last forwarded id are dropped, so that a stream resumed at another upstream
- * contains no duplicates. Not thread-safe.
+ * contains no duplicates. What another upstream sends continues the stream once it has sent the
+ * event with the next id; comments before that are dropped, and events without an id are a fault.
+ * Not thread-safe.
  */
 final class EventSplitter implements ResponseContent {
 
@@ -22,6 +24,7 @@
   /** Why a stream cannot be continued with what the upstream sends. */
   enum Fault {
     GAP("gap", "an event is missing"),
+    NOT_CONTINUED("not-continued", "the next upstream sent something else than the next event"),
     TOO_LONG("event-too-long", "an event is longer than " + MAX_EVENT_BYTES + " bytes");
 
     private final String outcome;
@@ -46,6 +49,8 @@
   private final EventScanner scanner = new EventScanner();
   private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
   private long lastEventId = -1;
+  private boolean hasEventWithoutId;
+  private boolean awaitsNextEvent;
   private Optional<Fault> fault = Optional.empty();
 
   /** Returns the id of the last forwarded event; -1 if there was none. */
@@ -53,6 +58,11 @@
     return lastEventId;
   }
 
+  /** Returns whether another upstream can continue the stream: all events so far have ids. */
+  boolean isResumable() {
+    return !hasEventWithoutId;
+  }
+
   /** Returns why the stream cannot be continued; the events before that were returned. */
   Optional<Fault> fault() {
     return fault;
@@ -63,10 +73,14 @@
     partialEvent.reset();
     scanner.reset();
     fault = Optional.empty();
+    awaitsNextEvent = lastEventId >= 0;
   }
 
   @Override
   public Optional<String> findTruncation(ResponseFraming framing) {
+    if (awaitsNextEvent) {
+      return Optional.of("the next upstream ended the stream without another event");
+    }
     return scanner.findTruncation(framing);
   }
 
@@ -106,7 +120,7 @@
   private boolean acceptEvent(byte[] event) {
     long id = parseEventId(event);
     if (id < 0) {
-      return true;
+      return acceptWithoutId(event);
     }
     if (id <= lastEventId) {
       return false;
@@ -116,9 +130,28 @@
       return false;
     }
     lastEventId = id;
+    awaitsNextEvent = false;
     return true;
   }
 
+  private boolean acceptWithoutId(byte[] event) {
+    if (isComment(event)) {
+      return !awaitsNextEvent;
+    }
+    if (awaitsNextEvent) {
+      fault = Optional.of(Fault.NOT_CONTINUED);
+      return false;
+    }
+    hasEventWithoutId = true;
+    return true;
+  }
+
+  private static boolean isComment(byte[] event) {
+    return new String(event, StandardCharsets.UTF_8)
+        .lines()
+        .allMatch(line -> line.isEmpty() || line.startsWith(":"));
+  }
+
   private static long parseEventId(byte[] event) {
     boolean atLineStart = true;
     for (int i = 0; i + ID_FIELD.length < event.length; i++) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -230,7 +230,17 @@
   /** Returns whether the content of a response is an event stream or of an unknown type. */
   static boolean mayBeEventStream(HeaderMap headers) {
     String type = headers.getFirst(Headers.CONTENT_TYPE);
-    return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+    if (type == null) {
+      return true;
+    }
+    int parameters = type.indexOf(';');
+    String mediaType = parameters < 0 ? type : type.substring(0, parameters);
+    return mediaType.trim().equalsIgnoreCase(EVENT_STREAM);
+  }
+
+  /** Returns whether a response may continue an event stream that another one began. */
+  static boolean continuesEventStream(int status, HeaderMap headers) {
+    return status == StatusCodes.OK && mayBeEventStream(headers);
   }
 
   /** Returns whether a response carries a request id. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
@@ -68,7 +68,7 @@
 
   /** Returns whether another upstream may resume the response. */
   boolean isResumable() {
-    return eventSplitter != null;
+    return eventSplitter != null && eventSplitter.isResumable();
   }
 
   /** Returns the id of the last event sent to the caller; -1 if there was none. */
