Strike requests under which an upstream crashes after their callers have left

Cause: only an attempt that is under way when its connection breaks left a strike. A cancelled attempt closes its connection and was forgotten, though an upstream need not stop. The same holds for a request whose time is over, a silent attempt that another one replaces, a standby that is dismissed and an answer that cannot be used: all of them end in CallAttempt.cancel.

Change: cancel records the request as abandoned at that incarnation until the time that the upstream was given. An incarnation that refuses a connection, falls silent or is replaced at its address without having announced its end has crashed; requests abandoned at it that it may have been running get a strike, of the whole request only. A success of an equal request takes it off the record, so that whoever was merely there is not refused.

RequestQuarantineTest has success, time and bounds.

Open: a router that stops takes its record along; an upstream whose VM loses power is known by its silence only, 6 s later.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantine.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -69,6 +68,8 @@
   /** Time of the last survival of each part at this daemon, in nanoseconds; the latest last. */
   private final Map<Long, Long> survivals = new BoundedMap<>(MAX_SURVIVALS);
 
+  private final AbandonedRequests abandoned = new AbandonedRequests();
+
   private long lastChange;
   private long lastSpreadChange;
   private long lastLimitChange;
@@ -98,6 +99,40 @@
     }
   }
 
+  /**
+   * Records that this router no longer waits for the response to a request, which an upstream may
+   * still run.
+   *
+   * @param remainingMillis time after which the upstream stops work on it, in milliseconds
+   */
+  public synchronized void recordAbandoned(long digest, String upstream, long remainingMillis) {
+    long remainingNanos = TimeUnit.MILLISECONDS.toNanos(Math.max(0, remainingMillis));
+    abandoned.add(digest, upstream, clock.getAsLong() + remainingNanos);
+  }
+
+  /** Returns the upstreams that may run a request whose response is no longer awaited. */
+  public synchronized Set<String> upstreamsOfAbandoned() {
+    return abandoned.upstreams();
+  }
+
+  /**
+   * Records that an upstream is no longer there, although it did not announce its end: requests
+   * that it may have been running get a strike unless an equal one succeeded since.
+   *
+   * @param lastReportAtNanos when the upstream was last known to be there; a request whose time was
+   *     over before that gets no strike
+   */
+  public void recordCrash(String upstream, long lastReportAtNanos) {
+    Set<Long> running;
+    synchronized (this) {
+      running = abandoned.removeOf(upstream, lastReportAtNanos);
+    }
+    for (long digest : running) {
+      LOG.info("strike digest={} upstream={} abandoned=true", Long.toHexString(digest), upstream);
+      recordStrike(digest, Set.of(), upstream);
+    }
+  }
+
   /**
    * Adds strikes that other daemons reported, unless they were cleared. If all those of a digest
    * were, the success is reported once more, so that the others clear them, too.
@@ -190,6 +225,7 @@
 
   /** Clears the strikes of one digest after a success; other daemons clear them as well. */
   public synchronized void recordSuccess(long digest) {
+    abandoned.remove(digest);
     boolean wasAtLimit = atLimit.containsKey(digest);
     Optional<DigestStrikes> removed = remove(digest);
     if (removed.isPresent()) {
@@ -392,20 +428,4 @@
         .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(ageNanos))
         .build();
   }
-
-  /** A map that evicts the entry that was added first when it exceeds its capacity. */
-  private static final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
-    private static final long serialVersionUID = 1;
-
-    private final int capacity;
-
-    BoundedMap(int capacity) {
-      this.capacity = capacity;
-    }
-
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
-      return size() > capacity;
-    }
-  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -7,6 +7,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -124,6 +125,9 @@
 
   private void onConnectFailed(IOException failure, ErrorResponse fallback) {
     upstream.markUnreachable(context.nowNanos());
+    if (failure instanceof ConnectException) {
+      context.state().recordRefusedConnection(upstream);
+    }
     context.metrics().recordAttempt("unreachable");
     if (call.isUnderWay(this)) {
       RelayLog.attemptFailed(call, dispatch, "unreachable", failure.getMessage());
@@ -164,14 +168,19 @@
     }
   }
 
-  /** Cancels the attempt; the closed connection signals the upstream to stop. */
+  /** Cancels the attempt; the closed connection signals the upstream to stop, but it may run on. */
   void cancel() {
-    releaseLoad();
-    if (upstreamExchange != null) {
-      upstreamExchange.cancel();
+    if (close()) {
+      call.quarantine().recordAbandoned(upstream, call.remainingMillis());
     }
   }
 
+  /** Closes the connection, if any; returns whether a response was still awaited. */
+  private boolean close() {
+    releaseLoad();
+    return upstreamExchange != null && upstreamExchange.cancel();
+  }
+
   /** Removes the load of the attempt from the upstream. */
   void releaseLoad() {
     releasePrefillLoad();
@@ -210,7 +219,7 @@
       takeNotice(context.codec().readNotice(status, headers));
     }
     if (isRefusal) {
-      cancel();
+      close();
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
       fail("unsealed", "status " + status + " does not come from the upstream itself");
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallQuarantine.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallQuarantine.java
@@ -43,6 +43,11 @@
     quarantine.recordStrike(digest, parts, upstream.incarnation());
   }
 
+  /** Records that the response is no longer awaited, although an upstream may run the request. */
+  void recordAbandoned(Upstream upstream, long remainingMillis) {
+    quarantine.recordAbandoned(digest, upstream.incarnation(), remainingMillis);
+  }
+
   /** Records that an upstream has been writing a response without a crash. */
   void recordSurvival() {
     quarantine.recordSurvival(parts);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -98,12 +98,18 @@
             });
   }
 
-  /** Closes the connection, which signals the upstream to stop. */
-  void cancel() {
-    if (!ended) {
+  /**
+   * Closes the connection, which signals the upstream to stop.
+   *
+   * @return whether the response was still awaited
+   */
+  boolean cancel() {
+    boolean awaited = !ended;
+    if (awaited) {
       ended = true;
       connection.close();
     }
+    return awaited;
   }
 
   private void onRequestSent(ClientExchange exchange) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -246,6 +246,26 @@
     return upstream.hasReportedAfter(referenceAt - reportTimeoutNanos);
   }
 
+  /** Records that an upstream refused a connection: unless it announced its end, it crashed. */
+  public void recordRefusedConnection(Upstream upstream) {
+    if (!upstream.announcesEnd()) {
+      quarantine.recordCrash(upstream.incarnation(), upstream.lastReportAtNanos());
+    }
+  }
+
+  /**
+   * Records crashes of upstreams that may have run a request which is no longer awaited, and that
+   * have fallen silent or been replaced without announcing their end.
+   */
+  private void findCrashes() {
+    for (String incarnation : quarantine.upstreamsOfAbandoned()) {
+      upstreams
+          .find(incarnation)
+          .filter(u -> !u.announcesEnd() && (!isReporting(u) || upstreams.isReplaced(u)))
+          .ifPresent(u -> quarantine.recordCrash(incarnation, u.lastReportAtNanos()));
+    }
+  }
+
   /** Applies a document that a quorum confirmed as the newest. */
   public void applyConfirmed(StoredDocument document) {
     applyIfNewer(document);
@@ -416,6 +436,7 @@
 
   /** Creates the report of this router to the control daemons. */
   public FollowerReport.Builder createReport() {
+    findCrashes();
     FollowerReport.Builder report =
         FollowerReport.newBuilder()
             .setDocumentVersion(version())
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -90,6 +90,11 @@
     return leaving;
   }
 
+  /** Returns whether this incarnation has announced that it takes no more requests. */
+  public boolean announcesEnd() {
+    return leaving || report().state() != State.READY;
+  }
+
   /** Records that this incarnation leaves; returns whether that was not known. */
   synchronized boolean markLeaving() {
     boolean isNew = !leaving;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
@@ -93,6 +94,18 @@
     return true;
   }
 
+  /** Returns an upstream by its incarnation; empty if there is a later one or none of its id. */
+  synchronized Optional<Upstream> find(String incarnation) {
+    return byId.values().stream().filter(u -> u.incarnation().equals(incarnation)).findFirst();
+  }
+
+  /** Returns whether another upstream has reported from the address of one since that one did. */
+  synchronized boolean isReplaced(Upstream upstream) {
+    return byId.values().stream()
+        .filter(other -> other.report().address().equals(upstream.report().address()))
+        .anyMatch(other -> other.lastReportAtNanos() - upstream.lastReportAtNanos() > 0);
+  }
+
   /** Returns whether an upstream is the latest known incarnation of its id. */
   synchronized boolean contains(Upstream upstream) {
     return byId.get(upstream.id()) == upstream;
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/quarantine/RequestQuarantineTest.java
@@ -47,6 +47,47 @@
     assertThat(remote.isQuarantined(DIGEST)).isFalse();
   }
 
+  /** Guards against a request that crashes upstreams after each of its callers has left. */
+  @Test
+  public void shouldStrikeAbandonedRequestsOfAnUpstreamThatCrashed() {
+    for (String upstream : List.of("u1", "u2", "u3")) {
+      local.recordAbandoned(DIGEST, upstream, 1_000);
+      local.recordAbandoned(DIGEST + 1, "other", 1_000);
+      clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(900));
+      local.recordCrash(upstream, clock.get());
+      local.recordCrash(upstream, clock.get());
+    }
+    assertThat(local.isQuarantined(DIGEST)).isTrue();
+    assertThat(local.strikeCount(DIGEST + 1)).isZero();
+  }
+
+  /** Guards against a sound request that is refused since it was there before several crashes. */
+  @Test
+  public void shouldNotStrikeAbandonedRequestThatSucceededSince() {
+    local.recordAbandoned(DIGEST, "u1", 1_000);
+    local.recordSuccess(DIGEST);
+    local.recordCrash("u1", clock.get());
+    assertThat(local.strikeCount(DIGEST)).isZero();
+  }
+
+  @Test
+  public void shouldNotStrikeAbandonedRequestWhoseTimeWasOver() {
+    local.recordAbandoned(DIGEST, "u1", 1_000);
+    clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(1_001));
+    local.recordCrash("u1", clock.get());
+    assertThat(local.strikeCount(DIGEST)).isZero();
+  }
+
+  @Test
+  public void shouldForgetTheRequestsThatWereAbandonedFirst() {
+    for (int i = 0; i <= AbandonedRequests.MAX_DIGESTS; i++) {
+      local.recordAbandoned(i, "u1", 1_000);
+    }
+    local.recordCrash("u1", clock.get());
+    assertThat(local.strikeCount(0)).isZero();
+    assertThat(local.strikeCount(AbandonedRequests.MAX_DIGESTS)).isOne();
+  }
+
   @Test
   public void shouldRemoveTheStrikesOfARequestThatSucceeded() {
     local.recordStrike(DIGEST, NO_PARTS, "u1");
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CrashingUpstreams.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.xnio.IoUtils;
@@ -36,6 +37,16 @@
   /** Id of a part of a prompt that crashes upstreams. */
   static final String DEADLY_PART = "deadly";
 
+  /** End of a path that crashes upstreams some time after they began to run it. */
+  static final String LATE_CRASH = "/late-crash";
+
+  static final int LATE_CRASH_MILLIS = 400;
+
+  /** End of a path of requests that are sound and take some time. */
+  static final String SLOW = "/slow";
+
+  private static final int SLOW_MILLIS = 150;
+
   /** Query that crashes upstreams. */
   static final String DEADLY_QUERY = "part=17";
 
@@ -180,20 +191,47 @@
       if (!id(start).equals(expected)) {
         repeatRequestId(exchange);
         exchange.setStatusCode(421);
+      } else if (exchange.getRequestURI().endsWith(LATE_CRASH)) {
+        exchange.dispatch(
+            SameThreadExecutor.INSTANCE, () -> schedule(exchange, LATE_CRASH_MILLIS, this::crash));
+      } else if (exchange.getRequestURI().endsWith(SLOW)) {
+        exchange.dispatch(
+            SameThreadExecutor.INSTANCE,
+            () -> schedule(exchange, SLOW_MILLIS, held -> answer(held, 200)));
       } else if (!isDeadly(exchange)) {
         answer(exchange, 200);
       } else if (holding) {
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> heldRequests.add(exchange));
       } else {
-        starts.incrementAndGet();
-        String sentTo = exchange.getRequestHeaders().getFirst(SENT_TO);
-        crashes.add(new Crash(System.nanoTime(), sentTo == null ? "" : sentTo));
-        IoUtils.safeClose(exchange.getConnection());
-        if (downMillis > 0) {
-          goDown();
-        } else {
-          reports.execute(CrashingUpstreams.this::report);
-        }
+        crash(exchange);
+      }
+    }
+
+    /** Runs an action on the upstream's I/O thread after a time, unless it has crashed since. */
+    private void schedule(
+        HttpServerExchange exchange, int millis, Consumer<HttpServerExchange> action) {
+      int start = starts.get();
+      exchange
+          .getIoThread()
+          .executeAfter(
+              () -> {
+                if (starts.get() == start) {
+                  action.accept(exchange);
+                }
+              },
+              millis,
+              TimeUnit.MILLISECONDS);
+    }
+
+    private void crash(HttpServerExchange exchange) {
+      starts.incrementAndGet();
+      String sentTo = exchange.getRequestHeaders().getFirst(SENT_TO);
+      crashes.add(new Crash(System.nanoTime(), sentTo == null ? "" : sentTo));
+      IoUtils.safeClose(exchange.getConnection());
+      if (downMillis > 0) {
+        goDown();
+      } else {
+        reports.execute(CrashingUpstreams.this::report);
       }
     }
   }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/DeadlyRequestUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/DeadlyRequestUsageTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.undertow.util.Headers;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -35,6 +38,11 @@
   /** Pause between the deadly requests, so that their crashes count as independent ones. */
   private static final long PAUSE_MILLIS = 400;
 
+  private static final int LEAVES_AFTER_MILLIS = 100;
+
+  /** Times that the request may reach upstreams later than that, as the operators allow it. */
+  private static final int MAX_LATE_ARRIVALS = 3;
+
   private static final String DEADLY_PROMPT = "system:10,subject:20,own:5";
 
   private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
@@ -128,6 +136,65 @@
     assertThat(upstreams.crashes()).isEqualTo(crashes);
   }
 
+  /** Sends a request and leaves before there can be an answer. */
+  private void sendAndLeave(int router, String path) throws Exception {
+    String[] hostAndPort = gateway.callerAddress(router).split(":");
+    try (Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]))) {
+      String head =
+          "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: left%d\r\nX-Api-Key: %s\r\n\r\n"
+              .formatted(path, LocalGateway.HOST, requests.incrementAndGet(), LocalGateway.API_KEY);
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      Thread.sleep(LEAVES_AFTER_MILLIS);
+    }
+  }
+
+  /** Sends sound requests of several routers until upstreams that crashed were noticed. */
+  private void sendSoundRequests() throws InterruptedException {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PAUSE_MILLIS * 3);
+    while (System.nanoTime() - endNanos < 0) {
+      for (int router = 0; router < ROUTERS; router++) {
+        sendSound(router, "/repeatable/", "system:10");
+      }
+    }
+  }
+
+  /**
+   * Guards against a request that is sent on for ever since its callers leave before each crash.
+   */
+  @Test(dataProvider = "routes")
+  public void shouldRefuseRequestWhoseCallersLeaveBeforeItCrashesUpstreams(String route)
+      throws Exception {
+    String path = route + "x" + CrashingUpstreams.LATE_CRASH;
+    for (int i = 0; upstreams.crashes() < 3; i++) {
+      sendAndLeave(i % ROUTERS, path);
+      sendSoundRequests();
+    }
+    Thread.sleep(SPREAD_MILLIS);
+    int crashes = upstreams.crashes();
+    for (int i = 0; i < 4 * ROUTERS; i++) {
+      sendAndLeave(i % ROUTERS, path);
+      sendSoundRequests();
+    }
+    assertThat(upstreams.crashes() - crashes).isLessThanOrEqualTo(MAX_LATE_ARRIVALS);
+  }
+
+  /** Guards against a sound request that is refused since callers left it before other crashes. */
+  @Test
+  public void shouldServeRequestThatManyCallersLeaveWhileOthersCrashUpstreams() throws Exception {
+    String popular = "/repeatable/popular" + CrashingUpstreams.SLOW;
+    for (int i = 0; upstreams.crashes() < 5; i++) {
+      for (int router = 0; router < ROUTERS; router++) {
+        sendAndLeave(router, popular);
+        assertThat(send(router, popular, "same body", "").text()).doesNotContain("quarantined");
+      }
+      send(i % ROUTERS, "/once/" + i + "/crash", "body " + i, "own" + i + ":5");
+      sendSoundRequests();
+    }
+    for (int router = 0; router < ROUTERS; router++) {
+      assertThat(send(router, popular, "", "").text()).doesNotContain("quarantined");
+    }
+  }
+
   @DataProvider
   public Object[][] routes() {
     return new Object[][] {{"/once/"}, {"/repeatable/"}, {"/stream-once/"}, {"/stream/"}};
