Log what became of the tokens that each account asked for, and the share believed

Cause: FAIR on the large fleet, with no account refused for its share. The logs said neither which resource an account was refused for nor what a router believed to be its share.

Change: routers tally the tokens of each account by what became of the requests: begun, refused for the share, for want of room at the upstreams or for time, or lost. Once a second they log up to four accounts that were refused something, with the tokens that the fleet asked and admitted for it, the share believed, the utilisation and the rated throughput (line `tokens` of `shares`). Two gauges: share and utilisation of the engines.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -201,6 +201,7 @@
     loadConfirmedDocument(FIRST_CONFIRM_TIMEOUT);
     startTasks(context);
     registerGauges();
+    startShareLog(context);
     LOG.info("started: router {} for callers at {}", settings.name(), router.callerAddress());
   }
 
@@ -214,6 +215,12 @@
     peers.scheduleRepeatedly(READINESS_MILLIS, this::updateReadiness);
   }
 
+  private void startShareLog(RelayContext context) {
+    ShareLog shareLog = new ShareLog(state, context.tally());
+    shareLog.register(metrics);
+    peers.scheduleRepeatedly(LOAD_LOG_MILLIS, shareLog::log);
+  }
+
   private PlacementClient createPlacement(GatewaySettings gateway) {
     return new PlacementClient(
         gateway.name(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
@@ -8,6 +8,7 @@
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementClient.Asked;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementGrant;
+import org.toucansaddle.daemon.internal.gateway.relay.AccountTally.Fate;
 import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.AdmissionRequest;
 import org.toucansaddle.daemon.internal.gateway.relay.RequestHead.PromptPart;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
@@ -33,6 +34,7 @@
   private Asked asked = () -> {};
   private PlacementGrant grant = PlacementGrant.NONE;
   private boolean admitted;
+  private boolean begun;
 
   CallAdmission(
       RelayContext context, RelayedCall call, HttpServerExchange exchange, UpstreamChoice choice) {
@@ -45,6 +47,7 @@
   /** Has the call continue with a selected upstream, a refusal, or its own selection. */
   void begin() {
     context.admission().recordArrival(admissionRequest());
+    recordFate(Fate.ASKED);
     if (!choice.isPlaced()) {
       call.selectFirst();
       return;
@@ -144,8 +147,26 @@
     return taken;
   }
 
+  /** Records that an upstream has produced the first token. */
+  void recordBegun() {
+    if (!begun) {
+      begun = true;
+      recordFate(Fate.BEGUN);
+    }
+  }
+
   /** Withdraws an ask that was not answered; called at the end of the call. */
-  void cancel() {
+  void end(String outcome) {
     asked.cancel();
+    if (!begun) {
+      recordFate(Fate.ofOutcome(outcome));
+    }
+  }
+
+  private void recordFate(Fate fate) {
+    AdmissionRequest request = admissionRequest();
+    if (request.countsTowardsShare()) {
+      context.tally().record(request.account(), fate, request.head().totalWorkTokens());
+    }
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -20,6 +20,7 @@
   private final RouterState state;
   private final HeaderCodec codec;
   private final AdmissionControl admission;
+  private final AccountTally tally = new AccountTally();
   private final UpstreamSelector selector;
   private final RelayMetrics metrics;
   private final RouterSettings settings;
@@ -89,6 +90,11 @@
     return admission;
   }
 
+  /** Returns the tokens of client accounts by what became of the requests. */
+  public AccountTally tally() {
+    return tally;
+  }
+
   UpstreamSelector selector() {
     return selector;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -333,7 +333,7 @@
 
   private void recordEnd(int status, String outcome, String detail) {
     phase = Phase.ENDED;
-    admission.cancel();
+    admission.end(outcome);
     if (timer != null) {
       timer.remove();
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -206,6 +206,11 @@
     return new ShareCheck(admitted + tokens / 2.0 > share, admitted, share, remoteUsageAgeMillis);
   }
 
+  /** Returns the tokens that an account demanded lately, at all routers. */
+  public synchronized double demandedTokens(String account) {
+    return usage(account).demanded + remoteUsage(account).getAsked();
+  }
+
   private AccountUse remoteUsage(String account) {
     return remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
   }
