Share what a full pool carries, and look at shares before refusing for want of room

An account that asks more than its share got less than half of it for six seconds, while the one that asks most often got several times as much.

Slots and memory of the engines were used up at 220,000 to 330,000 tokens a second of a rated 1,120,000; all demands then fit the share, and a request that found no upstream with room was refused before its account's share was looked at. A free slot went to whoever came next. The class: a decision by account is made on a model of capacity that is not checked against what the pool does.

Change: - Routers report the tokens that they turn away for want of room or time.

Ruled out: shares cut to what is carried at the moment.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/AccountUsage.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/AccountUsage.java
@@ -1,11 +1,13 @@
 package org.toucansaddle.coordination.internal.placement;
 
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.sharing.MaxMinShare;
+import org.toucansaddle.coordination.sharing.SharedThroughput;
+import org.toucansaddle.coordination.sharing.SharedThroughput.Load;
 
 /**
  * Max-min fair shares of client accounts in the throughput of a pool.
@@ -19,24 +21,13 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /** Largest factor by which the capacity is extended while it is not used up. */
-  private static final double MAX_HEADROOM = 1.5;
-
-  /** Change of the headroom in a step; small, so that all accounts get about the same. */
-  private static final double HEADROOM_STEP = 0.01;
-
-  /** Bound on granted tokens per token of work; the ratio is unreliable at the start. */
-  private static final double MAX_TOKENS_PER_WORK_TOKEN = 3;
-
   private static final double FORGOTTEN_TOKENS = 1;
   private static final long SHARE_MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-  private static final long HEADROOM_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final Map<String, Usage> usages = new HashMap<>();
   private double share = Double.MAX_VALUE;
   private long shareAt;
-  private double headroom = 1;
-  private long headroomAt;
+  private final SharedThroughput throughput = new SharedThroughput();
   private boolean shareKnown;
 
   /** Tokens of one account, and the times for which its callers were told to come back. */
@@ -104,44 +95,27 @@
     if (!shareKnown || now - shareAt > SHARE_MAX_AGE_NANOS) {
       usages.values().forEach(usage -> usage.decay(now));
       usages.values().removeIf(AccountUsage::isForgotten);
-      double granted = usages.values().stream().mapToDouble(usage -> usage.granted).sum();
-      double work = usages.values().stream().mapToDouble(usage -> usage.work).sum();
-      double perWork =
-          work <= 0 ? 1 : Math.max(1, Math.min(MAX_TOKENS_PER_WORK_TOKEN, granted / work));
-      double capacity = tokensPerSecond * DECAY_SECONDS;
-      if (now - headroomAt >= HEADROOM_STEP_NANOS) {
-        headroomAt = now;
-        double step = work < capacity ? HEADROOM_STEP : -2 * HEADROOM_STEP;
-        headroom = Math.max(1, Math.min(MAX_HEADROOM, headroom + step));
-      }
       double[] demands = usages.values().stream().mapToDouble(usage -> usage.demanded).toArray();
-      share = maxMinShare(demands, capacity * headroom * perWork);
+      share = MaxMinShare.compute(demands, throughput.update(load(tokensPerSecond), now));
       shareAt = now;
       shareKnown = true;
     }
     return share;
   }
 
-  private static boolean isForgotten(Usage usage) {
-    return usage.demanded < FORGOTTEN_TOKENS && usage.places.isEmpty();
+  /** Requests for which there is no slot wait by account, so that none are turned away blindly. */
+  private Load load(double tokensPerSecond) {
+    double granted = 0;
+    double work = 0;
+    for (Usage usage : usages.values()) {
+      granted += usage.granted;
+      work += usage.work;
+    }
+    return new Load(tokensPerSecond * DECAY_SECONDS, granted, work, 0);
   }
 
-  /**
-   * Returns the max-min fair share: the sum over all demands of the smaller of it and the demand is
-   * the capacity. It is {@link Double#MAX_VALUE} if the capacity exceeds the sum of the demands.
-   */
-  static double maxMinShare(double[] demands, double capacity) {
-    double[] sorted = demands.clone();
-    Arrays.sort(sorted);
-    double remaining = capacity;
-    for (int i = 0; i < sorted.length; i++) {
-      double equalShare = remaining / (sorted.length - i);
-      if (sorted[i] >= equalShare) {
-        return equalShare;
-      }
-      remaining -= sorted[i];
-    }
-    return Double.MAX_VALUE;
+  private static boolean isForgotten(Usage usage) {
+    return usage.demanded < FORGOTTEN_TOKENS && usage.places.isEmpty();
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ShareLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ShareLog.java
@@ -61,14 +61,15 @@
     for (Entry entry : tally.drain(MAX_LOGGED_ACCOUNTS)) {
       ShareCheck check = check(entry.account());
       LOG.info(
-          "tokens account={} asked={} begun={} above_share={} no_room={} too_late={} lost={}"
-              + " fleet_admitted={} fleet_asked={} share={} utilisation={} rated={} sums_age_ms={}",
+          "tokens account={} asked={} begun={} above_share={} no_room={} too_late={} abandoned={}"
+              + " lost={} fleet_admitted={} fleet_asked={} share={} utilisation={} rated={} sums_age_ms={}",
           entry.account(),
           entry.get(Fate.ASKED),
           entry.get(Fate.BEGUN),
           entry.get(Fate.ABOVE_SHARE),
           entry.get(Fate.NO_ROOM),
           entry.get(Fate.TOO_LATE),
+          entry.get(Fate.ABANDONED),
           entry.get(Fate.LOST),
           Math.round(check.admittedTokens()),
           Math.round(shares.demandedTokens(entry.account())),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -188,6 +188,7 @@
         .setAsked(a.getAsked() + b.getAsked())
         .setAdmitted(a.getAdmitted() + b.getAdmitted())
         .setWork(a.getWork() + b.getWork())
+        .setTurnedAway(a.getTurnedAway() + b.getTurnedAway())
         .build();
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/AccountTally.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/AccountTally.java
@@ -24,6 +24,8 @@
     NO_ROOM,
     /** It was refused since an upstream had room, but not in time. */
     TOO_LATE,
+    /** Its caller left before the first token. */
+    ABANDONED,
     /** It ended without a first token for another reason. */
     LOST;
 
@@ -33,6 +35,7 @@
         case "above-share" -> ABOVE_SHARE;
         case "upstreams-busy", "upstreams-limited", "upstream-full", "connections-used" -> NO_ROOM;
         case "target-cannot-be-met" -> TOO_LATE;
+        case "caller-gone" -> ABANDONED;
         default -> LOST;
       };
     }
@@ -56,7 +59,7 @@
     }
 
     private long notBegun() {
-      return get(Fate.ABOVE_SHARE) + get(Fate.NO_ROOM) + get(Fate.TOO_LATE) + get(Fate.LOST);
+      return Math.max(0, get(Fate.ASKED) - get(Fate.BEGUN));
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControl.java
@@ -1,17 +1,20 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares;
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Charge;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.ShareCheck;
 
 /**
  * Decides which requests are admitted and which are refused, without I/O.
  *
  * <p>While the engines have spare capacity, the shares of accounts do not matter. Otherwise
- * requests of accounts above their share are refused. Requests that cannot meet their target are
- * refused in either case. Thread-safe.
+ * requests of accounts above their share are refused, before one that no upstream has room for is
+ * refused whatever its account. Requests that cannot meet their target are refused in either case.
+ * Thread-safe.
  */
 final class AdmissionControl {
 
@@ -58,39 +61,81 @@
     }
   }
 
-  /** Records a request as admitted, or returns the response that refuses it. */
-  Optional<ErrorResponse> admit(AdmissionRequest request, Selection selection) {
+  /**
+   * Outcome of an admission: a refusal, or what an account was charged, if any. Immutable.
+   *
+   * @param refusal response that refuses the request; empty if it is admitted
+   * @param charge charge to the account's share, which is withdrawn if no upstream begins
+   */
+  record Admission(Optional<ErrorResponse> refusal, Optional<Charge> charge) {
+
+    private static Admission refused(ErrorResponse refusal) {
+      return new Admission(Optional.of(refusal), Optional.empty());
+    }
+  }
+
+  /**
+   * Admits a request, or refuses it.
+   *
+   * @param selection upstream that has room for it; empty if none has
+   * @param refusalForRoom creates the refusal of a request that no upstream has room for
+   */
+  Admission admit(
+      AdmissionRequest request,
+      Optional<Selection> selection,
+      Supplier<ErrorResponse> refusalForRoom) {
     if (request.countsTowardsShare() && !hasSpareCapacity(request, selection)) {
       ShareCheck judgement =
           shares.checkShare(
               request.account(), request.head().totalWorkTokens(), request.tokensPerSecond());
       if (judgement.aboveShare()) {
-        return Optional.of(ErrorResponse.aboveShare(judgement, retryAfterMillis(request)));
+        return Admission.refused(ErrorResponse.aboveShare(judgement, retryAfterMillis(request)));
       }
     }
-    if (!isWorthSending(request, selection)) {
-      return Optional.of(ErrorResponse.targetCannotBeMet(selection, retryAfterMillis(request)));
+    if (selection.isEmpty()) {
+      recordTurnedAway(request);
+      return Admission.refused(refusalForRoom.get());
     }
-    recordAdmission(request, selection);
-    return Optional.empty();
+    if (!isWorthSending(request, selection.get())) {
+      recordTurnedAway(request);
+      return Admission.refused(
+          ErrorResponse.targetCannotBeMet(selection.get(), retryAfterMillis(request)));
+    }
+    return new Admission(Optional.empty(), recordAdmission(request, selection.get()));
   }
 
   /** Records a request as admitted. */
-  void recordAdmission(AdmissionRequest request, Selection selection) {
+  Optional<Charge> recordAdmission(AdmissionRequest request, Selection selection) {
+    if (!request.countsTowardsShare()) {
+      return Optional.empty();
+    }
+    long work = request.head().workTokens(selection.prefillTokens());
+    return Optional.of(
+        shares.recordAdmission(request.account(), request.head().totalWorkTokens(), work));
+  }
+
+  /** Records a request that is refused because the upstreams have no room for it. */
+  void recordTurnedAway(AdmissionRequest request) {
     if (request.countsTowardsShare()) {
-      long work = request.head().workTokens(selection.prefillTokens());
-      shares.recordAdmission(request.account(), request.head().totalWorkTokens(), work);
+      shares.recordTurnedAway(request.account(), request.head().totalWorkTokens());
     }
   }
 
+  /** Takes back the charge for a request that no upstream has begun. */
+  void withdraw(Charge charge) {
+    shares.withdraw(charge);
+  }
+
   private static long retryAfterMillis(AdmissionRequest request) {
     return RetryAfter.randomDelayMillis(request.route().targetMillis());
   }
 
-  private boolean hasSpareCapacity(AdmissionRequest request, Selection selection) {
-    return shares.utilisation(request.tokensPerSecond()) < SPARE_CAPACITY_UTILISATION
-        && selection.expectedQueueMillis()
-            < SPARE_CAPACITY_QUEUE_FRACTION * request.route().targetMillis();
+  private boolean hasSpareCapacity(AdmissionRequest request, Optional<Selection> selection) {
+    double maxQueueMillis = SPARE_CAPACITY_QUEUE_FRACTION * request.route().targetMillis();
+    return selection.isPresent()
+        && selection.get().expectedQueueMillis() < maxQueueMillis
+        && shares.utilisation(request.tokensPerSecond()) < SPARE_CAPACITY_UTILISATION
+        && !shares.isPoolFull(request.tokensPerSecond());
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
@@ -9,9 +9,11 @@
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementClient.Asked;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementGrant;
 import org.toucansaddle.daemon.internal.gateway.relay.AccountTally.Fate;
+import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.Admission;
 import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.AdmissionRequest;
 import org.toucansaddle.daemon.internal.gateway.relay.RequestHead.PromptPart;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Charge;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.protocol.generated.PlacementAnswer;
 import org.toucansaddle.protocol.generated.PlacementAnswer.Refusal;
@@ -34,6 +36,7 @@
   private Asked asked = () -> {};
   private PlacementGrant grant = PlacementGrant.NONE;
   private boolean admitted;
+  private Optional<Charge> charge = Optional.empty();
   private boolean begun;
 
   CallAdmission(
@@ -56,11 +59,21 @@
   }
 
   /**
-   * Admits a call with an upstream that this router selected, or returns its refusal; a call that a
-   * control daemon admitted stays so if its first upstream is not reached.
+   * Admits a call, or returns its refusal; a call that was admitted stays so if its first upstream
+   * is not reached.
+   *
+   * @param selected upstream that this router selected; empty if none has room
+   * @param usable upstreams that accept the request
    */
-  Optional<ErrorResponse> admit(Selection selected) {
-    return admitted ? Optional.empty() : context.admission().admit(admissionRequest(), selected);
+  Optional<ErrorResponse> admit(Optional<Selection> selected, List<Upstream> usable) {
+    if (admitted || usable.isEmpty()) {
+      return Optional.empty();
+    }
+    Admission admission =
+        context.admission().admit(admissionRequest(), selected, () -> choice.refuseForLoad(usable));
+    admitted = admission.refusal().isEmpty();
+    charge = admission.charge();
+    return admission.refusal();
   }
 
   private AdmissionRequest admissionRequest() {
@@ -132,7 +145,7 @@
     Optional<Selection> selection = choice.selectPlaced(answer);
     admitted = true;
     if (selection.isPresent()) {
-      context.admission().recordAdmission(admissionRequest(), selection.get());
+      charge = context.admission().recordAdmission(admissionRequest(), selection.get());
       call.sendFirst(selection.get());
     } else {
       takeGrant().ended();
@@ -159,7 +172,19 @@
   void end(String outcome) {
     asked.cancel();
     if (!begun) {
-      recordFate(Fate.ofOutcome(outcome));
+      Fate fate = Fate.ofOutcome(outcome);
+      recordFate(fate);
+      settle(fate);
+    }
+  }
+
+  /** An account is charged for what has begun, and for work that its callers left. */
+  private void settle(Fate fate) {
+    if (charge.isPresent() && fate != Fate.ABANDONED) {
+      context.admission().withdraw(charge.get());
+    }
+    if (charge.isPresent() && fate == Fate.NO_ROOM) {
+      context.admission().recordTurnedAway(admissionRequest());
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -194,20 +194,15 @@
       return;
     }
     List<Upstream> usable = choice.usable();
-    Optional<Selection> selected = choice.select(usable);
-    if (selected.isEmpty() || choice.isThrottled(usable)) {
-      boolean busy = choice.isFirst() && !usable.isEmpty();
-      fail(busy ? choice.refuseForLoad(usable) : fallback);
+    Optional<Selection> selected =
+        choice.isThrottled(usable) ? Optional.empty() : choice.select(usable);
+    expectedFirstTokenMillis = selected.map(Selection::expectedFirstTokenMillis).orElse(0.0);
+    Optional<ErrorResponse> refusal =
+        phase == Phase.NOT_SENT ? admission.admit(selected, usable) : Optional.empty();
+    if (refusal.isPresent() || selected.isEmpty()) {
+      fail(refusal.orElse(fallback));
       return;
     }
-    expectedFirstTokenMillis = selected.get().expectedFirstTokenMillis();
-    if (phase == Phase.NOT_SENT && attempts == 0) {
-      Optional<ErrorResponse> error = admission.admit(selected.get());
-      if (error.isPresent()) {
-        fail(error.get());
-        return;
-      }
-    }
     send(selected.get(), fallback);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -1,12 +1,16 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.toucansaddle.coordination.sharing.MaxMinShare;
+import org.toucansaddle.coordination.sharing.SharedThroughput;
+import org.toucansaddle.coordination.sharing.SharedThroughput.Load;
 import org.toucansaddle.protocol.generated.AccountUse;
 
 /**
@@ -26,13 +30,10 @@
    */
   private static final double DECAY_SECONDS = 2;
 
-  private static final double NANOS_PER_SECOND = 1e9;
-
-  /** Largest factor by which the capacity is extended while the engines are underutilised. */
-  private static final double MAX_HEADROOM = 1.5;
+  /** Time in which what was turned away decays to 1/e; a pool may be full one moment only. */
+  private static final double TURNED_AWAY_DECAY_SECONDS = 0.5;
 
-  /** Change of the headroom per update; small, so that all accounts get about the same. */
-  private static final double HEADROOM_STEP = 0.01;
+  private static final double NANOS_PER_SECOND = 1e9;
 
   /** Upper bound of admitted tokens per token of work; the ratio is unreliable at the start. */
   private static final double MAX_TOKENS_PER_WORK_TOKEN = 3;
@@ -46,11 +47,15 @@
   /** Age above which the fair share is recomputed. */
   private static final long FAIR_SHARE_MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+  /** Multiple of its share from which nothing is admitted for an account. */
+  private static final double MAX_OVERSHOOT = 1.25;
+
   private final LongSupplier clock;
+  private final DoubleSupplier random;
   private final Map<String, LocalUsage> localUsage = new HashMap<>();
   private Map<String, AccountUse> remoteUsage = Map.of();
   private long remoteUsageAt;
-  private double headroom = 1;
+  private final SharedThroughput throughput = new SharedThroughput();
   private double fairShare = Double.MAX_VALUE;
   private double fairShareCapacity;
   private long fairShareAt;
@@ -58,7 +63,13 @@
 
   /** Creates shares without usage; {@code clock} returns nanoseconds. */
   public AccountShares(LongSupplier clock) {
+    this(clock, () -> ThreadLocalRandom.current().nextDouble());
+  }
+
+  /** Creates shares without usage; {@code random} returns numbers in [0, 1). */
+  AccountShares(LongSupplier clock, DoubleSupplier random) {
     this.clock = clock;
+    this.random = random;
   }
 
   /** Tokens and requests of one account at this router; they decay over time. */
@@ -66,6 +77,7 @@
     private double demanded;
     private double admitted;
     private double work;
+    private double turnedAway;
     private double requests;
     private long updatedAt;
 
@@ -74,6 +86,7 @@
       demanded *= factor;
       admitted *= factor;
       work *= factor;
+      turnedAway *= Math.pow(factor, DECAY_SECONDS / TURNED_AWAY_DECAY_SECONDS);
       requests *= factor;
       updatedAt = now;
     }
@@ -92,16 +105,38 @@
     usage.requests++;
   }
 
+  /** Records a request that was refused because the upstreams had no room for its tokens. */
+  public synchronized void recordTurnedAway(String account, long tokens) {
+    usage(account).turnedAway += tokens;
+  }
+
+  /**
+   * What an admitted request was charged to the share of its account. Immutable.
+   *
+   * @param tokens tokens charged to the share
+   * @param work work of the engines for the request, in tokens
+   */
+  public record Charge(String account, long tokens, long work, long atNanos) {}
+
   /**
    * Records an admitted request.
    *
    * @param tokens tokens charged to the account's share
    * @param work work of the engines for the request, in tokens
    */
-  public synchronized void recordAdmission(String account, long tokens, long work) {
+  public synchronized Charge recordAdmission(String account, long tokens, long work) {
     LocalUsage usage = usage(account);
     usage.admitted += tokens;
     usage.work += work;
+    return new Charge(account, tokens, work, clock.getAsLong());
+  }
+
+  /** Takes back what is left of the charge of a request without a first token, not its work. */
+  public synchronized void withdraw(Charge charge) {
+    LocalUsage usage = usage(charge.account());
+    double left =
+        Math.exp(-(clock.getAsLong() - charge.atNanos()) / (NANOS_PER_SECOND * DECAY_SECONDS));
+    usage.admitted = Math.max(0, usage.admitted - charge.tokens() * left);
   }
 
   /**
@@ -169,6 +204,7 @@
                         .setAsked((long) usage.demanded)
                         .setAdmitted((long) usage.admitted)
                         .setWork((long) usage.work)
+                        .setTurnedAway((long) usage.turnedAway)
                         .build());
               }
             });
@@ -203,7 +239,20 @@
       return new ShareCheck(false, admitted, Double.MAX_VALUE, remoteUsageAgeMillis);
     }
     double share = fairShare(tokensPerSecond * DECAY_SECONDS);
-    return new ShareCheck(admitted + tokens / 2.0 > share, admitted, share, remoteUsageAgeMillis);
+    boolean above = random.getAsDouble() >= admittedPart(account, admitted + tokens / 2.0, share);
+    return new ShareCheck(above, admitted, share, remoteUsageAgeMillis);
+  }
+
+  /**
+   * Returns the part of an account's requests that is admitted, the same at all routers. If each
+   * router admitted all until the sums that it knows reach the share, all would exceed it together
+   * until the next report, and then admit nothing.
+   */
+  private double admittedPart(String account, double admitted, double share) {
+    double demanded = demandedTokens(account);
+    double ofDemand = demanded > share ? share / demanded : 1;
+    double leftOfOvershoot = (MAX_OVERSHOOT * share - admitted) / ((MAX_OVERSHOOT - 1) * share);
+    return ofDemand * Math.min(1, leftOfOvershoot);
   }
 
   /** Returns the tokens that an account demanded lately, at all routers. */
@@ -215,6 +264,19 @@
     return remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
   }
 
+  /**
+   * Returns whether the pool carries less than its rated throughput and turns requests away, so
+   * that its accounts share what it carries.
+   *
+   * @param tokensPerSecond capacity of all engines; 0 if not known
+   */
+  public synchronized boolean isPoolFull(double tokensPerSecond) {
+    if (tokensPerSecond > 0) {
+      fairShare(tokensPerSecond * DECAY_SECONDS);
+    }
+    return throughput.isLimited();
+  }
+
   private double fairShare(double capacity) {
     long now = clock.getAsLong();
     if (!fairShareKnown
@@ -224,10 +286,8 @@
       localUsage.keySet().forEach(account -> demands.put(account, usage(account).demanded));
       remoteUsage.forEach(
           (account, usage) -> demands.merge(account, (double) usage.getAsked(), Double::sum));
-      double step = totalWork() < capacity ? HEADROOM_STEP : -2 * HEADROOM_STEP;
-      headroom = Math.max(1, Math.min(MAX_HEADROOM, headroom + step));
-      double tokens = capacity * headroom * tokensPerWorkToken();
-      fairShare = fairShare(demands.values().stream().mapToDouble(d -> d).toArray(), tokens);
+      double[] amounts = demands.values().stream().mapToDouble(d -> d).toArray();
+      fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
       fairShareAt = now;
       fairShareKnown = true;
@@ -235,21 +295,22 @@
     return fairShare;
   }
 
-  /**
-   * Returns the max-min fair share: the sum over all demands of the smaller of it and the demand is
-   * the capacity. It is {@link Double#MAX_VALUE} if the capacity exceeds the sum of the demands.
-   */
-  static double fairShare(double[] demands, double capacity) {
-    double[] sorted = demands.clone();
-    Arrays.sort(sorted);
-    double remaining = capacity;
-    for (int i = 0; i < sorted.length; i++) {
-      double equalShare = remaining / (sorted.length - i);
-      if (sorted[i] >= equalShare) {
-        return equalShare;
-      }
-      remaining -= sorted[i];
+  private Load load(double capacity) {
+    double admitted = 0;
+    double work = 0;
+    double turnedAway = 0;
+    for (AccountUse use : remoteUsage.values()) {
+      admitted += use.getAdmitted();
+      work += use.getWork();
+      turnedAway += use.getTurnedAway();
+    }
+    for (LocalUsage use : localUsage.values()) {
+      use.decay(clock.getAsLong());
+      admitted += use.admitted;
+      work += use.work;
+      turnedAway += use.turnedAway;
     }
-    return Double.MAX_VALUE;
+    double turnedAwayAtThisRate = turnedAway * DECAY_SECONDS / TURNED_AWAY_DECAY_SECONDS;
+    return new Load(capacity, admitted, work, turnedAwayAtThisRate);
   }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControlTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControlTest.java
@@ -65,7 +65,9 @@
 
   private Optional<ErrorResponse> submit(AdmissionRequest request, Selection selection) {
     admission.recordArrival(request);
-    return admission.admit(request, selection);
+    return admission
+        .admit(request, Optional.of(selection), () -> ErrorResponse.notRun("upstreams-busy", "", 1))
+        .refusal();
   }
 
   /** Submits requests of each account at its rate; returns the admitted number per account. */
@@ -134,4 +136,35 @@
     AdmissionRequest cameBack = admissionRequest("a0", 12_000, TIMEOUT_MILLIS - 1_000);
     assertThat(submit(cameBack, selection(1_500, 1_800, 7_000))).isEmpty();
   }
+
+  /** Guards against a full pool that is shared by who asks most often. */
+  @Test
+  public void shouldRefuseHotAccountForItsShareWhenNoUpstreamHasRoom() {
+    int[] refusedForRoom = new int[2];
+    for (int at = 0; at < 10_000; at += STEP_MILLIS) {
+      for (int request = 0; request < 8; request++) {
+        refusedForRoom[0] += submitToFullPool("hot", request == 0) ? 1 : 0;
+      }
+      if (at % 100 == 0) {
+        refusedForRoom[1] += submitToFullPool("small", true) ? 1 : 0;
+      }
+      clockNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(STEP_MILLIS));
+    }
+    assertThat(refusedForRoom[0]).as("of 8,000 requests of the hot account").isLessThan(2_000);
+    assertThat(refusedForRoom[1]).isZero();
+  }
+
+  /** Returns whether a request is refused for want of room; a slot is free for some of them. */
+  private boolean submitToFullPool(String account, boolean slotFree) {
+    AdmissionRequest request = admissionRequest(account, 1_000, TIMEOUT_MILLIS);
+    admission.recordArrival(request);
+    return admission
+        .admit(
+            request,
+            slotFree ? Optional.of(selection(50, 100, 500)) : Optional.empty(),
+            () -> ErrorResponse.notRun("upstreams-busy", "", 1))
+        .refusal()
+        .filter(refusal -> refusal.type().equals("upstreams-busy"))
+        .isPresent();
+  }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
@@ -15,10 +15,12 @@
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.toucansaddle.daemon.gateway.WeightedService;
+import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.Admission;
 import org.toucansaddle.daemon.internal.gateway.relay.AdmissionControl.AdmissionRequest;
 import org.toucansaddle.daemon.internal.gateway.relay.RequestHead.PromptPart;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.EngineProfile;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Charge;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.protocol.generated.AccountUse;
@@ -92,14 +94,21 @@
       Optional<Selection> selected =
           selector.select(
               usable, call.head(), call.route().targetMillis(), profile, upstream -> true);
-      if (selected.isEmpty() || admission.admit(request, selected.get()).isPresent()) {
+      Admission outcome =
+          admission.admit(request, selected, () -> ErrorResponse.notRun("busy", "", 1));
+      if (outcome.refusal().isPresent()) {
         refuse(call);
         return;
       }
-      send(call, selected.get(), nominal);
+      send(call, selected.get(), nominal, () -> reject(request, outcome.charge()));
     }
 
-    private void send(Call call, Selection selected, double nominal) {
+    private void reject(AdmissionRequest request, Optional<Charge> charge) {
+      charge.ifPresent(admission::withdraw);
+      admission.recordTurnedAway(request);
+    }
+
+    private void send(Call call, Selection selected, double nominal, Runnable onRejected) {
       Upstream upstream = selected.upstream();
       int memory = selected.prefillTokens() + call.head().expectedOutputTokens();
       upstream.recordRequestStarted(selected.prefillTokens(), memory);
@@ -117,6 +126,7 @@
               () -> {
                 upstream.recordPromptProcessed(selected.prefillTokens());
                 upstream.recordRequestEnded(memory);
+                onRejected.run();
                 refuse(call);
               });
       Engine engine = engines.get(Integer.parseInt(upstream.id().substring(1)));
@@ -130,10 +140,11 @@
   private final class Engine {
     private final Deque<Run> queue = new ArrayDeque<>();
     private int running;
+    private int slots = fleet.slots();
     private long readingUntil;
 
     void arrive(Run run) {
-      if (running < fleet.slots()) {
+      if (running < slots) {
         start(run);
       } else if (queue.size() < MAX_QUEUED) {
         queue.addLast(run);
@@ -160,7 +171,7 @@
           () -> {
             running--;
             run.ended().run();
-            if (!queue.isEmpty()) {
+            while (!queue.isEmpty() && running < slots) {
               start(queue.removeFirst());
             }
           });
@@ -253,7 +264,8 @@
     sum.setAccount(use.getAccount())
         .setAsked(sum.getAsked() + use.getAsked())
         .setAdmitted(sum.getAdmitted() + use.getAdmitted())
-        .setWork(sum.getWork() + use.getWork());
+        .setWork(sum.getWork() + use.getWork())
+        .setTurnedAway(sum.getTurnedAway() + use.getTurnedAway());
   }
 
   private static void add(Map<String, UpstreamWork.Builder> sums, UpstreamWork work) {
@@ -265,6 +277,12 @@
         .setMemoryTokens(sum.getMemoryTokens() + work.getMemoryTokens());
   }
 
+  /** Lets an engine run fewer requests for a time; routers are not told. */
+  void loseSlots(int engine, double fromSeconds, double untilSeconds) {
+    after(fromSeconds * 1_000, () -> engines.get(engine).slots = 1);
+    after(untilSeconds * 1_000, () -> engines.get(engine).slots = fleet.slots());
+  }
+
   void addTraffic(Traffic traffic) {
     after(traffic.fromSeconds() * 1_000, () -> arrive(traffic));
   }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -3,12 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.assertj.core.data.Percentage;
 import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Charge;
 import org.toucansaddle.protocol.generated.AccountUse;
 
 /** Tests of {@link AccountShares} with simulated load. */
@@ -26,7 +27,7 @@
   @BeforeMethod
   public void createShares() {
     clock = new AtomicLong(TimeUnit.SECONDS.toNanos(100));
-    shares = new AccountShares(clock::get);
+    shares = new AccountShares(clock::get, new Random(1)::nextDouble);
     workPerToken = 1;
   }
 
@@ -152,18 +153,40 @@
     }
   }
 
-  @DataProvider
-  public Object[][] fairShares() {
-    return new Object[][] {
-      {new double[] {10, 20, 30}, 100, Double.MAX_VALUE},
-      {new double[] {10, 50, 90}, 90, 40},
-      {new double[] {100, 100}, 100, 50},
-      {new double[] {}, 100, Double.MAX_VALUE},
-    };
+  /** Guards against an account that is charged for requests which no upstream begins. */
+  @Test
+  public void shouldGiveBackChargeOfRequestThatHasNotBegun() {
+    for (int i = 0; i < 1_000; i++) {
+      shares.recordDemand("a", REQUEST_TOKENS);
+      shares.recordDemand("b", REQUEST_TOKENS);
+      Charge charge = shares.recordAdmission("a", REQUEST_TOKENS, REQUEST_TOKENS);
+      clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(STEP_MILLIS));
+      shares.withdraw(charge);
+    }
+    assertThat(shares.checkShare("a", REQUEST_TOKENS, CAPACITY_TOKENS_PER_SECOND).admittedTokens())
+        .isLessThan(REQUEST_TOKENS / 1_000.0);
+    assertThat(shares.utilisation(CAPACITY_TOKENS_PER_SECOND))
+        .as("lost requests used the engines")
+        .isGreaterThan(0.9);
   }
 
-  @Test(dataProvider = "fairShares")
-  public void shouldComputeMaxMinFairShare(double[] demands, double capacity, double fairShare) {
-    assertThat(AccountShares.fairShare(demands, capacity)).isEqualTo(fairShare);
+  /** Guards against routers that know of a full pool only from their own callers. */
+  @Test
+  public void shouldShareWhatPoolCarriesWhenOtherRoutersTurnRequestsAway() {
+    AccountUse hot =
+        AccountUse.newBuilder()
+            .setAccount("hot")
+            .setAsked(150_000)
+            .setAdmitted(40_000)
+            .setWork(40_000)
+            .setTurnedAway(100_000)
+            .build();
+    shares.updateRemoteUsage(List.of(hot));
+    shares.recordDemand("small", REQUEST_TOKENS);
+
+    assertThat(shares.isPoolFull(CAPACITY_TOKENS_PER_SECOND)).isTrue();
+    double share =
+        shares.checkShare("small", REQUEST_TOKENS, CAPACITY_TOKENS_PER_SECOND).fairShareTokens();
+    assertThat(share).as("share of 40,000 tokens carried").isBetween(39_000.0, 48_000.0);
   }
 }
