Go on using upstreams that were reached when all of them broke a response

What callers saw: while a few requests are answered with bytes that are no response, sound requests of others get 503 no-upstream.

Cause: an upstream that breaks a response before its head is whole was paused as if it could not be reached. A few such responses pause all upstreams of a service, although all accept connections.

Change: such an upstream is avoided for as long as before while there is another one, and used if all broke a response (UpstreamHealth). One that refuses connections stays paused.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -341,7 +341,7 @@
       return;
     }
     if (!responseAccepted) {
-      upstream.markUnreachable(context.nowNanos());
+      upstream.markBroken(context.nowNanos());
     }
     call.quarantine().recordStrike(upstream);
     fail("broken", cause);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -212,24 +212,13 @@
   public List<Upstream> usableUpstreams(
       String service, boolean repeatable, Predicate<Upstream> condition) {
     long now = clock.getAsLong();
-    List<Upstream> usable = new ArrayList<>();
-    List<Upstream> notPaused = new ArrayList<>();
-    List<Upstream> healthy = new ArrayList<>();
+    List<Upstream> reached = new ArrayList<>();
     for (Upstream upstream : upstreams.ready(service)) {
       if (upstream.isUsable(now) && isReporting(upstream) && condition.test(upstream)) {
-        usable.add(upstream);
-        if (!upstream.hangDetector().isPaused(now)) {
-          notPaused.add(upstream);
-          if (repeatable || !upstream.hangDetector().isOnProbation(now)) {
-            healthy.add(upstream);
-          }
-        }
+        reached.add(upstream);
       }
     }
-    if (healthy.size() * 2 >= usable.size()) {
-      return healthy;
-    }
-    return notPaused.size() * 2 >= usable.size() ? notPaused : usable;
+    return UpstreamHealth.preferred(reached, repeatable, now);
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -29,6 +29,7 @@
   private volatile UpstreamReport report;
   private volatile long lastReportAtNanos;
   private volatile long pausedUntilNanos;
+  private volatile long avoidedUntilNanos;
   private volatile int remoteRequests;
   private volatile int remotePendingTokens;
   private volatile int remoteMemoryTokens;
@@ -134,8 +135,25 @@
 
   /** Records a connection failure and pauses the upstream for a time that grows with failures. */
   public void markUnreachable(long nowNanos) {
+    pausedUntilNanos = nowNanos + nextPauseNanos();
+  }
+
+  /**
+   * Records that the upstream was reached but broke its response. It is avoided for as long as one
+   * that is not reached is paused.
+   */
+  public void markBroken(long nowNanos) {
+    avoidedUntilNanos = nowNanos + nextPauseNanos();
+  }
+
+  private long nextPauseNanos() {
     int doublings = Math.min(connectionFailures.getAndIncrement(), MAX_PAUSE_DOUBLINGS);
-    pausedUntilNanos = nowNanos + (FIRST_PAUSE_NANOS << doublings);
+    return FIRST_PAUSE_NANOS << doublings;
+  }
+
+  /** Returns whether other upstreams are preferred, since this one broke a response lately. */
+  public boolean isAvoided(long nowNanos) {
+    return nowNanos - avoidedUntilNanos < 0;
   }
 
   /** Records that the upstream answered, which resets the pause after connection failures. */
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/UsableUpstreamsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/UsableUpstreamsTest.java
@@ -111,4 +111,27 @@
     nowNanos += TimeUnit.SECONDS.toNanos(9);
     assertThat(state.createReport().getWorkList()).isEmpty();
   }
+
+  private void breakResponses(String ids) {
+    for (Upstream upstream : state.upstreams().ready("s")) {
+      if (ids.contains(upstream.id().substring(1))) {
+        upstream.markBroken(nowNanos);
+      }
+    }
+  }
+
+  @Test
+  public void shouldAvoidUpstreamThatBrokeItsResponseForAWhile() {
+    breakResponses("1");
+    assertThat(usable(true)).doesNotContain("1");
+    nowNanos += TimeUnit.SECONDS.toNanos(1);
+    assertThat(usable(true)).contains("1");
+  }
+
+  /** Guards against one faulty request that leaves the requests of all others without upstream. */
+  @Test
+  public void shouldUseUpstreamsThatBrokeResponsesIfAllDid() {
+    breakResponses("1234");
+    assertThat(usable(true)).contains("1", "2", "3", "4");
+  }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/EndlessAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/EndlessAnswerUsageTest.java
@@ -63,6 +63,10 @@
     } else if (exchange.path().contains("/endless-head")) {
       exchange.write("HTTP/1.1 200 OK\r\n");
       writeWithoutEnd(exchange, "X-Filler: " + FILLER + "\r\n");
+    } else if (exchange.path().contains("/lines-of-junk")) {
+      writeWithoutEnd(exchange, "no answer\r\n".repeat(1_000));
+    } else if (exchange.path().contains("/junk")) {
+      writeWithoutEnd(exchange, FILLER);
     } else {
       exchange.writeAnswer(200, "answer");
     }
@@ -119,6 +123,8 @@
       {"/repeatable/endless-event", 4},
       {"/stream/endless-event", 40},
       {"/once/endless-head", 4},
+      {"/once/junk", 4},
+      {"/once/lines-of-junk", 4},
     };
   }
 
