Refuse what would be cut at the end of the grace period

What callers saw: a request that came late in a planned stop was passed on and ended without an answer.

Whether a router stops was checked when the head of a request was read, not when its last byte was, and a body may take seconds.

Change: the check is repeated once a request is read, and before a stream that is taken up again goes on. Refusal begins 2.5 s after the signal; the load balancer needs two checks, 1 s apart, to send no new callers.

Evidence: PlannedStopUsageTest, both tests failed on (status 200 instead of 503) and pass.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -73,8 +73,11 @@
   /** Time for a control daemon to reply, in addition to half of the timeout. */
   private static final Duration MIN_CONFIRM_ATTEMPT = Duration.ofMillis(200);
 
-  /** Time for the load balancer to see that a router is not ready: two checks, 1 s apart. */
-  private static final int UNREADY_NOTICE_MILLIS = 3_000;
+  /**
+   * Time for the load balancer to see that a router is not ready: two checks, 1 s apart. Requests
+   * sent later than 3 s after the signal must not be cut, and the router may notice it late.
+   */
+  private static final int UNREADY_NOTICE_MILLIS = 2_500;
 
   private static final int DRAIN_POLL_MILLIS = 50;
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -67,12 +67,7 @@
 
   private void route(HttpServerExchange exchange, long startNanos) {
     RequestHead head = context.codec().readHead(exchange);
-    if (refusingNewRequests) {
-      refuse(
-          exchange,
-          head,
-          ErrorResponse.notRun(
-              "stopping", "This router is shutting down.", SHUTDOWN_RETRY_AFTER_MILLIS));
+    if (refuseIfStopping(exchange, head)) {
       return;
     }
     Optional<RoutingView> view = context.state().view();
@@ -121,6 +116,26 @@
                 () -> refuse(exchange, head, ErrorResponse.unreadableBody())));
   }
 
+  /**
+   * Refuses a request while the router stops. Also called once the request is read: its body may
+   * have taken so long that it would be cut at the end of the grace period.
+   */
+  private boolean refuseIfStopping(HttpServerExchange exchange, RequestHead head) {
+    if (refusingNewRequests) {
+      ErrorResponse stopping =
+          ErrorResponse.notRun(
+              "stopping", "This router is shutting down.", SHUTDOWN_RETRY_AFTER_MILLIS);
+      refuse(exchange, head, stopping);
+    }
+    return refusingNewRequests;
+  }
+
+  private void start(HttpServerExchange exchange, RequestHead head, RelayedCall call) {
+    if (!refuseIfStopping(exchange, head)) {
+      call.start();
+    }
+  }
+
   /** Relays a request; a stream that it takes up again goes on only where it began. */
   private void dispatchFromOrigin(
       HttpServerExchange exchange,
@@ -129,7 +144,8 @@
       Function<Optional<StreamOrigin>, RelayedCall> callFactory) {
     if (!StreamReturn.isReturn(head, route)) {
       exchange.dispatch(
-          SameThreadExecutor.INSTANCE, () -> callFactory.apply(Optional.empty()).start());
+          SameThreadExecutor.INSTANCE,
+          () -> start(exchange, head, callFactory.apply(Optional.empty())));
       return;
     }
     Consumer<StreamReturn.Found> relay =
@@ -138,7 +154,7 @@
                 .refusal()
                 .ifPresentOrElse(
                     error -> refuse(exchange, head, error),
-                    () -> callFactory.apply(found.origin()).start());
+                    () -> start(exchange, head, callFactory.apply(found.origin())));
     exchange.dispatch(
         SameThreadExecutor.INSTANCE,
         () ->
