--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ShareLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ShareLog.java
@@ -62,7 +62,8 @@
       ShareCheck check = check(entry.account());
       LOG.info(
           "tokens account={} asked={} begun={} above_share={} no_room={} too_late={} abandoned={}"
-              + " lost={} fleet_admitted={} fleet_asked={} share={} utilisation={} rated={} sums_age_ms={}",
+              + " lost={} fleet_admitted={} fleet_asked={} share={} utilisation={} rated={}"
+              + " sums_age_ms={}",
           entry.account(),
           entry.get(Fate.ASKED),
           entry.get(Fate.BEGUN),
