Count each first token of an attempt as begun, and keep charges small

A request that a control daemon placed on an upstream that keeps its whole prompt was not counted as begun, since begun was recorded together with the time of the prefill; its charge would have been withdrawn. Found by reading.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -292,8 +292,8 @@
           .estimator(call.service())
           .addSample(pendingTokens, nominalTokensPerMilli, millis, lagMillis);
       grant.started(Math.max(0, millis - Math.round(lagMillis)));
-      call.admission().recordBegun();
     }
+    call.admission().recordBegun();
     releasePrefillLoad();
     boolean hasRoom = call.onResponseData(this, data);
     if (!hasRoom) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -114,9 +114,9 @@
    * What an admitted request was charged to the share of its account. Immutable.
    *
    * @param tokens tokens charged to the share
-   * @param work work of the engines for the request, in tokens
+   * @param atNanos when they were charged, on the clock of the shares
    */
-  public record Charge(String account, long tokens, long work, long atNanos) {}
+  public record Charge(String account, long tokens, long atNanos) {}
 
   /**
    * Records an admitted request.
@@ -128,10 +128,10 @@
     LocalUsage usage = usage(account);
     usage.admitted += tokens;
     usage.work += work;
-    return new Charge(account, tokens, work, clock.getAsLong());
+    return new Charge(account, tokens, clock.getAsLong());
   }
 
-  /** Takes back what is left of the charge of a request without a first token, not its work. */
+  /** Takes back what is left of the charge of a request without a first token; it used engines. */
   public synchronized void withdraw(Charge charge) {
     LocalUsage usage = usage(charge.account());
     double left =
