Answer a request that is read at the moment at which a router begins to refuse

Cause: refuseIfStopping read the flag twice, for the refusal and for its result. If the router began to refuse in between, the request was neither refused nor passed on, and its caller waited for its own timeout. Found by reading; the window is a few instructions, no test hits it.

Change: the flag is read once. Evidence: by reading only; PlannedStopUsageTest covers both results of the method.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -121,13 +121,14 @@
    * have taken so long that it would be cut at the end of the grace period.
    */
   private boolean refuseIfStopping(HttpServerExchange exchange, RequestHead head) {
-    if (refusingNewRequests) {
-      ErrorResponse stopping =
-          ErrorResponse.notRun(
-              "stopping", "This router is shutting down.", SHUTDOWN_RETRY_AFTER_MILLIS);
-      refuse(exchange, head, stopping);
+    if (!refusingNewRequests) {
+      return false;
     }
-    return refusingNewRequests;
+    ErrorResponse stopping =
+        ErrorResponse.notRun(
+            "stopping", "This router is shutting down.", SHUTDOWN_RETRY_AFTER_MILLIS);
+    refuse(exchange, head, stopping);
+    return true;
   }
 
   private void start(HttpServerExchange exchange, RequestHead head, RelayedCall call) {
