--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -51,7 +51,7 @@
 
   static ErrorResponse aboveShare(AccountState account, long retryAfterMillis) {
     String detail =
-        "The account asked for %.0f tokens and got %.0f, its share is %.0f; others reported %d ms ago."
+        "The account asked for %.0f tokens and got %.0f of a share of %.0f; others told %d ms ago."
             .formatted(
                 account.demandedTokens(),
                 account.admittedTokens(),
