Share the admitted part of short calls by account

What callers would see: while a service of short calls has too much to do, an account that asks little is refused as often as one that floods.

Change: the part of its calls that a router admits is shared max-min among its accounts (MaxMinShare), by their recent demand. An account alone gets the same part as before, so nothing changes where routes are public.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -195,7 +195,7 @@
     }
     List<Upstream> usable = choice.usable();
     Optional<Selection> selected =
-        choice.isThrottled(usable) ? Optional.empty() : choice.select(usable);
+        choice.isThrottled(usable, request.account()) ? Optional.empty() : choice.select(usable);
     expectedFirstTokenMillis = selected.map(Selection::expectedFirstTokenMillis).orElse(0.0);
     Optional<ErrorResponse> refusal =
         phase == Phase.NOT_SENT ? admission.admit(selected, usable) : Optional.empty();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -1,10 +1,14 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import java.util.stream.DoubleStream;
+import org.toucansaddle.coordination.sharing.MaxMinShare;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 
 /**
@@ -15,7 +19,7 @@
  * routers use them, queues at the upstreams are either full or empty. Each router therefore admits
  * a part of its requests, which shrinks in proportion while the upstreams have too many requests
  * and grows by steps while they have fewer. Since a larger part shrinks more, the routers come to
- * admit the same part. Thread-safe.
+ * admit the same part. Client accounts have max-min fair shares of that part. Thread-safe.
  */
 final class ServiceThrottle {
 
@@ -34,8 +38,15 @@
   /** Smallest part, so that a router notices when the upstreams have room again. */
   private static final double MIN_ADMITTED = 0.02;
 
+  /** Time in which the demand of an account decays to 1/e. */
+  private static final double DEMAND_DECAY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** Requests below which the demand of an account is dropped. */
+  private static final double FORGOTTEN_REQUESTS = 0.01;
+
   private final LongSupplier clock;
   private final DoubleSupplier random;
+  private final Map<String, Demand> demands = new HashMap<>();
   private double admitted = 1;
   private long lastStepAt;
 
@@ -50,27 +61,56 @@
     this.lastStepAt = clock.getAsLong();
   }
 
-  /** Returns whether a request to one of these upstreams is admitted. */
-  boolean admits(Collection<Upstream> upstreams) {
+  /** Recent requests of one account at this router; they decay over time. */
+  private static final class Demand {
+    private double requests;
+    private long updatedAt;
+
+    void decay(long now) {
+      requests *= Math.exp(-(now - updatedAt) / DEMAND_DECAY_NANOS);
+      updatedAt = now;
+    }
+  }
+
+  /**
+   * Returns whether a request to one of these upstreams is admitted.
+   *
+   * @param account client account; empty if the request has none
+   */
+  boolean admits(String account, Collection<Upstream> upstreams) {
     int requests = upstreams.stream().mapToInt(Upstream::requests).sum();
     int slots = upstreams.stream().mapToInt(upstream -> upstream.report().slots()).sum();
-    return admits(requests, slots);
+    return admits(account, requests, slots);
   }
 
   /**
    * Returns whether a request is admitted.
    *
+   * @param account client account; empty if the request has none
    * @param requests requests of all routers at the upstreams of the service
    * @param slots requests that these upstreams run at the same time
    */
-  synchronized boolean admits(int requests, int slots) {
+  synchronized boolean admits(String account, int requests, int slots) {
     long now = clock.getAsLong();
     double steps = (now - lastStepAt) / (double) STEP_NANOS;
     if (steps >= 1) {
       lastStepAt = now;
+      demands.values().forEach(demand -> demand.decay(now));
+      demands.values().removeIf(demand -> demand.requests < FORGOTTEN_REQUESTS);
       adjust(requests / Math.max(1, slots * TARGET_REQUESTS_PER_SLOT), steps);
     }
-    return admitted >= 1 || random.getAsDouble() < admitted;
+    Demand demand = demands.computeIfAbsent(account, name -> new Demand());
+    demand.decay(now);
+    demand.requests++;
+    return admitted >= 1 || random.getAsDouble() < admittedPart(demand, now);
+  }
+
+  /** Returns the part of an account's requests that fits its share of what is admitted. */
+  private double admittedPart(Demand demand, long now) {
+    demands.values().forEach(other -> other.decay(now));
+    double[] requests = demands.values().stream().mapToDouble(other -> other.requests).toArray();
+    double share = MaxMinShare.compute(requests, admitted * DoubleStream.of(requests).sum());
+    return demand.requests > share ? share / demand.requests : 1;
   }
 
   /** Adjusts the admitted part to a load, as a fraction of the target. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -243,8 +243,10 @@
   }
 
   /** Engines are not throttled: their admission follows from the expected time. */
-  boolean isThrottled(List<Upstream> usable) {
-    return isFirst() && head.promptTokens() == 0 && !context.throttle(service).admits(usable);
+  boolean isThrottled(List<Upstream> usable, String account) {
+    return isFirst()
+        && head.promptTokens() == 0
+        && !context.throttle(service).admits(account, usable);
   }
 
   /** Returns the number of connections that this router may open to an upstream. */
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottleTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottleTest.java
@@ -42,7 +42,7 @@
     ServiceThrottle throttle = new ServiceThrottle(() -> clockNanos, () -> 0.999);
     for (int i = 0; i < 100; i++) {
       clockNanos += TimeUnit.MILLISECONDS.toNanos(100);
-      assertThat(throttle.admits(8, SLOTS)).isTrue();
+      assertThat(throttle.admits("", 8, SLOTS)).isTrue();
     }
   }
 
@@ -51,11 +51,39 @@
     ServiceThrottle throttle = new ServiceThrottle(() -> clockNanos, () -> 0.999);
     for (int i = 0; i < 100; i++) {
       clockNanos += TimeUnit.MILLISECONDS.toNanos(400);
-      throttle.admits(100, SLOTS);
+      throttle.admits("", 100, SLOTS);
     }
-    assertThat(throttle.admits(100, SLOTS)).isFalse();
+    assertThat(throttle.admits("", 100, SLOTS)).isFalse();
     clockNanos += TimeUnit.SECONDS.toNanos(3);
-    assertThat(throttle.admits(0, SLOTS)).isTrue();
+    assertThat(throttle.admits("", 0, SLOTS)).isTrue();
+  }
+
+  /**
+   * Hot account of short calls. Guards against calls that are admitted by how often an account
+   * asks.
+   */
+  @Test
+  public void shouldServeSmallAccountInFullBesideHotOneWhilePartIsAdmitted() {
+    ServiceThrottle throttle = new ServiceThrottle(() -> clockNanos, new Random(1)::nextDouble);
+    int fullSlots = 10;
+    int atTarget = 14;
+    for (int step = 0; step < 4; step++) {
+      clockNanos += TimeUnit.MILLISECONDS.toNanos(400);
+      throttle.admits("hot", 2 * atTarget, fullSlots);
+    }
+    int hot = 0;
+    int small = 0;
+    for (int call = -400; call < 2_000; call++) {
+      clockNanos += TimeUnit.MILLISECONDS.toNanos(10);
+      boolean isSmall = call % 10 == 0;
+      boolean admitted = throttle.admits(isSmall ? "small" : "hot", atTarget, fullSlots);
+      if (admitted && call >= 0) {
+        small += isSmall ? 1 : 0;
+        hot += isSmall ? 0 : 1;
+      }
+    }
+    assertThat(small).as("of 200 calls").isEqualTo(200);
+    assertThat(hot + small).as("about 0.3 of 2,000 calls").isBetween(500, 750);
   }
 
   @DataProvider
@@ -193,7 +221,7 @@
       /** Returns whether an upstream took a request. */
       private boolean send() {
         int requests = Arrays.stream(own).sum() + Arrays.stream(remote).sum();
-        if (!throttle.admits(requests, SLOTS * own.length)) {
+        if (!throttle.admits("", requests, SLOTS * own.length)) {
           return false;
         }
         sent += isWarm() ? 1 : 0;
