--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -3,6 +3,7 @@
 import io.grpc.Status;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,16 +17,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.daemon.gateway.StoredDocument;
-import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
-import org.toucansaddle.protocol.generated.LimitNotice;
 import org.toucansaddle.protocol.generated.ServiceDemand;
 import org.toucansaddle.protocol.generated.StoredDocumentMessage;
-import org.toucansaddle.protocol.generated.UpstreamMessage;
 import org.toucansaddle.protocol.generated.UpstreamStart;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
@@ -141,27 +139,15 @@
     }
   }
 
-  private Map<String, UpstreamWork> sumWorkOfOthers(Follower excluded) {
-    Map<String, UpstreamWork> sums = new HashMap<>();
+  private Collection<UpstreamWork> sumWorkOfOthers(Follower excluded) {
+    WorkSums sums = new WorkSums();
+    long now = clock.getAsLong();
     for (Follower other : followers) {
       if (other != excluded) {
-        long reportAgeNanos = clock.getAsLong() - other.lastReportNanos;
-        for (UpstreamWork work : other.work) {
-          sums.merge(work.getUpstream(), aged(work, reportAgeNanos), FollowServer::add);
-        }
+        sums.add(other.work, now - other.lastReportNanos);
       }
     }
-    return sums;
-  }
-
-  /** Adds the time since a report to the age of what it says about a limit. */
-  private static UpstreamWork aged(UpstreamWork work, long nanos) {
-    if (!work.hasLimit()) {
-      return work;
-    }
-    LimitNotice.Builder notice = work.getLimit().toBuilder();
-    notice.setAgeMillis(notice.getAgeMillis() + (int) TimeUnit.NANOSECONDS.toMillis(nanos));
-    return work.toBuilder().setLimit(notice).build();
+    return sums.values();
   }
 
   private Map<String, AccountUse> sumAccountsOfOthers(Follower excluded) {
@@ -192,26 +178,6 @@
         .build();
   }
 
-  private static UpstreamWork add(UpstreamWork a, UpstreamWork b) {
-    UpstreamWork.Builder sum =
-        a.toBuilder()
-            .setRequests(a.getRequests() + b.getRequests())
-            .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
-            .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
-            .setStuck(a.getStuck() + b.getStuck())
-            .setAnswered(a.getAnswered() + b.getAnswered());
-    if (b.hasLimit() && (!a.hasLimit() || isNewer(b.getLimit(), a.getLimit()))) {
-      sum.setLimit(b.getLimit());
-    }
-    return sum.build();
-  }
-
-  private static boolean isNewer(LimitNotice a, LimitNotice b) {
-    return a.getStartedAtMillis() == b.getStartedAtMillis()
-        ? a.getAgeMillis() < b.getAgeMillis()
-        : a.getStartedAtMillis() > b.getStartedAtMillis();
-  }
-
   private StoredDocumentMessage encodeOnce(StoredDocument current) {
     StoredDocumentMessage last = lastEncoded;
     if (last.getVersion() != current.version()) {
@@ -325,7 +291,7 @@
       addZoneState(update);
       if (wantsSums) {
         update.setSums(true);
-        update.addAllWork(sumWorkOfOthers(this).values());
+        update.addAllWork(sumWorkOfOthers(this));
         update.addAllAccounts(sumAccountsOfOthers(this).values());
         update.addAllParts(limitParts().of(demands));
       }
@@ -358,7 +324,13 @@
       }
       update.setComplete(!initialUpdateSent);
       long change = registry.lastChange();
-      registry.changedAfter(lastSentChange).forEach(entry -> update.addUpstreams(encode(entry)));
+      long now = clock.getAsLong();
+      registry
+          .changedAfter(lastSentChange)
+          .forEach(
+              entry ->
+                  update.addUpstreams(
+                      UpstreamMessageCodec.encode(entry, registry.isLeaving(entry), now)));
       lastSentChange = change;
       long strike = quarantine.lastChange();
       update.addAllStrikes(quarantine.spreadStrikesAfter(lastSentStrike));
@@ -369,23 +341,5 @@
       initialUpdateSent = true;
       updates.onNext(update.build());
     }
-
-    private UpstreamMessage encode(UpstreamRegistry.Entry entry) {
-      UpstreamReport report = entry.report();
-      long ageNanos = clock.getAsLong() - entry.receivedAtNanos();
-      return UpstreamMessage.newBuilder()
-          .setId(report.id())
-          .setService(report.service())
-          .setAddress(report.address())
-          .setZone(report.zone())
-          .setSlots(report.slots())
-          .setState(report.state().ordinal())
-          .setStartedAtMillis(report.startedAtMillis())
-          .setSequence(report.sequence())
-          .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(ageNanos))
-          .setSoftwareVersion(report.softwareVersion())
-          .setLeaving(registry.isLeaving(entry))
-          .build();
-    }
   }
 }
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
@@ -0,0 +1,58 @@
+package org.toucansaddle.daemon.internal.gateway.control;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.UpstreamWork;
+
+/**
+ * Sums what several routers report of their requests at each upstream. What an upstream said of
+ * itself is taken from the router that heard it last. Not thread-safe.
+ */
+final class WorkSums {
+
+  private final Map<String, UpstreamWork> sums = new HashMap<>();
+
+  /** Adds the report of a router that was received some time ago. */
+  void add(List<UpstreamWork> works, long ageNanos) {
+    works.forEach(work -> sums.merge(work.getUpstream(), aged(work, ageNanos), WorkSums::add));
+  }
+
+  /** Returns the sum of each upstream. */
+  Collection<UpstreamWork> values() {
+    return sums.values();
+  }
+
+  /** Adds the time since a report to the age of what it says about a limit. */
+  private static UpstreamWork aged(UpstreamWork work, long nanos) {
+    if (!work.hasLimit()) {
+      return work;
+    }
+    LimitNotice.Builder notice = work.getLimit().toBuilder();
+    notice.setAgeMillis(notice.getAgeMillis() + (int) TimeUnit.NANOSECONDS.toMillis(nanos));
+    return work.toBuilder().setLimit(notice).build();
+  }
+
+  private static UpstreamWork add(UpstreamWork a, UpstreamWork b) {
+    UpstreamWork.Builder sum =
+        a.toBuilder()
+            .setRequests(a.getRequests() + b.getRequests())
+            .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
+            .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
+            .setStuck(a.getStuck() + b.getStuck())
+            .setAnswered(a.getAnswered() + b.getAnswered());
+    if (b.hasLimit() && (!a.hasLimit() || isNewer(b.getLimit(), a.getLimit()))) {
+      sum.setLimit(b.getLimit());
+    }
+    return sum.build();
+  }
+
+  private static boolean isNewer(LimitNotice a, LimitNotice b) {
+    return a.getStartedAtMillis() == b.getStartedAtMillis()
+        ? a.getAgeMillis() < b.getAgeMillis()
+        : a.getStartedAtMillis() > b.getStartedAtMillis();
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -1,7 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,13 +19,12 @@
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentCodec;
+import org.toucansaddle.daemon.internal.gateway.control.UpstreamMessageCodec;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
-import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
-import org.toucansaddle.protocol.generated.LimitNotice;
 import org.toucansaddle.protocol.generated.ServicePart;
 import org.toucansaddle.protocol.generated.ServiceVersion;
 import org.toucansaddle.protocol.generated.UpstreamMessage;
@@ -43,15 +41,13 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(RouterState.class);
 
-  /** Decayed count of stuck requests up to which an upstream without requests is not reported. */
-  private static final double MIN_REPORTED_STUCK = 0.05;
-
   private static final RequestLimit.Part WHOLE_LIMIT = new RequestLimit.Part(1, 1);
 
   private final DocumentFormat format;
   private final LongSupplier clock;
   private final long reportTimeoutNanos;
   private final UpstreamTable upstreams = new UpstreamTable();
+  private final WorkReports work = new WorkReports(upstreams);
   private final AccountShares shares;
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
@@ -291,7 +287,7 @@
     quarantine.merge(update.getStrikesList());
     for (UpstreamMessage message : update.getUpstreamsList()) {
       long reportedAt = now - TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis());
-      UpstreamReport report = decode(message);
+      UpstreamReport report = UpstreamMessageCodec.decode(message);
       if (upstreams.accept(report, reportedAt)) {
         LOG.info(
             "upstream {} of service {} at {} is {}, version {}, sequence {}, reported {} ms ago to"
@@ -323,45 +319,13 @@
 
   /** Replaces the load of the other routers at the upstreams. */
   public void updateRemoteWork(List<UpstreamWork> works) {
-    long now = clock.getAsLong();
-    Map<String, UpstreamWork> byId = new HashMap<>();
-    works.forEach(work -> byId.put(work.getUpstream(), work));
-    for (Upstream upstream : upstreams.all()) {
-      UpstreamWork work = byId.getOrDefault(upstream.id(), UpstreamWork.getDefaultInstance());
-      upstream.updateRemoteWork(work);
-      if (work.hasLimit()) {
-        mergeLimit(upstream, work.getLimit(), now);
-      }
-      RequestCounts remoteCounts = new RequestCounts(work.getStuck(), work.getAnswered());
-      if (upstream.hangDetector().updateRemoteCounts(remoteCounts, now)) {
-        LOG.info(
-            "upstream {} is paused: recent requests of other routers: {} stuck, {} answered",
-            upstream.id(),
-            work.getStuck(),
-            work.getAnswered());
-      }
-    }
-  }
-
-  private void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
-    if (notice.getStartedAtMillis() != upstream.startedAtMillis()) {
-      return;
-    }
-    OptionalDouble named =
-        notice.hasRequestsPerSecond()
-            ? OptionalDouble.of(notice.getRequestsPerSecond())
-            : OptionalDouble.empty();
-    long noticedAt = now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis());
-    if (upstream.limit().update(new Notice(named, noticedAt))) {
-      logLimit(upstream, "other routers");
-    }
+    work.mergeRemote(works, clock.getAsLong());
   }
 
   /** Takes over what an upstream said in a response to this router. */
   public void recordLimit(Upstream upstream, OptionalDouble requestsPerSecond) {
-    if (upstream.limit().update(new Notice(requestsPerSecond, clock.getAsLong()))) {
-      logLimit(upstream, "a response");
-    }
+    WorkReports.recordLimit(
+        upstream, new Notice(requestsPerSecond, clock.getAsLong()), "a response");
   }
 
   /** Records that an upstream said in a response to this router that it leaves. */
@@ -403,16 +367,6 @@
     return (int) upstreams.all().stream().filter(Upstream::isLeaving).count();
   }
 
-  private static void logLimit(Upstream upstream, String source) {
-    OptionalDouble named =
-        upstream.limit().notice().map(Notice::requestsPerSecond).orElse(OptionalDouble.empty());
-    LOG.info(
-        "upstream {} takes {} requests a second from all routers, known from {}",
-        upstream.id(),
-        named.isPresent() ? named.getAsDouble() : "any number of",
-        source);
-  }
-
   /** Returns the number of known upstreams whose newest response named a limit. */
   public int limitedUpstreams() {
     return (int) upstreams.all().stream().filter(upstream -> upstream.limit().isNamed()).count();
@@ -438,50 +392,6 @@
               .setId(upstream.id())
               .setStartedAtMillis(upstream.startedAtMillis()));
     }
-    long now = clock.getAsLong();
-    for (Upstream upstream : upstreams.all()) {
-      RequestCounts counts = upstream.hangDetector().localCounts(now);
-      Optional<LimitNotice> limit = upstream.limit().notice().map(n -> encode(n, upstream, now));
-      if (upstream.localRequests() > 0
-          || counts.stuck() > MIN_REPORTED_STUCK
-          || limit.isPresent()) {
-        UpstreamWork.Builder work =
-            UpstreamWork.newBuilder()
-                .setUpstream(upstream.id())
-                .setRequests(upstream.localRequests())
-                .setPendingTokens((int) Math.max(0, upstream.localPendingTokens()))
-                .setMemoryTokens((int) Math.max(0, upstream.localMemoryTokens()))
-                .setStuck((float) counts.stuck())
-                .setAnswered((float) counts.answered());
-        limit.ifPresent(work::setLimit);
-        report.addWork(work);
-      }
-    }
-    return report;
-  }
-
-  private static LimitNotice encode(Notice notice, Upstream upstream, long now) {
-    long ageMillis = TimeUnit.NANOSECONDS.toMillis(now - notice.atNanos());
-    LimitNotice.Builder encoded =
-        LimitNotice.newBuilder()
-            .setAgeMillis((int) Math.min(Integer.MAX_VALUE, ageMillis))
-            .setStartedAtMillis(upstream.startedAtMillis());
-    notice.requestsPerSecond().ifPresent(encoded::setRequestsPerSecond);
-    return encoded.build();
-  }
-
-  private static UpstreamReport decode(UpstreamMessage message) {
-    UpstreamReport.State[] states = UpstreamReport.State.values();
-    int state = Math.min(message.getState(), states.length - 1);
-    return new UpstreamReport(
-        message.getId(),
-        message.getService(),
-        message.getAddress(),
-        message.getZone(),
-        message.getSlots(),
-        states[state],
-        message.getStartedAtMillis(),
-        message.getSequence(),
-        message.getSoftwareVersion());
+    return report.addAllWork(work.local(clock.getAsLong()));
   }
 }
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -0,0 +1,116 @@
+package org.toucansaddle.daemon.internal.gateway.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
+import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
+import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.UpstreamWork;
+
+/**
+ * What routers tell each other about the upstreams that they send requests to.
+ *
+ * <p>What another router says counts only for the incarnation that it names. Thread-safe.
+ */
+final class WorkReports {
+
+  private static final Logger LOG = LoggerFactory.getLogger(WorkReports.class);
+
+  /** Decayed count of stuck requests up to which an upstream without requests is not reported. */
+  private static final double MIN_REPORTED_STUCK = 0.05;
+
+  private final UpstreamTable upstreams;
+
+  WorkReports(UpstreamTable upstreams) {
+    this.upstreams = upstreams;
+  }
+
+  /** Returns what this router reports of its requests at each upstream. */
+  List<UpstreamWork> local(long now) {
+    List<UpstreamWork> works = new ArrayList<>();
+    for (Upstream upstream : upstreams.all()) {
+      RequestCounts counts = upstream.hangDetector().localCounts(now);
+      Optional<LimitNotice> limit = upstream.limit().notice().map(n -> encode(n, upstream, now));
+      if (upstream.localRequests() > 0
+          || counts.stuck() > MIN_REPORTED_STUCK
+          || limit.isPresent()) {
+        UpstreamWork.Builder work =
+            UpstreamWork.newBuilder()
+                .setUpstream(upstream.id())
+                .setRequests(upstream.localRequests())
+                .setPendingTokens((int) Math.max(0, upstream.localPendingTokens()))
+                .setMemoryTokens((int) Math.max(0, upstream.localMemoryTokens()))
+                .setStuck((float) counts.stuck())
+                .setAnswered((float) counts.answered());
+        limit.ifPresent(work::setLimit);
+        works.add(work.build());
+      }
+    }
+    return works;
+  }
+
+  private static LimitNotice encode(Notice notice, Upstream upstream, long now) {
+    LimitNotice.Builder encoded =
+        LimitNotice.newBuilder()
+            .setAgeMillis(ageMillis(notice.atNanos(), now))
+            .setStartedAtMillis(upstream.startedAtMillis());
+    notice.requestsPerSecond().ifPresent(encoded::setRequestsPerSecond);
+    return encoded.build();
+  }
+
+  private static int ageMillis(long nanos, long now) {
+    return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(now - nanos));
+  }
+
+  /** Replaces what the other routers say. */
+  void mergeRemote(List<UpstreamWork> works, long now) {
+    Map<String, UpstreamWork> byId = new HashMap<>();
+    works.forEach(work -> byId.put(work.getUpstream(), work));
+    for (Upstream upstream : upstreams.all()) {
+      UpstreamWork work = byId.getOrDefault(upstream.id(), UpstreamWork.getDefaultInstance());
+      upstream.updateRemoteWork(work);
+      if (work.hasLimit()) {
+        mergeLimit(upstream, work.getLimit(), now);
+      }
+      RequestCounts remoteCounts = new RequestCounts(work.getStuck(), work.getAnswered());
+      if (upstream.hangDetector().updateRemoteCounts(remoteCounts, now)) {
+        LOG.info(
+            "upstream {} is paused: recent requests of other routers: {} stuck, {} answered",
+            upstream.id(),
+            work.getStuck(),
+            work.getAnswered());
+      }
+    }
+  }
+
+  private static void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
+    if (notice.getStartedAtMillis() != upstream.startedAtMillis()) {
+      return;
+    }
+    OptionalDouble named =
+        notice.hasRequestsPerSecond()
+            ? OptionalDouble.of(notice.getRequestsPerSecond())
+            : OptionalDouble.empty();
+    long noticedAt = now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis());
+    recordLimit(upstream, new Notice(named, noticedAt), "other routers");
+  }
+
+  /** Takes over what an upstream said of its limit; {@code source} is for the log. */
+  static void recordLimit(Upstream upstream, Notice notice, String source) {
+    if (upstream.limit().update(notice)) {
+      OptionalDouble named = notice.requestsPerSecond();
+      LOG.info(
+          "upstream {} takes {} requests a second from all routers, known from {}",
+          upstream.id(),
+          named.isPresent() ? named.getAsDouble() : "any number of",
+          source);
+    }
+  }
+}
