Keep requests from cold upstreams but for those that a control daemon permits

Cause: nothing read the warm-up of an upstream, and each router used a new one up to its slots.

Change: the warm-up passes from heartbeat to routers by start and sequence; after a connection failure or a broken response an upstream counts as cold until a later report says otherwise. Services without such a rate are not touched.

--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/package-info.java
@@ -0,0 +1,2 @@
+/** How much work upstreams get that have just started, turned cold or recovered. */
+package org.toucansaddle.coordination.pacing;
--- /dev/null
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/WarmUpStateTest.java
@@ -0,0 +1,86 @@
+package org.toucansaddle.coordination.pacing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests when an upstream counts as cold. */
+public class WarmUpStateTest {
+
+  private static long nanos(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  @Test
+  public void shouldBeColdForGivenTimeWithoutReport() {
+    WarmUpState state = WarmUpState.coldFor(3_000, nanos(10));
+    assertThat(state.isCold(nanos(3_009))).isTrue();
+    assertThat(state.isCold(nanos(3_010))).isFalse();
+  }
+
+  @DataProvider
+  public Object[][] reports() {
+    return new Object[][] {
+      // {remaining, reported at, now, cold}
+      {0, 100, 100, false},
+      {500, 100, 599, true},
+      {500, 100, 600, false},
+      {60_000, 100, 59_000, true},
+    };
+  }
+
+  @Test(dataProvider = "reports")
+  public void shouldBeColdUntilReportedEnd(
+      long remaining, long reportedAt, long now, boolean cold) {
+    WarmUpState state = WarmUpState.coldFor(3_000, 0);
+    state.report(remaining, nanos(reportedAt));
+    assertThat(state.isCold(nanos(now))).isEqualTo(cold);
+  }
+
+  // An older report that arrives late must not make a cold upstream warm.
+  @Test
+  public void shouldIgnoreOlderReport() {
+    WarmUpState state = WarmUpState.coldFor(0, 0);
+    state.report(3_000, nanos(1_000));
+    state.report(0, nanos(900));
+    assertThat(state.isCold(nanos(1_100))).isTrue();
+  }
+
+  @Test
+  public void shouldTurnColdAgain() {
+    WarmUpState state = WarmUpState.coldFor(0, 0);
+    state.report(0, nanos(1_000));
+    state.report(2_000, nanos(2_000));
+    assertThat(state.isCold(nanos(2_500))).isTrue();
+    assertThat(state.remainingMillis(nanos(2_500))).isEqualTo(1_500);
+  }
+
+  @DataProvider
+  public Object[][] reportsAfterDoubt() {
+    return new Object[][] {
+      // {reported at, still cold}; the doubt is at 1,000 and reports may seem 200 ms too late
+      {900, true}, {1_000, true}, {1_200, true}, {1_201, false}, {5_000, false},
+    };
+  }
+
+  // A report that was on its way when the upstream failed must not end the doubt.
+  @Test(dataProvider = "reportsAfterDoubt")
+  public void shouldCountAsColdUntilReportAfterDoubt(long reportedAt, boolean cold) {
+    WarmUpState state = WarmUpState.coldFor(0, 0);
+    state.report(0, nanos(500));
+    state.doubt(nanos(1_000));
+    state.report(0, nanos(reportedAt));
+    assertThat(state.isCold(nanos(10_000))).isEqualTo(cold);
+  }
+
+  @Test
+  public void shouldStayColdAfterDoubtWhileReportSaysSo() {
+    WarmUpState state = WarmUpState.coldFor(0, 0);
+    state.doubt(nanos(1_000));
+    state.report(2_000, nanos(2_000));
+    assertThat(state.isCold(nanos(3_999))).isTrue();
+    assertThat(state.isCold(nanos(4_000))).isFalse();
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/TomlDocuments.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/TomlDocuments.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.toucansaddle.daemon.gateway.ServiceDefinition.EngineCapacity;
+import org.toucansaddle.daemon.gateway.ServiceDefinition.WarmUp;
 import org.toucansaddle.daemon.internal.gateway.control.TomlTable;
 
 /**
@@ -110,12 +111,22 @@
               table.string("name"),
               table.string("health_path", ""),
               table.integer("max_connections", 0),
-              engine));
+              engine,
+              table.has("warm_up")
+                  ? Optional.of(readWarmUp(table.table("warm_up")))
+                  : Optional.empty()));
       table.rejectUnknownFields();
     }
     return services;
   }
 
+  private static WarmUp readWarmUp(TomlTable table) throws DocumentException {
+    WarmUp warmUp =
+        new WarmUp(table.integer("millis", 0), table.positiveNumber("requests_per_second"));
+    table.rejectUnknownFields();
+    return warmUp;
+  }
+
   private static EngineCapacity readEngine(TomlTable table) throws DocumentException {
     EngineCapacity engine =
         new EngineCapacity(table.integer("slots", 1), table.integer("memory_tokens"));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/UpstreamReport.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/UpstreamReport.java
@@ -1,5 +1,7 @@
 package org.toucansaddle.daemon.gateway;
 
+import java.util.OptionalInt;
+
 /**
  * Status report that an upstream sends about itself. Immutable.
  *
@@ -15,6 +17,8 @@
  * @param softwareVersion version of the software that it runs, fixed for one start; empty if not
  *     reported. Upstreams of one service may run different versions, and only an upstream of the
  *     version that began a stream may resume it
+ * @param warmUpMillis time for which it stays cold, in milliseconds; 0 if it is warm, empty if not
+ *     reported
  */
 public record UpstreamReport(
     String id,
@@ -25,7 +29,8 @@
     State state,
     long startedAtMillis,
     long sequence,
-    String softwareVersion) {
+    String softwareVersion,
+    OptionalInt warmUpMillis) {
 
   /** Whether an upstream accepts requests. */
   public enum State {
@@ -37,7 +42,31 @@
     GONE
   }
 
-  /** Creates a report without a version of the software. */
+  /** Creates a report without a warm-up. */
+  public UpstreamReport(
+      String id,
+      String service,
+      String address,
+      String zone,
+      int slots,
+      State state,
+      long startedAtMillis,
+      long sequence,
+      String softwareVersion) {
+    this(
+        id,
+        service,
+        address,
+        zone,
+        slots,
+        state,
+        startedAtMillis,
+        sequence,
+        softwareVersion,
+        OptionalInt.empty());
+  }
+
+  /** Creates a report without a version of the software and without a warm-up. */
   public UpstreamReport(
       String id,
       String service,
@@ -52,14 +81,31 @@
 
   /** Returns a copy of this report with another state. */
   public UpstreamReport withState(State other) {
-    return new UpstreamReport(
-        id, service, address, zone, slots, other, startedAtMillis, sequence, softwareVersion);
+    return copy(other, softwareVersion, warmUpMillis);
   }
 
   /** Returns a copy of this report with another version of the software. */
   public UpstreamReport withSoftwareVersion(String other) {
+    return copy(state, other, warmUpMillis);
+  }
+
+  /** Returns a copy of this report with another warm-up. */
+  public UpstreamReport withWarmUpMillis(int other) {
+    return copy(state, softwareVersion, OptionalInt.of(other));
+  }
+
+  private UpstreamReport copy(State newState, String newVersion, OptionalInt newWarmUpMillis) {
     return new UpstreamReport(
-        id, service, address, zone, slots, state, startedAtMillis, sequence, other);
+        id,
+        service,
+        address,
+        zone,
+        slots,
+        newState,
+        startedAtMillis,
+        sequence,
+        newVersion,
+        newWarmUpMillis);
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -17,6 +17,8 @@
 import org.toucansaddle.daemon.gateway.FleetDocument;
 import org.toucansaddle.daemon.gateway.GatewaySettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.ControlSettings;
+import org.toucansaddle.daemon.gateway.ServiceDefinition;
+import org.toucansaddle.daemon.gateway.ServiceDefinition.WarmUp;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.internal.control.ControlReplica;
@@ -91,6 +93,7 @@
   private final PlacementServer placement;
   private final PeerServer server;
   private volatile StoredDocument appliedDocument = StoredDocument.none();
+  private volatile List<ServiceDefinition> appliedServices = List.of();
   private volatile Runnable onDocumentApplied = () -> {};
 
   /**
@@ -146,6 +149,7 @@
     RouterState observed = new RouterState(format, UPSTREAM_TIMEOUT_MILLIS, System::nanoTime);
     this.observer = createObserver(settings, observed);
     this.placement = new PlacementServer(observed, System::nanoTime);
+    this.followers.useColdRates(this::coldRate);
     this.onDocumentApplied = () -> peers.controlExecutor().execute(followers::pushChanges);
     this.server = peers.serve(self, List.of(peerService(links), gatewayService()));
     peers.scheduleRepeatedly(REPLICA_SET_STEP_MILLIS, replicaSet::reconcile);
@@ -192,6 +196,10 @@
         "toucansaddle_gateway_followers", "Routers that follow.", followers::routerCount);
     metrics.registerGauge(
         "toucansaddle_gateway_configuration", "Version applied.", () -> appliedDocument.version());
+    metrics.registerGauge(
+        "toucansaddle_gateway_cold_permits",
+        "Requests to cold upstreams permitted since the start.",
+        followers::permittedColdRequests);
     metrics.registerGauge(
         "toucansaddle_gateway_origins", "Origins of streams in memory.", origins::size);
   }
@@ -211,10 +219,33 @@
 
   private void apply(StoredDocument document) {
     appliedDocument = document;
+    appliedServices = readServices(document);
     DECISIONS.info("applied configuration={} bytes={}", document.version(), size(document));
     onDocumentApplied.run();
   }
 
+  private List<ServiceDefinition> readServices(StoredDocument document) {
+    try {
+      return format.read(document.content()).services();
+    } catch (DocumentException e) {
+      LOG.error(
+          "configuration {} cannot be read, so cold upstreams get no requests: {}",
+          document.version(),
+          e.getMessage());
+      return List.of();
+    }
+  }
+
+  /** Returns the requests a second that a cold upstream of a service takes; 0 if none is cold. */
+  private double coldRate(String service) {
+    return appliedServices.stream()
+        .filter(definition -> definition.name().equals(service))
+        .flatMap(definition -> definition.warmUp().stream())
+        .mapToDouble(WarmUp::requestsPerSecond)
+        .findFirst()
+        .orElse(0);
+  }
+
   private static int size(StoredDocument document) {
     return document.content().length;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
@@ -24,6 +24,18 @@
         "toucansaddle_gateway_limited_upstreams",
         "Upstreams that say how many requests a second they take.",
         state::limitedUpstreams);
+    metrics.registerGauge(
+        "toucansaddle_gateway_cold_upstreams",
+        "Upstreams that get only permitted requests since they are cold.",
+        state::coldUpstreams);
+    metrics.registerGauge(
+        "toucansaddle_gateway_cold_requests",
+        "Requests sent to cold upstreams since the start.",
+        state.coldStart()::usedPermits);
+    metrics.registerGauge(
+        "toucansaddle_gateway_cold_withheld",
+        "Requests not sent to cold upstreams since the start, though selected.",
+        state.coldStart()::withheldRequests);
     metrics.registerGauge(
         "toucansaddle_gateway_paused_upstreams",
         "Upstreams that get nothing from this router for a time, as they asked.",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -14,8 +14,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.pacing.ColdPermit;
+import org.toucansaddle.coordination.pacing.ColdPermitIssuer;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
@@ -63,6 +66,8 @@
   private final Set<Follower> followers = ConcurrentHashMap.newKeySet();
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
+  private final ColdPermitIssuer permitIssuer;
+  private volatile ToDoubleFunction<String> coldRates = service -> 0;
 
   /**
    * Creates a server without followers.
@@ -89,6 +94,17 @@
     this.clock = clock;
     this.quarantine = quarantine;
     this.origins = origins;
+    this.permitIssuer = new ColdPermitIssuer(clock);
+  }
+
+  /** Sets the requests a second that a cold upstream of a service takes; 0 if none is ever cold. */
+  public void useColdRates(ToDoubleFunction<String> requestsPerSecond) {
+    coldRates = requestsPerSecond;
+  }
+
+  /** Returns the number of requests to cold upstreams that this daemon has permitted. */
+  public long permittedColdRequests() {
+    return permitIssuer.issuedCount();
   }
 
   /** Accepts a router's update stream and returns the observer of its reports. */
@@ -249,6 +265,24 @@
       if (strikesAdded || leavingAdded) {
         FollowServer.this.pushChanges();
       }
+      sendPermits(report);
+    }
+
+    /** Answers a report that asks for permits at once, since they do not last. */
+    private void sendPermits(FollowerReport report) {
+      if (report.getColdAsksCount() == 0) {
+        return;
+      }
+      List<ColdPermit> permits =
+          permitIssuer.issue(
+              report.getNumber(), ColdPermitCodec.decode(report.getColdAsksList()), coldRates);
+      if (!permits.isEmpty()) {
+        synchronized (this) {
+          send(
+              FleetUpdate.newBuilder().addAllColdPermits(ColdPermitCodec.encode(permits)),
+              document.get());
+        }
+      }
     }
 
     @Override
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/TomlTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/TomlTable.java
@@ -76,6 +76,15 @@
     return (int) integer(field);
   }
 
+  /** Returns a required number above 0, with or without decimals. */
+  public double positiveNumber(String field) throws DocumentException {
+    JsonNode value = field(field);
+    if (!value.isNumber() || !Double.isFinite(value.asDouble()) || value.asDouble() <= 0) {
+      throw invalid(field, "a number above 0");
+    }
+    return value.asDouble();
+  }
+
   /** Returns an optional boolean; the default is false. */
   public boolean flag(String field) throws DocumentException {
     JsonNode value = field(field);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamMessageCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamMessageCodec.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.control;
 
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
@@ -17,19 +18,21 @@
   static UpstreamMessage encode(UpstreamRegistry.Entry entry, boolean leaving, long nowNanos) {
     UpstreamReport report = entry.report();
     long ageNanos = nowNanos - entry.receivedAtNanos();
-    return UpstreamMessage.newBuilder()
-        .setId(report.id())
-        .setService(report.service())
-        .setAddress(report.address())
-        .setZone(report.zone())
-        .setSlots(report.slots())
-        .setState(report.state().ordinal())
-        .setStartedAtMillis(report.startedAtMillis())
-        .setSequence(report.sequence())
-        .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(ageNanos))
-        .setSoftwareVersion(report.softwareVersion())
-        .setLeaving(leaving)
-        .build();
+    UpstreamMessage.Builder message =
+        UpstreamMessage.newBuilder()
+            .setId(report.id())
+            .setService(report.service())
+            .setAddress(report.address())
+            .setZone(report.zone())
+            .setSlots(report.slots())
+            .setState(report.state().ordinal())
+            .setStartedAtMillis(report.startedAtMillis())
+            .setSequence(report.sequence())
+            .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(ageNanos))
+            .setSoftwareVersion(report.softwareVersion())
+            .setLeaving(leaving);
+    report.warmUpMillis().ifPresent(message::setWarmUpMillis);
+    return message.build();
   }
 
   /** Decodes a report; its age and whether its upstream leaves are not part of it. */
@@ -45,6 +48,9 @@
         states[state],
         message.getStartedAtMillis(),
         message.getSequence(),
-        message.getSoftwareVersion());
+        message.getSoftwareVersion(),
+        message.hasWarmUpMillis()
+            ? OptionalInt.of(message.getWarmUpMillis())
+            : OptionalInt.empty());
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
@@ -22,6 +22,9 @@
 
   private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+  /** Difference up to which two warm-ups are the same one; reports may be late. */
+  private static final long MIN_TURN_MILLIS = 500;
+
   /**
    * A report with its time of receipt. Immutable.
    *
@@ -50,7 +53,8 @@
   /**
    * Stores a report unless it is outdated.
    *
-   * @return whether the state, start, address, service or software version of the upstream changed
+   * @return whether the state, start, address, service or software version of the upstream changed,
+   *     or whether it has turned cold
    */
   public synchronized boolean update(UpstreamReport report) {
     Entry current = entries.get(report.id());
@@ -62,9 +66,18 @@
         && !current.report().softwareVersion().equals(completed.softwareVersion())) {
       recordVersion(versionOf(current.report()), current.receivedAtNanos());
     }
+    boolean turnsCold = current != null && turnsCold(current, completed);
     store(completed);
     evictStale();
-    return current == null || differs(current.report(), completed);
+    return current == null || turnsCold || differs(current.report(), completed);
+  }
+
+  /** Returns whether a report tells of a longer warm-up than the one before. */
+  private boolean turnsCold(Entry current, UpstreamReport report) {
+    long elapsedMillis =
+        TimeUnit.NANOSECONDS.toMillis(clock.getAsLong() - current.receivedAtNanos());
+    long known = Math.max(0, current.report().warmUpMillis().orElse(0) - elapsedMillis);
+    return report.warmUpMillis().orElse(0) > known + MIN_TURN_MILLIS;
   }
 
   private static boolean differs(UpstreamReport current, UpstreamReport report) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -99,7 +99,7 @@
     UpstreamConnectionPool pool = context.connectionPool(exchange.getIoThread());
     Connection idle = pool.acquireIdle(address);
     if (idle != null) {
-      start(idle);
+      startIfPermitted(idle, fallback);
     } else if (pool.openCount(address) >= maxConnections) {
       long delayMillis = RetryAfter.randomDelayMillis(call.route().targetMillis());
       String detail = "All connections are in use.";
@@ -119,7 +119,17 @@
       connection.close();
       call.onUnavailable(this, fallback);
     } else {
+      startIfPermitted(connection, fallback);
+    }
+  }
+
+  /** An upstream may have turned cold, or a permit may have expired, since it was selected. */
+  private void startIfPermitted(Connection connection, ErrorResponse fallback) {
+    if (context.state().coldStart().beginRequest(upstream)) {
       start(connection);
+    } else {
+      connection.release(0);
+      call.onUnavailable(this, fallback);
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -140,7 +140,8 @@
   boolean takesRequest(Upstream upstream) {
     long now = context.nowNanos();
     return upstream.requestedPause().permits(now, upstream.localRequests())
-        && upstream.limit().permits(now, context.state().limitPart(service));
+        && upstream.limit().permits(now, context.state().limitPart(service))
+        && context.state().coldStart().mayGetRequest(upstream);
   }
 
   /** Returns whether all upstreams have said that they take few requests or none. */
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
@@ -0,0 +1,117 @@
+package org.toucansaddle.daemon.internal.gateway.routing;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.pacing.ColdPermit;
+import org.toucansaddle.coordination.pacing.ColdPermits;
+import org.toucansaddle.daemon.gateway.ServiceDefinition;
+import org.toucansaddle.protocol.generated.ColdAsk;
+import org.toucansaddle.protocol.generated.FleetUpdate;
+import org.toucansaddle.protocol.generated.FollowerReport;
+
+/**
+ * Keeps this router's requests from cold upstreams, but for those that a control daemon permits.
+ *
+ * <p>Applies to services whose configuration says what cold upstreams take. Thread-safe.
+ */
+public final class ColdStart {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ColdStart.class);
+
+  private final Supplier<Optional<RoutingView>> view;
+  private final LongSupplier clock;
+  private final ColdPermits permits = new ColdPermits();
+  private final AtomicLong used = new AtomicLong();
+  private final AtomicLong withheld = new AtomicLong();
+
+  /** Creates an object without permits; {@code clock} returns nanoseconds. */
+  ColdStart(Supplier<Optional<RoutingView>> view, LongSupplier clock) {
+    this.view = view;
+    this.clock = clock;
+  }
+
+  /** Returns whether an upstream has to be spared now. */
+  public boolean isCold(Upstream upstream) {
+    return upstream.warmUp().isCold(clock.getAsLong()) && hasWarmUp(upstream.report().service());
+  }
+
+  private boolean hasWarmUp(String service) {
+    return view.get()
+        .flatMap(current -> current.service(service))
+        .flatMap(ServiceDefinition::warmUp)
+        .isPresent();
+  }
+
+  /** Returns whether an upstream may get a request; if not, the next report asks for a permit. */
+  public boolean mayGetRequest(Upstream upstream) {
+    if (!isCold(upstream)
+        || permits.holds(upstream.id(), upstream.startedAtMillis(), clock.getAsLong())) {
+      return true;
+    }
+    permits.recordPassedOver(
+        upstream.report().service(), upstream.id(), upstream.startedAtMillis());
+    return false;
+  }
+
+  /** Returns whether a request may be sent to an upstream at this moment; uses up a permit. */
+  public boolean beginRequest(Upstream upstream) {
+    if (!isCold(upstream)) {
+      return true;
+    }
+    long now = clock.getAsLong();
+    boolean permitted = permits.take(upstream.id(), upstream.startedAtMillis(), now);
+    (permitted ? used : withheld).incrementAndGet();
+    LOG.info(
+        "cold upstream {} {}, remaining warm-up {} ms",
+        upstream.id(),
+        permitted ? "gets a permitted request" : "is not sent a request without a permit",
+        upstream.warmUp().remainingMillis(now));
+    return permitted;
+  }
+
+  /** Numbers a report and adds what this router asks for. */
+  void addTo(FollowerReport.Builder report) {
+    report.setNumber(permits.recordReport(clock.getAsLong()));
+    permits
+        .takeAsks()
+        .forEach(
+            ask ->
+                report.addColdAsks(
+                    ColdAsk.newBuilder()
+                        .setService(ask.service())
+                        .setUpstream(ask.upstream())
+                        .setStartedAtMillis(ask.startedAtMillis())
+                        .setRequests(ask.requests())));
+  }
+
+  /** Takes over the permits of an update. */
+  void receive(FleetUpdate update) {
+    long now = clock.getAsLong();
+    update
+        .getColdPermitsList()
+        .forEach(
+            permit ->
+                permits.receive(
+                    new ColdPermit(
+                        permit.getUpstream(),
+                        permit.getStartedAtMillis(),
+                        permit.getRequests(),
+                        permit.getValidMillis(),
+                        permit.getReport()),
+                    now));
+  }
+
+  /** Returns the number of requests sent to cold upstreams since the start. */
+  public long usedPermits() {
+    return used.get();
+  }
+
+  /** Returns the requests that were not sent, though selected, since there was no permit left. */
+  public long withheldRequests() {
+    return withheld.get();
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -85,7 +85,7 @@
   public void step() {
     FollowerReport.Builder fullReport = state.createReport().setZone(zone).setObserver(observer);
     FollowerReport.Builder shortReport =
-        fullReport.clone().clearWork().clearAccounts().clearDemands();
+        fullReport.clone().clearWork().clearAccounts().clearDemands().clearColdAsks();
     String primary = primary();
     String documentSource = documentSource(primary);
     List<String> known = addresses();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -48,6 +48,7 @@
   private final long reportTimeoutNanos;
   private final UpstreamTable upstreams = new UpstreamTable();
   private final WorkReports work = new WorkReports(upstreams);
+  private final ColdStart coldStart;
   private final AccountShares shares;
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
@@ -84,6 +85,7 @@
     this.quarantine = new RequestQuarantine(clock);
     this.origins = new OriginTable(clock);
     this.arrivals = new ArrivalRates(clock);
+    this.coldStart = new ColdStart(this::view, clock);
   }
 
   /** Returns the configuration in force; empty until a quorum has confirmed one. */
@@ -121,6 +123,16 @@
     return arrivals;
   }
 
+  /** Returns what keeps requests from cold upstreams. */
+  public ColdStart coldStart() {
+    return coldStart;
+  }
+
+  /** Returns the number of upstreams that have to be spared since they are cold. */
+  public int coldUpstreams() {
+    return (int) upstreams.all().stream().filter(coldStart::isCold).count();
+  }
+
   /** Returns this router's part in the limits that upstreams of a service name. */
   public RequestLimit.Part limitPart(String service) {
     int sharing = routers;
@@ -313,6 +325,7 @@
       zoneRouters = update.getZoneRouters();
       zoneRoutersBehind = update.getZoneRoutersBehind();
     }
+    coldStart.receive(update);
     upstreams.evictSilent(now);
     leavingById.values().removeIf(upstream -> !upstreams.contains(upstream));
   }
@@ -392,6 +405,7 @@
               .setId(upstream.id())
               .setStartedAtMillis(upstream.startedAtMillis()));
     }
+    coldStart.addTo(report);
     return report.addAllWork(work.local(clock.getAsLong()));
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.toucansaddle.coordination.pacing.WarmUpState;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.toucansaddle.protocol.generated.UpstreamWork;
@@ -24,6 +25,9 @@
   /** Time for which an upstream is not used after another one answered at its address. */
   private static final long MISDIRECTED_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+  /** Time after its first report for which an upstream that reports no warm-up counts as cold. */
+  private static final long UNREPORTED_WARM_UP_MILLIS = 3_000;
+
   private final String id;
   private final long startedAtMillis;
   private volatile UpstreamReport report;
@@ -37,6 +41,7 @@
   private final RequestLimit limit =
       new RequestLimit(() -> ThreadLocalRandom.current().nextDouble());
   private final RequestedPause requestedPause = new RequestedPause();
+  private final WarmUpState warmUp;
   private final AtomicBoolean malformedNoticed = new AtomicBoolean();
   private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
@@ -49,6 +54,8 @@
     this.startedAtMillis = report.startedAtMillis();
     this.report = report;
     this.lastReportAtNanos = lastReportAtNanos;
+    this.warmUp = WarmUpState.coldFor(UNREPORTED_WARM_UP_MILLIS, lastReportAtNanos);
+    updateWarmUp(report, lastReportAtNanos);
   }
 
   /** Returns the identity that requests expect of the upstream. */
@@ -79,6 +86,16 @@
   void updateReport(UpstreamReport newReport, long reportedAtNanos) {
     report = newReport;
     lastReportAtNanos = Math.max(lastReportAtNanos, reportedAtNanos);
+    updateWarmUp(newReport, reportedAtNanos);
+  }
+
+  private void updateWarmUp(UpstreamReport newReport, long reportedAtNanos) {
+    newReport.warmUpMillis().ifPresent(millis -> warmUp.report(millis, reportedAtNanos));
+  }
+
+  /** Returns whether this incarnation is cold, as far as this router knows. */
+  public WarmUpState warmUp() {
+    return warmUp;
   }
 
   /** Returns whether new requests may be sent to the upstream. */
@@ -135,6 +152,7 @@
 
   /** Records a connection failure and pauses the upstream for a time that grows with failures. */
   public void markUnreachable(long nowNanos) {
+    warmUp.doubt(nowNanos);
     pausedUntilNanos = nowNanos + nextPauseNanos();
   }
 
@@ -143,6 +161,7 @@
    * that is not reached is paused.
    */
   public void markBroken(long nowNanos) {
+    warmUp.doubt(nowNanos);
     avoidedUntilNanos = nowNanos + nextPauseNanos();
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.daemon.gateway.ServiceDefinition.WarmUp;
 
 /** Tests of {@link TomlDocuments}. */
 public class TomlDocumentsTest {
@@ -25,6 +26,7 @@
       health_path = "/healthz"
       max_connections = 300
       engine = { slots = 64, memory_tokens = 345009 }
+      warm_up = { millis = 3000, requests_per_second = 6.9 }
 
       [[services]]
       name = "buoys"
@@ -68,7 +70,9 @@
     assertThat(document.limits().tokensPerSecond()).isEqualTo(250_000);
     assertThat(document.limits().maxHeaderBytes()).isEqualTo(16 << 10);
     assertThat(document.services().get(0).engine().orElseThrow().memoryTokens()).isEqualTo(345_009);
+    assertThat(document.services().get(0).warmUp()).contains(new WarmUp(3_000, 6.9));
     assertThat(document.services().get(1).engine()).isEmpty();
+    assertThat(document.services().get(1).warmUp()).isEmpty();
     assertThat(document.accounts().orElseThrow())
         .containsExactly(new ClientAccount("puntarenas", Set.of("k1", "k2")));
     Route stream = document.routes().get(0);
@@ -114,6 +118,7 @@
       {"open = true", "open = \"yes\"", "'open' must be true or false"},
       {"keys = [ \"k1\", \"k2\" ]", "keys = [ 1 ]", "a list of strings"},
       {"slots = 64", "slots = -1", "chart-model' engine: 'slots' must be a whole number"},
+      {"requests_per_second = 6.9", "requests_per_second = 0", "must be a number above 0"},
       {"max_attempts = 2", "max_attempts = 3000000000", "at most 2147483647"},
       {"[limits]", "[limits", "not valid TOML"},
       {"/answers/", "/answers", "begin and end with a slash"},
--- /dev/null
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -0,0 +1,182 @@
+package org.toucansaddle.daemon.internal.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.grpc.stub.StreamObserver;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.toucansaddle.daemon.gateway.CallerLimits;
+import org.toucansaddle.daemon.gateway.FleetDocument;
+import org.toucansaddle.daemon.gateway.ServiceDefinition;
+import org.toucansaddle.daemon.gateway.ServiceDefinition.WarmUp;
+import org.toucansaddle.daemon.gateway.StoredDocument;
+import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
+import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
+import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
+import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
+import org.toucansaddle.protocol.generated.FleetUpdate;
+import org.toucansaddle.protocol.generated.FollowerReport;
+
+/** Tests that cold upstreams get only permitted requests, from their heartbeat to the router. */
+public class ColdUpstreamTest {
+
+  private static final double REQUESTS_PER_SECOND = 4;
+
+  private long nowNanos;
+  private UpstreamRegistry registry;
+  private FollowServer server;
+  private RouterState router;
+  private StreamObserver<FollowerReport> reports;
+  private final List<FleetUpdate> updates = new ArrayList<>();
+
+  private void start(Optional<WarmUp> warmUp) {
+    nowNanos = 1_000;
+    updates.clear();
+    registry = new UpstreamRegistry(() -> nowNanos);
+    server =
+        new FollowServer(
+            StoredDocument::none,
+            registry,
+            new RequestQuarantine(() -> nowNanos),
+            new OriginTable(() -> nowNanos),
+            List::of,
+            () -> nowNanos,
+            "z1");
+    server.useColdRates(service -> warmUp.map(WarmUp::requestsPerSecond).orElse(0.0));
+    router = new RouterState(content -> document(warmUp), 6_000, () -> nowNanos);
+    router.applyConfirmed(new StoredDocument(1, new byte[] {1}));
+    reports =
+        server.follow(
+            new UpdateObserver(
+                update -> {
+                  updates.add(update);
+                  router.update("control", update);
+                }));
+    reports.onNext(router.createReport().setFirst(true).setRouter("r").build());
+    advance(2_000);
+  }
+
+  @BeforeMethod
+  public void startWithWarmUp() {
+    start(Optional.of(new WarmUp(3_000, REQUESTS_PER_SECOND)));
+  }
+
+  private static FleetDocument document(Optional<WarmUp> warmUp) {
+    ServiceDefinition desk = new ServiceDefinition("desk", "", 100, Optional.empty(), warmUp);
+    return new FleetDocument(
+        1, List.of(), List.of(desk), Optional.empty(), CallerLimits.defaults());
+  }
+
+  private void advance(long millis) {
+    nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  private static UpstreamReport report(long startedAtMillis, long sequence) {
+    return new UpstreamReport(
+        "u", "desk", "10.0.0.1:1", "z1", 6, State.READY, startedAtMillis, sequence);
+  }
+
+  private Upstream heartbeat(UpstreamReport report) {
+    registry.update(report);
+    server.pushChanges();
+    return router.upstreams().ready("desk").get(0);
+  }
+
+  /** Returns how many requests the router sends in a time in which it wants to send many. */
+  private int sendFor(Upstream upstream, int millis) {
+    int sent = 0;
+    for (int i = 0; i < millis; i++) {
+      advance(1);
+      if (router.coldStart().mayGetRequest(upstream) && router.coldStart().beginRequest(upstream)) {
+        sent++;
+      }
+      if (i % 100 == 99) {
+        reports.onNext(router.createReport().build());
+      }
+    }
+    return sent;
+  }
+
+  @Test
+  public void shouldSendOnlyPermittedRequestsToColdUpstream() {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(30_000));
+    assertThat(sendFor(upstream, 10_000)).isBetween(10, (int) (10 * REQUESTS_PER_SECOND / 2) + 1);
+    assertThat(router.coldUpstreams()).isEqualTo(1);
+    assertThat(router.coldStart().usedPermits()).isPositive();
+  }
+
+  @Test
+  public void shouldSendFreelyOnceUpstreamIsWarm() {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(1_000));
+    advance(1_000);
+    assertThat(sendFor(upstream, 100)).isEqualTo(100);
+  }
+
+  // A service without a warm-up must not change when its upstreams fail or report none.
+  @Test
+  public void shouldNotSpareUpstreamsOfServiceThatIsNeverCold() {
+    start(Optional.empty());
+    Upstream upstream = heartbeat(report(10, 1));
+    upstream.markUnreachable(nowNanos);
+    assertThat(sendFor(upstream, 100)).isEqualTo(100);
+    assertThat(router.coldUpstreams()).isZero();
+  }
+
+  @DataProvider
+  public Object[][] failures() {
+    return new Object[][] {{true}, {false}};
+  }
+
+  // An upstream that fell silent and comes back under its id may be cold before it says so.
+  @Test(dataProvider = "failures")
+  public void shouldSpareUpstreamAfterFailureUntilItReportsThatItIsWarm(boolean reached) {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+    if (reached) {
+      upstream.markBroken(nowNanos);
+    } else {
+      upstream.markUnreachable(nowNanos);
+    }
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    advance(1_000);
+    heartbeat(report(10, 2).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+  }
+
+  @Test
+  public void shouldSpareUpstreamThatReportsNoWarmUpAtFirst() {
+    Upstream upstream = heartbeat(report(10, 1));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    advance(3_000);
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+  }
+
+  // A warm-up that begins must not wait for the next heartbeat of the control daemon.
+  @Test
+  public void shouldPassOnAtOnceThatUpstreamTurnsCold() {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    advance(1_200);
+    assertThat(registry.update(report(10, 2).withWarmUpMillis(2_500))).isTrue();
+    server.pushChanges();
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    advance(1_200);
+    assertThat(registry.update(report(10, 3).withWarmUpMillis(1_300))).isFalse();
+  }
+
+  @Test
+  public void shouldIgnoreLateReportOfEarlierSequenceOrStart() {
+    heartbeat(report(10, 5).withWarmUpMillis(30_000));
+    advance(100);
+    Upstream upstream = heartbeat(report(10, 4).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    upstream = heartbeat(report(9, 50).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+  }
+}
