Take availability zones out of service and back by an order of the operators

Operators saw: an order to evacuate a zone was answered 404 and ignored.

Change: an order to any control daemon is committed to the replicated log of the configuration before it is acknowledged, pushed to all routers with a revision that never falls, and read with the first confirmed read of a router that starts. Selection leaves out upstreams of zones out of service, for retries, takeovers and resumed streams, too; upstreams of a zone that comes back count as cold until they report. What follows a confirmed read moves out of GatewayRouter to InitialRead.

--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/CliMain.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/CliMain.java
@@ -7,6 +7,7 @@
 import org.toucansaddle.cli.internal.DrainCommand;
 import org.toucansaddle.cli.internal.StatusCommand;
 import org.toucansaddle.cli.internal.UpstreamsCommand;
+import org.toucansaddle.cli.internal.ZoneCommands;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -22,6 +23,7 @@
       AccountCommands.class,
       UpstreamsCommand.class,
       DocumentCommands.class,
+      ZoneCommands.class,
       StatusCommand.class,
       DrainCommand.class,
       AutoComplete.GenerateCompletion.class
--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/AdminClient.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/AdminClient.java
@@ -55,7 +55,12 @@
   }
 
   JsonNode post(String path) {
-    return sendWithRetry("POST", path, JSON.createObjectNode());
+    return send("POST", path);
+  }
+
+  /** Sends a request without content; it must be idempotent, because it may be retried. */
+  JsonNode send(String method, String path) {
+    return sendWithRetry(method, path, JSON.createObjectNode());
   }
 
   private JsonNode sendWithRetry(String method, String path, ObjectNode body) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/ControlGateway.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/ControlGateway.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.toucansaddle.coordination.zones.ZoneOrder;
+import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.gateway.GatewaySettings.ControlSettings;
 import org.toucansaddle.daemon.internal.gateway.GatewayControl;
 
@@ -52,6 +54,18 @@
   /** Reads the latest document; empty if no quorum confirmed it within the timeout. */
   CompletableFuture<Optional<StoredDocument>> read(Duration timeout);
 
+  /**
+   * Takes an availability zone out of service or back. The order is on the disks of a quorum before
+   * the result is there; one that changes nothing succeeds, too.
+   *
+   * @return the zones out of service after the order; empty if no quorum acknowledged it within the
+   *     timeout, so that it may or may not take effect
+   */
+  CompletableFuture<Optional<ZoneOrders>> order(ZoneOrder order, Duration timeout);
+
+  /** Reads the zones out of service; empty if no quorum confirmed them within the timeout. */
+  CompletableFuture<Optional<ZoneOrders>> zones(Duration timeout);
+
   /** Processes the report of an upstream; relevant changes are sent to all routers at once. */
   void report(UpstreamReport report);
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminProblems.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminProblems.java
@@ -70,6 +70,11 @@
             + " higher version.");
   }
 
+  static Problem zonesUnconfirmed() {
+    return controlUnavailable(
+        "No quorum of the control daemons responded in time. Send the same order again.");
+  }
+
   static Problem documentUnconfirmed() {
     return controlUnavailable(
         "No quorum of the control daemons responded in time. Send the same document again.");
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -11,6 +11,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.replication.ReplicationSettings;
+import org.toucansaddle.coordination.zones.ZoneOrder;
+import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.gateway.ControlGateway;
 import org.toucansaddle.daemon.gateway.DocumentException;
 import org.toucansaddle.daemon.gateway.DocumentFormat;
@@ -25,7 +27,10 @@
 import org.toucansaddle.daemon.internal.control.PeerReplicaTransport;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStateMachine;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
+import org.toucansaddle.daemon.internal.gateway.control.FleetState;
+import org.toucansaddle.daemon.internal.gateway.control.FleetStateMachine;
 import org.toucansaddle.daemon.internal.gateway.control.FollowServer;
+import org.toucansaddle.daemon.internal.gateway.control.FollowSources;
 import org.toucansaddle.daemon.internal.gateway.control.SeededReplicaSet;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamRegistry;
 import org.toucansaddle.daemon.internal.gateway.control.VersionStore;
@@ -45,8 +50,8 @@
 import org.toucansaddle.protocol.generated.PeerMessage;
 
 /**
- * Control daemon of a gateway: replicates the configuration document and reports it and the
- * upstreams to the routers that follow it. Thread-safe.
+ * Control daemon of a gateway: replicates the configuration document and the orders of zones, and
+ * reports them and the upstreams to the routers that follow it. Thread-safe.
  */
 public final class GatewayControl implements ControlGateway {
 
@@ -92,9 +97,9 @@
   private final ControlFollower observer;
   private final PlacementServer placement;
   private final PeerServer server;
-  private volatile StoredDocument appliedDocument = StoredDocument.none();
+  private volatile FleetState applied = FleetState.none();
   private volatile List<ServiceDefinition> appliedServices = List.of();
-  private volatile Runnable onDocumentApplied = () -> {};
+  private volatile Runnable onApplied = () -> {};
 
   /**
    * Starts a control daemon.
@@ -115,7 +120,7 @@
                 .withHeartbeatMillis(REPLICA_HEARTBEAT_MILLIS)
                 .withElectionTimeoutMillis(ELECTION_TIMEOUT_MILLIS)
                 .withSnapshotEntries(SNAPSHOT_ENTRIES),
-            new DocumentStateMachine(this::apply),
+            new FleetStateMachine(new DocumentStateMachine(this::apply), this::applyZones),
             links);
     links.setReplica(replica);
     this.replicaSet =
@@ -130,7 +135,7 @@
         new DocumentStore(
             self,
             Optional.of(replica),
-            () -> appliedDocument,
+            () -> applied,
             peers.clients(),
             replicaSet::addresses,
             peers.controlExecutor());
@@ -139,18 +144,16 @@
             control.dataFolder().resolve("quarantine"), quarantine, System::nanoTime);
     this.followers =
         new FollowServer(
-            () -> appliedDocument,
+            new FollowSources(() -> applied, replicaSet::addresses, this::coldRate),
             registry,
             quarantine,
             origins,
-            replicaSet::addresses,
             System::nanoTime,
             settings.zone());
     RouterState observed = new RouterState(format, UPSTREAM_TIMEOUT_MILLIS, System::nanoTime);
     this.observer = createObserver(settings, observed);
     this.placement = new PlacementServer(observed, System::nanoTime);
-    this.followers.useColdRates(this::coldRate);
-    this.onDocumentApplied = () -> peers.controlExecutor().execute(followers::pushChanges);
+    this.onApplied = () -> peers.controlExecutor().execute(followers::pushChanges);
     this.server = peers.serve(self, List.of(peerService(links), gatewayService()));
     peers.scheduleRepeatedly(REPLICA_SET_STEP_MILLIS, replicaSet::reconcile);
     peers.scheduleRepeatedly(FOLLOWER_HEARTBEAT_MILLIS, followers::sendHeartbeats);
@@ -195,7 +198,13 @@
     metrics.registerGauge(
         "toucansaddle_gateway_followers", "Routers that follow.", followers::routerCount);
     metrics.registerGauge(
-        "toucansaddle_gateway_configuration", "Version applied.", () -> appliedDocument.version());
+        "toucansaddle_gateway_configuration",
+        "Version applied.",
+        () -> applied.document().version());
+    metrics.registerGauge(
+        "toucansaddle_gateway_zones_out_of_service",
+        "Availability zones out of service, as applied.",
+        () -> applied.zones().outOfService().size());
     metrics.registerGauge(
         "toucansaddle_gateway_cold_permits",
         "Requests to cold upstreams permitted since the start.",
@@ -213,15 +222,22 @@
 
   /** Places by the document that this replica applied, which a quorum has stored. */
   private void refreshPlacement(RouterState observed) {
-    observed.applyConfirmed(appliedDocument);
+    observed.applyConfirmed(applied);
     placement.refresh();
   }
 
   private void apply(StoredDocument document) {
-    appliedDocument = document;
+    applied = applied.withDocument(document);
     appliedServices = readServices(document);
     DECISIONS.info("applied configuration={} bytes={}", document.version(), size(document));
-    onDocumentApplied.run();
+    onApplied.run();
+  }
+
+  private void applyZones(ZoneOrders zones) {
+    applied = applied.withZones(zones);
+    DECISIONS.info(
+        "applied zones revision={} out_of_service={}", zones.revision(), zones.outOfService());
+    onApplied.run();
   }
 
   private List<ServiceDefinition> readServices(StoredDocument document) {
@@ -265,6 +281,7 @@
         .addMethod(GatewayMethods.PUT_DOCUMENT, PeerServer.unaryHandler(store::putLocally))
         .addMethod(
             GatewayMethods.READ_DOCUMENT, PeerServer.unaryHandler(request -> store.readLocally()))
+        .addMethod(GatewayMethods.CHANGE_ZONE, PeerServer.unaryHandler(store::orderLocally))
         .addMethod(GatewayMethods.JOIN, PeerServer.unaryHandler(this::join))
         .addMethod(
             GatewayMethods.FIND_ORIGIN,
@@ -302,7 +319,7 @@
                   document.version(),
                   document.routes().size(),
                   result,
-                  outcome.map(o -> o.currentVersion()).orElse(appliedDocument.version()),
+                  outcome.map(o -> o.currentVersion()).orElse(applied.document().version()),
                   replica.status().leader().map(id -> id.name()).orElse("none"));
               return result;
             });
@@ -313,6 +330,28 @@
     return store.read(timeout);
   }
 
+  @Override
+  public CompletableFuture<Optional<ZoneOrders>> order(ZoneOrder order, Duration timeout) {
+    return store
+        .order(order, timeout)
+        .thenApply(
+            zones -> {
+              DECISIONS.info(
+                  "zone order zone={} out_of_service={} outcome={} revision={} upstreams_there={}",
+                  order.zone(),
+                  order.outOfService(),
+                  zones.isPresent() ? "accepted" : "unknown",
+                  zones.map(ZoneOrders::revision).orElse(applied.zones().revision()),
+                  registry.countInZone(order.zone()));
+              return zones;
+            });
+  }
+
+  @Override
+  public CompletableFuture<Optional<ZoneOrders>> zones(Duration timeout) {
+    return store.readZones(timeout);
+  }
+
   @Override
   public void report(UpstreamReport report) {
     if (registry.update(report)) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -65,14 +65,6 @@
 
   private static final int IDLE_SWEEP_MILLIS = 500;
 
-  /** First timeout of the read of the configuration; doubled after each one that it exceeds. */
-  private static final Duration FIRST_CONFIRM_TIMEOUT = Duration.ofMillis(1_000);
-
-  private static final Duration MAX_CONFIRM_TIMEOUT = Duration.ofMillis(8_000);
-
-  /** Time for a control daemon to reply, in addition to half of the timeout. */
-  private static final Duration MIN_CONFIRM_ATTEMPT = Duration.ofMillis(200);
-
   /**
    * Time for the load balancer to see that a router is not ready: two checks, 1 s apart. Not
    * longer, since requests that come up to then have to end within the rest of the grace period.
@@ -201,7 +193,7 @@
     state.quarantine().onStrike(this::reportAtOnce);
     state.onLeaving(this::reportAtOnce);
     reportPromptOrigins();
-    loadConfirmedDocument(FIRST_CONFIRM_TIMEOUT);
+    new InitialRead(store, state, peers.controlExecutor()).start();
     startTasks(context);
     registerGauges();
     startShareLog(context);
@@ -417,30 +409,6 @@
     exchange.endExchange();
   }
 
-  /**
-   * Reads the newest document with a quorum and retries until there is one. The router serves no
-   * requests before, since a document from a single control daemon may be outdated. A router that
-   * is short of processor time may need several seconds to read a reply, so the timeout grows.
-   */
-  private void loadConfirmedDocument(Duration timeout) {
-    store
-        .read(timeout, timeout.dividedBy(2).plus(MIN_CONFIRM_ATTEMPT))
-        .whenComplete(
-            (document, failure) -> {
-              boolean found =
-                  failure == null && document.map(stored -> stored.version() > 0).orElse(false);
-              if (found) {
-                state.applyConfirmed(document.get());
-                LOG.info("configuration {} confirmed by a quorum", document.get().version());
-              } else {
-                Duration doubled = timeout.multipliedBy(2);
-                Duration next =
-                    doubled.compareTo(MAX_CONFIRM_TIMEOUT) < 0 ? doubled : MAX_CONFIRM_TIMEOUT;
-                peers.controlExecutor().execute(() -> loadConfirmedDocument(next));
-              }
-            });
-  }
-
   @Override
   public boolean isReady() {
     return state.isInitialized() && !draining.get() && loadReadiness.takesCallers();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/DocumentStore.java
@@ -1,16 +1,15 @@
 package org.toucansaddle.daemon.internal.gateway.control;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.function.Function;
 import java.util.function.Supplier;
-import org.toucansaddle.coordination.replication.ReplicaId;
 import org.toucansaddle.coordination.replication.ReplicatedLog;
-import org.toucansaddle.coordination.replication.ReplicationException;
+import org.toucansaddle.coordination.zones.ZoneOrder;
+import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.internal.control.ControlReplica;
 import org.toucansaddle.daemon.internal.control.LeaderRetryLoop;
@@ -18,6 +17,8 @@
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStateMachine.Outcome;
 import org.toucansaddle.daemon.internal.peer.PeerClients;
 import org.toucansaddle.protocol.GatewayMethods;
+import org.toucansaddle.protocol.generated.ChangeZoneReply;
+import org.toucansaddle.protocol.generated.ChangeZoneRequest;
 import org.toucansaddle.protocol.generated.ProposeReply;
 import org.toucansaddle.protocol.generated.PutDocumentReply;
 import org.toucansaddle.protocol.generated.PutDocumentRequest;
@@ -25,7 +26,8 @@
 import org.toucansaddle.protocol.generated.ReadDocumentRequest;
 
 /**
- * Stores and reads the configuration document through the leader of the control replicas.
+ * Stores and reads the configuration document, and the orders of zones, through the leader of the
+ * control replicas.
  *
  * <p>A write is acknowledged only after a quorum stored the document on disk. A read completes only
  * after a quorum confirmed that the leader has not been replaced. Thread-safe.
@@ -39,7 +41,7 @@
 
   private final String selfAddress;
   private final Optional<ControlReplica> replica;
-  private final Supplier<StoredDocument> applied;
+  private final Supplier<FleetState> applied;
   private final PeerClients clients;
   private final LeaderRetryLoop loop;
 
@@ -48,13 +50,13 @@
    *
    * @param selfAddress peer address of this daemon
    * @param replica replica of this daemon; empty on routers
-   * @param applied document that the replica applied last; called only with a replica
+   * @param applied state that the replica applied last; called only with a replica
    * @param addresses peer addresses of the control daemons
    */
   public DocumentStore(
       String selfAddress,
       Optional<ControlReplica> replica,
-      Supplier<StoredDocument> applied,
+      Supplier<FleetState> applied,
       PeerClients clients,
       Supplier<List<String>> addresses,
       ScheduledExecutorService timers) {
@@ -83,15 +85,21 @@
 
   /** Reads the latest document; empty if no quorum confirmed it within the timeout. */
   public CompletableFuture<Optional<StoredDocument>> read(Duration timeout) {
-    return read(timeout, ATTEMPT_TIMEOUT);
+    return readState(timeout, ATTEMPT_TIMEOUT).thenApply(state -> state.map(FleetState::document));
+  }
+
+  /** Reads the zones out of service; empty if no quorum confirmed them within the timeout. */
+  public CompletableFuture<Optional<ZoneOrders>> readZones(Duration timeout) {
+    return readState(timeout, ATTEMPT_TIMEOUT).thenApply(state -> state.map(FleetState::zones));
   }
 
   /**
-   * Reads the latest document; empty if no quorum confirmed it within the timeout.
+   * Reads the latest document and the zones out of service; empty if no quorum confirmed them
+   * within the timeout.
    *
    * @param attemptTimeout time after which another control daemon is asked
    */
-  public CompletableFuture<Optional<StoredDocument>> read(
+  public CompletableFuture<Optional<FleetState>> readState(
       Duration timeout, Duration attemptTimeout) {
     return loop.call(
         address ->
@@ -101,10 +109,63 @@
                         new Reply<>(
                             reply.getStatus(),
                             reply.getLeader(),
-                            DocumentCodec.decode(reply.getDocument()))),
+                            new FleetState(
+                                DocumentCodec.decode(reply.getDocument()),
+                                ZoneOrdersCodec.decode(reply.getZones())))),
         timeout);
   }
 
+  /** Carries out an order; empty if no quorum acknowledged it within the timeout. */
+  public CompletableFuture<Optional<ZoneOrders>> order(ZoneOrder order, Duration timeout) {
+    ChangeZoneRequest request =
+        ChangeZoneRequest.newBuilder()
+            .setZone(order.zone())
+            .setOutOfService(order.outOfService())
+            .build();
+    return loop.call(
+        address ->
+            sendOrder(address, request)
+                .thenApply(
+                    reply ->
+                        new Reply<>(
+                            reply.getStatus(),
+                            reply.getLeader(),
+                            ZoneOrdersCodec.decode(reply.getZones()))),
+        timeout);
+  }
+
+  private CompletableFuture<ChangeZoneReply> sendOrder(String address, ChangeZoneRequest request) {
+    if (address.equals(selfAddress)) {
+      return orderLocally(request);
+    }
+    return clients.call(address, GatewayMethods.CHANGE_ZONE, request, ATTEMPT_TIMEOUT);
+  }
+
+  /** Carries out an order if this daemon is the leader; otherwise the reply names the leader. */
+  public CompletableFuture<ChangeZoneReply> orderLocally(ChangeZoneRequest request) {
+    ZoneOrder order = new ZoneOrder(request.getZone(), request.getOutOfService());
+    byte[] command = FleetStateMachine.command(order);
+    return ReplicaCalls.call(replica, log -> log.propose(command))
+        .thenApply(DocumentStore::toZoneReply)
+        .exceptionally(
+            failure ->
+                ChangeZoneReply.newBuilder()
+                    .setStatus(ReplicaCalls.statusOf(failure))
+                    .setLeader(ReplicaCalls.leaderOf(failure))
+                    .build());
+  }
+
+  private static ChangeZoneReply toZoneReply(byte[] result) {
+    try {
+      return ChangeZoneReply.newBuilder()
+          .setStatus(ProposeReply.Status.DONE)
+          .setZones(org.toucansaddle.protocol.generated.ZoneOrders.parseFrom(result))
+          .build();
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("The result of a zone order is corrupt.", e);
+    }
+  }
+
   private CompletableFuture<PutDocumentReply> sendPut(String address, PutDocumentRequest request) {
     if (address.equals(selfAddress)) {
       return putLocally(request);
@@ -123,13 +184,13 @@
   /** Stores a document if this daemon is the leader; otherwise the reply names the leader. */
   public CompletableFuture<PutDocumentReply> putLocally(PutDocumentRequest request) {
     byte[] command = DocumentStateMachine.command(DocumentCodec.decode(request.getDocument()));
-    return callReplica(log -> log.propose(command))
+    return ReplicaCalls.call(replica, log -> log.propose(command))
         .thenApply(DocumentStore::toReply)
         .exceptionally(
             failure ->
                 PutDocumentReply.newBuilder()
-                    .setStatus(statusOf(failure))
-                    .setLeader(leaderOf(failure))
+                    .setStatus(ReplicaCalls.statusOf(failure))
+                    .setLeader(ReplicaCalls.leaderOf(failure))
                     .build());
   }
 
@@ -146,49 +207,19 @@
    * Reads the latest document if this daemon is the leader; otherwise the reply names the leader.
    */
   public CompletableFuture<ReadDocumentReply> readLocally() {
-    return callReplica(log -> log.confirmRead())
+    return ReplicaCalls.call(replica, ReplicatedLog::confirmRead)
         .thenApply(
             index ->
                 ReadDocumentReply.newBuilder()
                     .setStatus(ProposeReply.Status.DONE)
-                    .setDocument(DocumentCodec.encode(applied.get()))
+                    .setDocument(DocumentCodec.encode(applied.get().document()))
+                    .setZones(ZoneOrdersCodec.encode(applied.get().zones()))
                     .build())
         .exceptionally(
             failure ->
                 ReadDocumentReply.newBuilder()
-                    .setStatus(statusOf(failure))
-                    .setLeader(leaderOf(failure))
+                    .setStatus(ReplicaCalls.statusOf(failure))
+                    .setLeader(ReplicaCalls.leaderOf(failure))
                     .build());
   }
-
-  private <T> CompletableFuture<T> callReplica(
-      Function<ReplicatedLog, CompletableFuture<T>> action) {
-    if (replica.isEmpty()) {
-      return CompletableFuture.failedFuture(
-          new IllegalStateException(
-              "This daemon is not a control replica; send the call to a control daemon."));
-    }
-    return replica.get().submit(action);
-  }
-
-  private static ProposeReply.Status statusOf(Throwable failure) {
-    Optional<ReplicationException> cause = replicationFailure(failure);
-    boolean notLeader =
-        cause.map(e -> e.kind() == ReplicationException.Kind.NOT_LEADER).orElse(false);
-    return notLeader ? ProposeReply.Status.NOT_LEADER : ProposeReply.Status.OUTCOME_UNKNOWN;
-  }
-
-  private static String leaderOf(Throwable failure) {
-    return replicationFailure(failure)
-        .flatMap(ReplicationException::leader)
-        .map(ReplicaId::name)
-        .orElse("");
-  }
-
-  private static Optional<ReplicationException> replicationFailure(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-    return cause instanceof ReplicationException replicationCause
-        ? Optional.of(replicationCause)
-        : Optional.empty();
-  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -13,12 +13,11 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
-import java.util.function.ToDoubleFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.pacing.ColdPermit;
 import org.toucansaddle.coordination.pacing.ColdPermitIssuer;
+import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
@@ -53,9 +52,8 @@
   /** Versions whose times are kept: more than follow each other within the fallback time. */
   private static final int MAX_DOCUMENT_TIMES = 256;
 
-  private final Supplier<StoredDocument> document;
+  private final FollowSources sources;
   private final UpstreamRegistry registry;
-  private final Supplier<List<String>> controlAddresses;
   private final LongSupplier clock;
   private final String zone;
 
@@ -67,39 +65,34 @@
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
   private final ColdPermitIssuer permitIssuer;
-  private volatile ToDoubleFunction<String> coldRates = service -> 0;
 
   /**
    * Creates a server without followers.
    *
-   * @param document supplies the document in force
+   * @param sources supplies what is replicated
    * @param quarantine strikes of all routers
    * @param origins origins of the streams of all routers
-   * @param controlAddresses supplies the peer addresses of the control daemons
    * @param clock supplies nanoseconds of a monotonic clock
    * @param zone availability zone of this daemon
    */
   public FollowServer(
-      Supplier<StoredDocument> document,
+      FollowSources sources,
       UpstreamRegistry registry,
       RequestQuarantine quarantine,
       OriginTable origins,
-      Supplier<List<String>> controlAddresses,
       LongSupplier clock,
       String zone) {
-    this.zone = zone;
-    this.document = document;
+    this.sources = sources;
     this.registry = registry;
-    this.controlAddresses = controlAddresses;
-    this.clock = clock;
     this.quarantine = quarantine;
     this.origins = origins;
+    this.clock = clock;
+    this.zone = zone;
     this.permitIssuer = new ColdPermitIssuer(clock);
   }
 
-  /** Sets the requests a second that a cold upstream of a service takes; 0 if none is ever cold. */
-  public void useColdRates(ToDoubleFunction<String> requestsPerSecond) {
-    coldRates = requestsPerSecond;
+  private StoredDocument document() {
+    return sources.state().get().document();
   }
 
   /** Returns the number of requests to cold upstreams that this daemon has permitted. */
@@ -121,7 +114,7 @@
 
   /** Sends pending changes to all routers. */
   public void pushChanges() {
-    recordDocumentTime(document.get().version());
+    recordDocumentTime(document().version());
     followers.forEach(Follower::pushChanges);
   }
 
@@ -143,7 +136,7 @@
    * Closes the streams of silent routers and sends a heartbeat with pending changes to all others.
    */
   public void sendHeartbeats() {
-    recordDocumentTime(document.get().version());
+    recordDocumentTime(document().version());
     long now = clock.getAsLong();
     for (Follower follower : followers) {
       if (now - follower.lastReportNanos > REPORT_TIMEOUT_NANOS) {
@@ -222,6 +215,9 @@
     /** Highest document version that the router reported or was sent. */
     private long routerVersion;
 
+    /** Highest revision of the zones that the router reported or was sent. */
+    private long routerZones;
+
     private boolean initialUpdateSent;
     private boolean closed;
 
@@ -242,6 +238,7 @@
       wantsDocument = report.getWantsDocument();
       synchronized (this) {
         routerVersion = Math.max(routerVersion, report.getDocumentVersion());
+        routerZones = Math.max(routerZones, report.getZonesRevision());
       }
       origins.merge(report.getOriginsList());
       quarantine.mergeSuccesses(report.getSuccessesList());
@@ -275,12 +272,14 @@
       }
       List<ColdPermit> permits =
           permitIssuer.issue(
-              report.getNumber(), ColdPermitCodec.decode(report.getColdAsksList()), coldRates);
+              report.getNumber(),
+              ColdPermitCodec.decode(report.getColdAsksList()),
+              sources.coldRates());
       if (!permits.isEmpty()) {
         synchronized (this) {
           send(
               FleetUpdate.newBuilder().addAllColdPermits(ColdPermitCodec.encode(permits)),
-              document.get());
+              document());
         }
       }
     }
@@ -303,9 +302,10 @@
 
     /** Sends pending changes, if any. */
     synchronized void pushChanges() {
-      StoredDocument current = document.get();
+      StoredDocument current = document();
       boolean changed =
           isDocumentDue(current)
+              || sources.state().get().zones().revision() > routerZones
               || registry.lastChange() > lastSentChange
               || quarantine.lastSpreadChange() > lastSentStrike;
       if (changed || !initialUpdateSent) {
@@ -320,7 +320,7 @@
     synchronized void sendHeartbeat() {
       FleetUpdate.Builder update =
           FleetUpdate.newBuilder()
-              .addAllControlAddresses(controlAddresses.get())
+              .addAllControlAddresses(sources.controlAddresses().get())
               .setRouters(routerCount());
       addZoneState(update);
       if (wantsSums) {
@@ -329,7 +329,7 @@
         update.addAllAccounts(sumAccountsOfOthers(this).values());
         update.addAllParts(limitParts().of(demands));
       }
-      send(update, document.get());
+      send(update, document());
     }
 
     private void addZoneState(FleetUpdate.Builder update) {
@@ -344,6 +344,14 @@
       update.setZoneRouters(routers).setZoneRoutersBehind(routersBehind);
     }
 
+    private void addZones(FleetUpdate.Builder update) {
+      ZoneOrders zones = sources.state().get().zones();
+      if (zones.revision() > routerZones) {
+        update.setZones(ZoneOrdersCodec.encode(zones));
+        routerZones = zones.revision();
+      }
+    }
+
     private void send(FleetUpdate.Builder update, StoredDocument current) {
       if (closed || updates.isCancelled() || !updates.isReady()) {
         return;
@@ -352,8 +360,9 @@
         update.setDocument(encodeOnce(current));
         routerVersion = current.version();
       }
+      addZones(update);
       if (!initialUpdateSent) {
-        update.addAllControlAddresses(controlAddresses.get()).setZone(zone);
+        update.addAllControlAddresses(sources.controlAddresses().get()).setZone(zone);
         update.addAllVersions(VersionCodec.encode(registry.versions(), clock.getAsLong()));
       }
       update.setComplete(!initialUpdateSent);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
@@ -169,6 +169,12 @@
     return Optional.ofNullable(entries.get(id)).map(Entry::report);
   }
 
+  /** Returns the number of upstreams of a zone that report to this daemon. */
+  public synchronized int countInZone(String zone) {
+    return (int)
+        entries.values().stream().filter(entry -> entry.report().zone().equals(zone)).count();
+  }
+
   /** Returns the number of the last change. */
   public synchronized long lastChange() {
     return changes;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -13,13 +13,16 @@
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.gateway.DocumentException;
 import org.toucansaddle.daemon.gateway.DocumentFormat;
 import org.toucansaddle.daemon.gateway.FleetDocument;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentCodec;
+import org.toucansaddle.daemon.internal.gateway.control.FleetState;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamMessageCodec;
+import org.toucansaddle.daemon.internal.gateway.control.ZoneOrdersCodec;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
@@ -49,6 +52,7 @@
   private final UpstreamTable upstreams = new UpstreamTable();
   private final WorkReports work = new WorkReports(upstreams);
   private final ColdStart coldStart;
+  private final ZonesInService zones;
   private final AccountShares shares;
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
@@ -86,6 +90,7 @@
     this.origins = new OriginTable(clock);
     this.arrivals = new ArrivalRates(clock);
     this.coldStart = new ColdStart(this::view, clock);
+    this.zones = new ZonesInService(upstreams, clock);
   }
 
   /** Returns the configuration in force; empty until a quorum has confirmed one. */
@@ -222,7 +227,10 @@
     long now = clock.getAsLong();
     List<Upstream> reached = new ArrayList<>();
     for (Upstream upstream : upstreams.ready(service)) {
-      if (upstream.isUsable(now) && isReporting(upstream) && condition.test(upstream)) {
+      if (upstream.isUsable(now)
+          && isReporting(upstream)
+          && zones.isInService(upstream)
+          && condition.test(upstream)) {
         reached.add(upstream);
       }
     }
@@ -263,12 +271,18 @@
     }
   }
 
-  /** Applies a document that a quorum confirmed as the newest. */
-  public void applyConfirmed(StoredDocument document) {
-    applyIfNewer(document);
+  /** Applies a state that a quorum confirmed as the newest. */
+  public void applyConfirmed(FleetState state) {
+    zones.apply(state.zones());
+    applyIfNewer(state.document());
     confirmed = true;
   }
 
+  /** Returns the zones out of service. */
+  public ZoneOrders zonesOutOfService() {
+    return zones.current();
+  }
+
   /** Applies a document if its version is higher and it can be read. */
   public synchronized void applyIfNewer(StoredDocument document) {
     if (document.version() <= version()) {
@@ -288,6 +302,9 @@
   public void update(String source, FleetUpdate update) {
     long now = clock.getAsLong();
     lastUpdateBySource.put(source, now);
+    if (update.hasZones()) {
+      zones.apply(ZoneOrdersCodec.decode(update.getZones()));
+    }
     if (update.hasDocument()) {
       applyIfNewer(DocumentCodec.decode(update.getDocument()));
     }
@@ -396,6 +413,7 @@
     FollowerReport.Builder report =
         FollowerReport.newBuilder()
             .setDocumentVersion(version())
+            .setZonesRevision(zones.current().revision())
             .setBehind(behind)
             .addAllAccounts(shares.localUsage())
             .addAllDemands(arrivals.demands());
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.control;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.toucansaddle.daemon.internal.gateway.control.ZoneOrdersCodec.encode;
 
 import io.grpc.stub.StreamObserver;
 import java.util.ArrayList;
@@ -10,6 +11,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.coordination.zones.ZoneOrder;
+import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.gateway.CallerLimits;
 import org.toucansaddle.daemon.gateway.FleetDocument;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
@@ -33,6 +36,7 @@
   private UpstreamRegistry registry;
   private FollowServer server;
   private RouterState router;
+  private FleetState fleetState;
   private StreamObserver<FollowerReport> reports;
   private final List<FleetUpdate> updates = new ArrayList<>();
 
@@ -42,16 +46,15 @@
     registry = new UpstreamRegistry(() -> nowNanos);
     server =
         new FollowServer(
-            StoredDocument::none,
+            new FollowSources(() -> fleetState, List::of, service -> rate(warmUp)),
             registry,
             new RequestQuarantine(() -> nowNanos),
             new OriginTable(() -> nowNanos),
-            List::of,
             () -> nowNanos,
             "z1");
-    server.useColdRates(service -> warmUp.map(WarmUp::requestsPerSecond).orElse(0.0));
     router = new RouterState(content -> document(warmUp), 6_000, () -> nowNanos);
-    router.applyConfirmed(new StoredDocument(1, new byte[] {1}));
+    fleetState = FleetState.none().withDocument(new StoredDocument(1, new byte[] {1}));
+    router.applyConfirmed(fleetState);
     reports =
         server.follow(
             new UpdateObserver(
@@ -63,6 +66,10 @@
     advance(2_000);
   }
 
+  private static double rate(Optional<WarmUp> warmUp) {
+    return warmUp.map(WarmUp::requestsPerSecond).orElse(0.0);
+  }
+
   @BeforeMethod
   public void startWithWarmUp() {
     start(Optional.of(new WarmUp(3_000, REQUESTS_PER_SECOND)));
@@ -170,6 +177,47 @@
     assertThat(registry.update(report(10, 3).withWarmUpMillis(1_300))).isFalse();
   }
 
+  private void order(ZoneOrder order) {
+    fleetState = fleetState.withZones(fleetState.zones().apply(order));
+    server.pushChanges();
+  }
+
+  @Test
+  public void shouldLeaveOutUpstreamsOfZoneOutOfService() {
+    heartbeat(report(10, 1).withWarmUpMillis(0));
+    order(new ZoneOrder("z2", true));
+    assertThat(router.usableUpstreams("desk", true)).hasSize(1);
+    order(new ZoneOrder("z1", true));
+    assertThat(router.usableUpstreams("desk", true)).isEmpty();
+    assertThat(router.createReport().getZonesRevision()).isEqualTo(2);
+    order(new ZoneOrder("z1", false));
+    assertThat(router.usableUpstreams("desk", true)).hasSize(1);
+  }
+
+  // Upstreams of a zone that is taken back may have turned cold while nobody asked them.
+  @Test
+  public void shouldSpareUpstreamsOfZoneThatComesBackUntilTheyReport() {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    order(new ZoneOrder("z1", true));
+    advance(5_000);
+    heartbeat(report(10, 2).withWarmUpMillis(0));
+    order(new ZoneOrder("z1", false));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    advance(1_200);
+    heartbeat(report(10, 3).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+  }
+
+  // A control daemon that is behind must not take a zone back into service.
+  @Test
+  public void shouldNeverReturnToOlderOrders() {
+    heartbeat(report(10, 1));
+    order(new ZoneOrder("z1", true));
+    router.update("late", FleetUpdate.newBuilder().setZones(encode(ZoneOrders.none())).build());
+    router.applyConfirmed(fleetState.withZones(ZoneOrders.none()));
+    assertThat(router.usableUpstreams("desk", true)).isEmpty();
+  }
+
   @Test
   public void shouldIgnoreLateReportOfEarlierSequenceOrStart() {
     heartbeat(report(10, 5).withWarmUpMillis(30_000));
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
@@ -39,11 +39,11 @@
     sentVersions = new ArrayList<>();
     server =
         new FollowServer(
-            () -> document,
+            new FollowSources(
+                () -> FleetState.none().withDocument(document), List::of, service -> 0),
             new UpstreamRegistry(this::nowNanos),
             new RequestQuarantine(this::nowNanos),
             new OriginTable(this::nowNanos),
-            List::of,
             this::nowNanos,
             "z1");
     server.pushChanges();
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
@@ -30,11 +29,10 @@
     registry = new UpstreamRegistry(() -> nowNanos);
     server =
         new FollowServer(
-            StoredDocument::none,
+            new FollowSources(FleetState::none, List::of, service -> 0),
             registry,
             new RequestQuarantine(() -> nowNanos),
             new OriginTable(() -> nowNanos),
-            List::of,
             () -> nowNanos,
             "z1");
     startRouter();
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
@@ -26,9 +26,10 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.internal.PacedTask;
+import org.toucansaddle.daemon.internal.gateway.control.FleetState;
 import org.toucansaddle.daemon.internal.gateway.control.FollowServer;
+import org.toucansaddle.daemon.internal.gateway.control.FollowSources;
 import org.toucansaddle.daemon.internal.gateway.control.UpstreamRegistry;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Answer;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup.Outcome;
@@ -260,11 +261,10 @@
     Control(String address, boolean findsOrigins) throws IOException {
       FollowServer followers =
           new FollowServer(
-              StoredDocument::none,
+              new FollowSources(FleetState::none, () -> addresses, service -> 0),
               new UpstreamRegistry(System::nanoTime),
               new RequestQuarantine(System::nanoTime),
               origins,
-              () -> addresses,
               System::nanoTime,
               "z1");
       ServerServiceDefinition.Builder service =
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementServerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementServerTest.java
@@ -16,6 +16,7 @@
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.gateway.ServiceDefinition.EngineCapacity;
 import org.toucansaddle.daemon.gateway.StoredDocument;
+import org.toucansaddle.daemon.internal.gateway.control.FleetState;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.PlacementAnswer;
@@ -68,7 +69,8 @@
   public void start() {
     now = TimeUnit.SECONDS.toNanos(100);
     RouterState state = new RouterState(content -> document(), 6_000, () -> now);
-    state.applyConfirmed(new StoredDocument(1, "1".getBytes(StandardCharsets.UTF_8)));
+    StoredDocument stored = new StoredDocument(1, "1".getBytes(StandardCharsets.UTF_8));
+    state.applyConfirmed(FleetState.none().withDocument(stored));
     state.update(
         "c1",
         FleetUpdate.newBuilder()
--- a/toucansaddle-protocol/src/main/java/org/toucansaddle/protocol/GatewayMethods.java
+++ b/toucansaddle-protocol/src/main/java/org/toucansaddle/protocol/GatewayMethods.java
@@ -2,6 +2,8 @@
 
 import io.grpc.MethodDescriptor;
 import io.grpc.MethodDescriptor.MethodType;
+import org.toucansaddle.protocol.generated.ChangeZoneReply;
+import org.toucansaddle.protocol.generated.ChangeZoneRequest;
 import org.toucansaddle.protocol.generated.FindOriginReply;
 import org.toucansaddle.protocol.generated.FindOriginRequest;
 import org.toucansaddle.protocol.generated.FleetUpdate;
@@ -57,6 +59,15 @@
           ReadDocumentRequest.getDefaultInstance(),
           ReadDocumentReply.getDefaultInstance());
 
+  /** Takes an availability zone out of service or back if the receiver is the leader. */
+  public static final MethodDescriptor<ChangeZoneRequest, ChangeZoneReply> CHANGE_ZONE =
+      PeerMethods.descriptor(
+          SERVICE,
+          MethodType.UNARY,
+          "ChangeZone",
+          ChangeZoneRequest.getDefaultInstance(),
+          ChangeZoneReply.getDefaultInstance());
+
   /** Requests the state of a control daemon's replica, or to join its replica set. */
   public static final MethodDescriptor<JoinRequest, JoinReply> JOIN =
       PeerMethods.descriptor(
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -76,7 +76,12 @@
 
   /** Starts an upstream that is ready. */
   void start(String id, String service, String softwareVersion) throws IOException {
-    upstreams.add(new ScriptedUpstream(id, service, softwareVersion));
+    start(id, service, softwareVersion, "z1");
+  }
+
+  /** Starts an upstream that is ready, in an availability zone. */
+  void start(String id, String service, String softwareVersion, String zone) throws IOException {
+    upstreams.add(new ScriptedUpstream(id, service, softwareVersion, zone));
     report();
   }
 
@@ -237,10 +242,13 @@
     private final String service;
     private final String softwareVersion;
     private final ServerSocket listener;
+    private final String zone;
     private volatile State state = State.READY;
 
-    ScriptedUpstream(String id, String service, String softwareVersion) throws IOException {
+    ScriptedUpstream(String id, String service, String softwareVersion, String zone)
+        throws IOException {
       this.id = id;
+      this.zone = zone;
       this.service = service;
       this.softwareVersion = softwareVersion;
       this.listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
@@ -250,7 +258,7 @@
     private UpstreamReport createReport(long reportSequence) {
       String address = "127.0.0.1:" + listener.getLocalPort();
       return new UpstreamReport(
-          id, service, address, "z1", SLOTS, state, 1, reportSequence, softwareVersion);
+          id, service, address, zone, SLOTS, state, 1, reportSequence, softwareVersion);
     }
 
     private void accept() {
