Leave callers to other zones while most routers of one are behind

Cause: at most half of a zone's routers asked for no callers, so a zone that is flooded as a whole kept all of them; and a router that asked for none kept its callers' connections.

Change: routers tell whether they are behind apart from whether they ask for none. While most of a zone are behind and few elsewhere are, none of the zone asks for callers, so that the balancer uses the nearest zones; responses close the connections of a router that asks for none.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -38,6 +38,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
+import org.toucansaddle.daemon.internal.gateway.routing.ReportedRouters;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.toucansaddle.http.RequestBody;
 import org.toucansaddle.protocol.GatewayMethods;
@@ -181,7 +182,7 @@
             router,
             System::nanoTime,
             buffers,
-            draining::get,
+            () -> draining.get() || !loadReadiness.takesCallers(),
             connections,
             ioLag,
             originLookup,
@@ -327,19 +328,22 @@
     long now = System.nanoTime();
     double lagMillis = ioLag.averageMillis();
     boolean upstreamsSilent = connectOutcomes.mostlyTimeOut(now);
-    ZoneState others = new ZoneState(state.zoneRouters(), state.zoneRoutersBehind());
-    if (loadReadiness.update(now, lagMillis, refusesOverdue || upstreamsSilent, others)) {
-      boolean takesCallers = loadReadiness.takesCallers();
-      state.setBehind(!takesCallers);
+    ReportedRouters others = state.reportedRouters();
+    ZoneState zone = new ZoneState(others.zone(), others.zoneBehind(), others.zoneOverloaded());
+    ZoneState elsewhere = new ZoneState(others.elsewhere(), 0, others.elsewhereOverloaded());
+    boolean fails = refusesOverdue || upstreamsSilent;
+    boolean changed = loadReadiness.update(now, lagMillis, fails, zone, elsewhere);
+    state.setLoad(!loadReadiness.takesCallers(), loadReadiness.isOverloaded());
+    if (changed) {
       LOG.info(
-          "readiness: takes_callers={} io_lag_ms={} refuses={} connects_time_out={}"
-              + " zone_routers={} zone_behind={}",
-          takesCallers,
+          "readiness: takes_callers={} zone_gives_way={} io_lag_ms={} refuses={}"
+              + " connects_time_out={} routers={}",
+          loadReadiness.takesCallers(),
+          loadReadiness.zoneGivesWay(),
           Math.round(lagMillis),
           refusesOverdue,
           upstreamsSilent,
-          others.routers(),
-          others.behind());
+          others);
     }
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/LoadReadiness.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/LoadReadiness.java
@@ -7,7 +7,9 @@
  *
  * <p>A router that stays behind asks for none until it has caught up for a while, as long as at
  * most half of the routers of its availability zone, itself included, ask for none. If it does not
- * know of other routers there, it takes callers. Thread-safe; does no I/O.
+ * know of other routers there, it takes callers. While most routers of the zone are behind and few
+ * elsewhere are, none of the zone asks for callers, so that they go to other zones. Thread-safe;
+ * does no I/O.
  */
 final class LoadReadiness {
 
@@ -16,19 +18,33 @@
   private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
   private static final long CAUGHT_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
+  /** Fraction of a zone's routers that are behind from which the zone gives way. */
+  private static final double MIN_OVERLOADED_HERE = 0.6;
+
+  /** Fraction of the routers elsewhere that are behind up to which they take more callers. */
+  private static final double MAX_OVERLOADED_ELSEWHERE = 0.3;
+
   /** Since when every update agreed with the change that is pending; valid if there is one. */
   private long changePendingSince;
 
   private boolean changePending;
-  private boolean takesCallers = true;
+  private boolean overloaded;
+  private boolean asksForNone;
+  private boolean zoneGivesWay;
 
   /**
-   * State of the routers of an availability zone, one router excluded. Immutable.
+   * State of the routers of some availability zones, one router excluded. Immutable.
    *
    * @param routers known routers
    * @param behind those of them that ask for no new callers
+   * @param overloaded those of them that are behind, whether or not they ask for callers
    */
-  record ZoneState(int routers, int behind) {}
+  record ZoneState(int routers, int behind, int overloaded) {
+
+    private boolean hasRoomFor(int otherRouters) {
+      return routers >= otherRouters && overloaded <= MAX_OVERLOADED_ELSEWHERE * routers;
+    }
+  }
 
   /**
    * Updates the decision; called several times a second.
@@ -37,29 +53,47 @@
    * @param lagMillis average lag of the I/O threads, in milliseconds
    * @param failsCallers whether it fails callers for a reason of its own: since the last update it
    *     refused new connections that had waited too long, or it reaches hardly any upstream
+   * @param zoneOfOthers the other routers of this zone
+   * @param elsewhere the routers of other zones
    * @return whether the decision has changed
    */
   synchronized boolean update(
-      long now, double lagMillis, boolean failsCallers, ZoneState zoneOfOthers) {
+      long now,
+      double lagMillis,
+      boolean failsCallers,
+      ZoneState zoneOfOthers,
+      ZoneState elsewhere) {
+    boolean tookCallers = takesCallers();
+    updateOverload(now, lagMillis, failsCallers);
+    if (!overloaded) {
+      asksForNone = false;
+    } else if (othersSuffice(zoneOfOthers)) {
+      asksForNone = true;
+    }
+    int overloadedHere = zoneOfOthers.overloaded() + (overloaded ? 1 : 0);
+    int routersHere = zoneOfOthers.routers() + 1;
+    zoneGivesWay =
+        overloadedHere >= MIN_OVERLOADED_HERE * routersHere && elsewhere.hasRoomFor(routersHere);
+    return takesCallers() != tookCallers;
+  }
+
+  private void updateOverload(long now, double lagMillis, boolean failsCallers) {
     boolean wantsChange =
-        takesCallers
-            ? lagMillis >= BEHIND_LAG_MILLIS || failsCallers
-            : lagMillis < CAUGHT_UP_LAG_MILLIS && !failsCallers;
+        overloaded
+            ? lagMillis < CAUGHT_UP_LAG_MILLIS && !failsCallers
+            : lagMillis >= BEHIND_LAG_MILLIS || failsCallers;
     if (!wantsChange) {
       changePending = false;
-      return false;
+      return;
     }
     if (!changePending) {
       changePending = true;
       changePendingSince = now;
     }
-    boolean lasts = now - changePendingSince >= (takesCallers ? BEHIND_NANOS : CAUGHT_UP_NANOS);
-    if (!lasts || (takesCallers && !othersSuffice(zoneOfOthers))) {
-      return false;
+    if (now - changePendingSince >= (overloaded ? CAUGHT_UP_NANOS : BEHIND_NANOS)) {
+      overloaded = !overloaded;
+      changePending = false;
     }
-    takesCallers = !takesCallers;
-    changePending = false;
-    return true;
   }
 
   private static boolean othersSuffice(ZoneState others) {
@@ -68,6 +102,16 @@
 
   /** Returns whether the router takes new callers. */
   synchronized boolean takesCallers() {
-    return takesCallers;
+    return !asksForNone && !zoneGivesWay;
+  }
+
+  /** Returns whether the router is behind. */
+  synchronized boolean isOverloaded() {
+    return overloaded;
+  }
+
+  /** Returns whether all routers of the zone leave new callers to other zones. */
+  synchronized boolean zoneGivesWay() {
+    return zoneGivesWay;
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -206,6 +206,7 @@
     private volatile List<ServiceDemand> demands = List.of();
     private volatile String zoneOfRouter = "";
     private volatile boolean behind;
+    private volatile boolean overloaded;
     private volatile boolean observer;
     private volatile boolean wantsSums;
     private volatile boolean wantsDocument;
@@ -233,6 +234,7 @@
       demands = report.getDemandsList();
       zoneOfRouter = report.getZone();
       behind = report.getBehind();
+      overloaded = report.getOverloaded();
       observer = report.getObserver();
       wantsSums = report.getWantsSums();
       wantsDocument = report.getWantsDocument();
@@ -333,15 +335,22 @@
     }
 
     private void addZoneState(FleetUpdate.Builder update) {
-      int routers = 0;
-      int routersBehind = 0;
       for (Follower other : followers) {
-        if (other != this && !other.observer && other.zoneOfRouter.equals(zoneOfRouter)) {
-          routers++;
-          routersBehind += other.behind ? 1 : 0;
+        if (other != this && !other.observer) {
+          int overloadedRouters = other.overloaded ? 1 : 0;
+          if (other.zoneOfRouter.equals(zoneOfRouter)) {
+            update
+                .setZoneRouters(update.getZoneRouters() + 1)
+                .setZoneRoutersBehind(update.getZoneRoutersBehind() + (other.behind ? 1 : 0))
+                .setZoneRoutersOverloaded(update.getZoneRoutersOverloaded() + overloadedRouters);
+          } else {
+            update
+                .setOtherZoneRouters(update.getOtherZoneRouters() + 1)
+                .setOtherZoneRoutersOverloaded(
+                    update.getOtherZoneRoutersOverloaded() + overloadedRouters);
+          }
         }
       }
-      update.setZoneRouters(routers).setZoneRoutersBehind(routersBehind);
     }
 
     private void addZones(FleetUpdate.Builder update) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -70,9 +70,9 @@
   private final Map<String, Long> lastUpdateBySource = new ConcurrentHashMap<>();
   private volatile boolean confirmed;
   private volatile int routers = 1;
-  private volatile int zoneRouters;
-  private volatile int zoneRoutersBehind;
+  private volatile ReportedRouters reportedRouters = ReportedRouters.NONE;
   private volatile boolean behind;
+  private volatile boolean overloaded;
   private volatile long upstreamsCompleteAt;
 
   /**
@@ -178,19 +178,15 @@
     return routers;
   }
 
-  /** Returns the last reported number of other routers in this router's availability zone. */
-  public int zoneRouters() {
-    return zoneRouters;
+  /** Returns the other routers of the fleet, as last reported. */
+  public ReportedRouters reportedRouters() {
+    return reportedRouters;
   }
 
-  /** Returns how many of {@link #zoneRouters} ask for no new callers, as last reported. */
-  public int zoneRoutersBehind() {
-    return zoneRoutersBehind;
-  }
-
-  /** Sets whether this router asks for no new callers because it is behind. */
-  public void setBehind(boolean value) {
-    behind = value;
+  /** Sets whether this router asks for no new callers, and whether it is behind. */
+  public void setLoad(boolean asksForNoCallers, boolean isOverloaded) {
+    behind = asksForNoCallers;
+    overloaded = isOverloaded;
   }
 
   /** Returns whether a confirmed configuration and a complete list of upstreams were received. */
@@ -339,8 +335,7 @@
     }
     if (update.getRouters() > 0) {
       routers = update.getRouters();
-      zoneRouters = update.getZoneRouters();
-      zoneRoutersBehind = update.getZoneRoutersBehind();
+      reportedRouters = ReportedRouters.of(update);
     }
     coldStart.receive(update);
     upstreams.evictSilent(now);
@@ -415,6 +410,7 @@
             .setDocumentVersion(version())
             .setZonesRevision(zones.current().revision())
             .setBehind(behind)
+            .setOverloaded(overloaded)
             .addAllAccounts(shares.localUsage())
             .addAllDemands(arrivals.demands());
     for (Upstream upstream : leavingById.values()) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/LoadReadinessTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/LoadReadinessTest.java
@@ -12,7 +12,8 @@
 public class LoadReadinessTest {
 
   private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-  private static final ZoneState OTHERS_SUFFICE = new ZoneState(4, 0);
+  private static final ZoneState OTHERS_SUFFICE = new ZoneState(4, 0, 0);
+  private static final ZoneState NOBODY = new ZoneState(0, 0, 0);
 
   private LoadReadiness readiness;
   private long now;
@@ -23,9 +24,14 @@
   }
 
   private void update(int steps, double lagMillis, boolean refuses, ZoneState others) {
+    update(steps, lagMillis, refuses, others, NOBODY);
+  }
+
+  private void update(
+      int steps, double lagMillis, boolean refuses, ZoneState others, ZoneState elsewhere) {
     for (int step = 0; step < steps; step++) {
       now += STEP_NANOS;
-      readiness.update(now, lagMillis, refuses, others);
+      readiness.update(now, lagMillis, refuses, others, elsewhere);
     }
   }
 
@@ -62,13 +68,13 @@
   @DataProvider
   public Object[][] zones() {
     return new Object[][] {
-      {new ZoneState(0, 0), true},
-      {new ZoneState(1, 0), false},
-      {new ZoneState(1, 1), true},
-      {new ZoneState(2, 0), false},
-      {new ZoneState(2, 1), true},
-      {new ZoneState(4, 1), false},
-      {new ZoneState(4, 2), true},
+      {new ZoneState(0, 0, 0), true},
+      {new ZoneState(1, 0, 0), false},
+      {new ZoneState(1, 1, 1), true},
+      {new ZoneState(2, 0, 0), false},
+      {new ZoneState(2, 1, 1), true},
+      {new ZoneState(4, 1, 1), false},
+      {new ZoneState(4, 2, 2), true},
     };
   }
 
@@ -78,4 +84,39 @@
     update(20, 600, true, others);
     assertThat(readiness.takesCallers()).isEqualTo(takesCallers);
   }
+
+  @DataProvider
+  public Object[][] zonesAndOthers() {
+    ZoneState allBehind = new ZoneState(4, 0, 4);
+    ZoneState halfBehind = new ZoneState(4, 2, 2);
+    return new Object[][] {
+      // {zone, elsewhere, own lag, the zone gives way}
+      {allBehind, new ZoneState(12, 0, 0), 600, true},
+      {allBehind, new ZoneState(12, 0, 0), 20, true},
+      {allBehind, new ZoneState(12, 0, 3), 600, true},
+      {allBehind, new ZoneState(12, 0, 6), 600, false},
+      {allBehind, new ZoneState(4, 0, 0), 600, false},
+      {allBehind, NOBODY, 600, false},
+      {halfBehind, new ZoneState(12, 0, 0), 600, true},
+      {halfBehind, new ZoneState(12, 0, 0), 20, false},
+    };
+  }
+
+  /** Flood of one zone: guards against its routers drowning while those of others are idle. */
+  @Test(dataProvider = "zonesAndOthers")
+  public void shouldLeaveCallersToOtherZonesWhileMostOfTheZoneIsBehind(
+      ZoneState zone, ZoneState elsewhere, double lagMillis, boolean givesWay) {
+    update(8, lagMillis, false, zone, elsewhere);
+    assertThat(readiness.zoneGivesWay()).isEqualTo(givesWay);
+    if (givesWay) {
+      assertThat(readiness.takesCallers()).isFalse();
+    }
+  }
+
+  @Test
+  public void shouldTakeCallersAgainOnceTheZoneHasCaughtUp() {
+    update(8, 600, false, new ZoneState(4, 0, 4), new ZoneState(12, 0, 0));
+    update(12, 20, false, new ZoneState(4, 0, 0), new ZoneState(12, 0, 0));
+    assertThat(readiness.takesCallers()).isTrue();
+  }
 }
