Measure a router's lag against the shortest target

Cause: a router counted as behind from a lag of 250 ms, whatever the targets; with targets of 141 to 600 ms its callers are late long before.

Change: the limit is 0.3 of the shortest target, within 60 to 250 ms. Connections of a router that asks for none are kept again.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -25,6 +25,7 @@
 import org.toucansaddle.daemon.gateway.RouterGateway;
 import org.toucansaddle.daemon.internal.IoThreads;
 import org.toucansaddle.daemon.internal.PacedTask;
+import org.toucansaddle.daemon.internal.gateway.LoadReadiness.Lag;
 import org.toucansaddle.daemon.internal.gateway.LoadReadiness.ZoneState;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
@@ -182,7 +183,7 @@
             router,
             System::nanoTime,
             buffers,
-            () -> draining.get() || !loadReadiness.takesCallers(),
+            draining::get,
             connections,
             ioLag,
             originLookup,
@@ -332,7 +333,8 @@
     ZoneState zone = new ZoneState(others.zone(), others.zoneBehind(), others.zoneOverloaded());
     ZoneState elsewhere = new ZoneState(others.elsewhere(), 0, others.elsewhereOverloaded());
     boolean fails = refusesOverdue || upstreamsSilent;
-    boolean changed = loadReadiness.update(now, lagMillis, fails, zone, elsewhere);
+    Lag lag = new Lag(lagMillis, state.shortestTargetMillis());
+    boolean changed = loadReadiness.update(now, lag, fails, zone, elsewhere);
     state.setLoad(!loadReadiness.takesCallers(), loadReadiness.isOverloaded());
     if (changed) {
       LOG.info(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/LoadReadiness.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/LoadReadiness.java
@@ -13,8 +13,17 @@
  */
 final class LoadReadiness {
 
-  private static final double BEHIND_LAG_MILLIS = 250;
-  private static final double CAUGHT_UP_LAG_MILLIS = 100;
+  /** Fraction of the shortest target that may pass before a router reads a request. */
+  private static final double BEHIND_TARGET_FRACTION = 0.3;
+
+  /** Lag that is borne whatever the targets: pauses of the runtime are as long. */
+  private static final double MIN_BEHIND_LAG_MILLIS = 60;
+
+  private static final double MAX_BEHIND_LAG_MILLIS = 250;
+
+  /** Fraction of the lag of a router that is behind from which it has caught up. */
+  private static final double CAUGHT_UP_FRACTION = 0.4;
+
   private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
   private static final long CAUGHT_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
@@ -32,6 +41,20 @@
   private boolean asksForNone;
   private boolean zoneGivesWay;
 
+  /**
+   * How late a router reads requests. Immutable.
+   *
+   * @param millis average lag of its I/O threads, in milliseconds
+   * @param shortestTargetMillis shortest target of all routes, in milliseconds
+   */
+  record Lag(double millis, int shortestTargetMillis) {
+
+    private double behindMillis() {
+      double fromTarget = BEHIND_TARGET_FRACTION * shortestTargetMillis;
+      return Math.max(MIN_BEHIND_LAG_MILLIS, Math.min(MAX_BEHIND_LAG_MILLIS, fromTarget));
+    }
+  }
+
   /**
    * State of the routers of some availability zones, one router excluded. Immutable.
    *
@@ -50,7 +73,7 @@
    * Updates the decision; called several times a second.
    *
    * @param now current time, in nanoseconds
-   * @param lagMillis average lag of the I/O threads, in milliseconds
+   * @param lag average lag of the I/O threads, and the shortest target of all routes
    * @param failsCallers whether it fails callers for a reason of its own: since the last update it
    *     refused new connections that had waited too long, or it reaches hardly any upstream
    * @param zoneOfOthers the other routers of this zone
@@ -58,13 +81,9 @@
    * @return whether the decision has changed
    */
   synchronized boolean update(
-      long now,
-      double lagMillis,
-      boolean failsCallers,
-      ZoneState zoneOfOthers,
-      ZoneState elsewhere) {
+      long now, Lag lag, boolean failsCallers, ZoneState zoneOfOthers, ZoneState elsewhere) {
     boolean tookCallers = takesCallers();
-    updateOverload(now, lagMillis, failsCallers);
+    updateOverload(now, lag, failsCallers);
     if (!overloaded) {
       asksForNone = false;
     } else if (othersSuffice(zoneOfOthers)) {
@@ -77,11 +96,11 @@
     return takesCallers() != tookCallers;
   }
 
-  private void updateOverload(long now, double lagMillis, boolean failsCallers) {
+  private void updateOverload(long now, Lag lag, boolean failsCallers) {
     boolean wantsChange =
         overloaded
-            ? lagMillis < CAUGHT_UP_LAG_MILLIS && !failsCallers
-            : lagMillis >= BEHIND_LAG_MILLIS || failsCallers;
+            ? lag.millis() < CAUGHT_UP_FRACTION * lag.behindMillis() && !failsCallers
+            : lag.millis() >= lag.behindMillis() || failsCallers;
     if (!wantsChange) {
       changePending = false;
       return;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -178,6 +178,11 @@
     return routers;
   }
 
+  /** Returns the shortest target of all routes, in milliseconds; no limit without routes. */
+  public int shortestTargetMillis() {
+    return view.get().map(RoutingView::shortestTargetMillis).orElse(Integer.MAX_VALUE);
+  }
+
   /** Returns the other routers of the fleet, as last reported. */
   public ReportedRouters reportedRouters() {
     return reportedRouters;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.toucansaddle.daemon.gateway.ClientAccount;
 import org.toucansaddle.daemon.gateway.FleetDocument;
+import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 
 /** One version of the configuration with its lookup tables. Immutable and thread-safe. */
@@ -13,6 +14,7 @@
 
   private final FleetDocument document;
   private final RouteTable routes;
+  private final int shortestTargetMillis;
   private final Map<String, String> accountByKey = new HashMap<>();
   private final Map<String, ServiceDefinition> services = new HashMap<>();
 
@@ -20,6 +22,8 @@
   public RoutingView(FleetDocument document) {
     this.document = document;
     this.routes = new RouteTable(document.routes());
+    this.shortestTargetMillis =
+        document.routes().stream().mapToInt(Route::targetMillis).min().orElse(Integer.MAX_VALUE);
     for (ClientAccount account : document.accounts().orElse(List.of())) {
       account.keys().forEach(key -> accountByKey.put(key, account.name()));
     }
@@ -50,4 +54,9 @@
   public long tokensPerSecond() {
     return document.limits().tokensPerSecond();
   }
+
+  /** Returns the shortest target of all routes, in milliseconds; no limit without routes. */
+  public int shortestTargetMillis() {
+    return shortestTargetMillis;
+  }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/LoadReadinessTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/LoadReadinessTest.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.daemon.internal.gateway.LoadReadiness.Lag;
 import org.toucansaddle.daemon.internal.gateway.LoadReadiness.ZoneState;
 
 /** Tests of {@link LoadReadiness}. */
@@ -16,11 +17,13 @@
   private static final ZoneState NOBODY = new ZoneState(0, 0, 0);
 
   private LoadReadiness readiness;
+  private int targetMillis;
   private long now;
 
   @BeforeMethod
   public void createReadiness() {
     readiness = new LoadReadiness();
+    targetMillis = 2_000;
   }
 
   private void update(int steps, double lagMillis, boolean refuses, ZoneState others) {
@@ -31,7 +34,7 @@
       int steps, double lagMillis, boolean refuses, ZoneState others, ZoneState elsewhere) {
     for (int step = 0; step < steps; step++) {
       now += STEP_NANOS;
-      readiness.update(now, lagMillis, refuses, others, elsewhere);
+      readiness.update(now, new Lag(lagMillis, targetMillis), refuses, others, elsewhere);
     }
   }
 
@@ -119,4 +122,26 @@
     update(12, 20, false, new ZoneState(4, 0, 0), new ZoneState(12, 0, 0));
     assertThat(readiness.takesCallers()).isTrue();
   }
+
+  @DataProvider
+  public Object[][] lagsAndTargets() {
+    return new Object[][] {
+      // {lag, shortest target, takes callers}
+      {80, 300, true},
+      {100, 300, false},
+      {100, 1_000, true},
+      {59, 100, true},
+      {61, 100, false},
+      {250, Integer.MAX_VALUE, false},
+    };
+  }
+
+  /** Short targets: guards against a router that takes callers whom it cannot read in time. */
+  @Test(dataProvider = "lagsAndTargets")
+  public void shouldMeasureLagAgainstShortestTarget(
+      double lagMillis, int shortestTargetMillis, boolean takesCallers) {
+    targetMillis = shortestTargetMillis;
+    update(8, lagMillis, false, OTHERS_SUFFICE);
+    assertThat(readiness.takesCallers()).isEqualTo(takesCallers);
+  }
 }
