Leave requests to other routers while this one is behind and they have room

Callers saw: one account's callers at one router waited for it while the routers beside it were idle; it was taken out of rotation only after seconds, and what it had read by then was late.

Cause: a router that is behind read, queued and relayed all that came; a caller that is refused at once is served by another router.

Change: once the I/O lag exceeds 0.3 of the shortest target, a part of the first attempts that grows with the lag is refused before their body is read, from the accounts with most requests here first (AccountParts, also used by ServiceThrottle now), never of callers that came back, and not while half of the zone's routers are behind.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -19,13 +19,13 @@
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.admission.ReadLag;
 import org.toucansaddle.daemon.gateway.GatewaySettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
 import org.toucansaddle.daemon.gateway.PlacementMode;
 import org.toucansaddle.daemon.gateway.RouterGateway;
 import org.toucansaddle.daemon.internal.IoThreads;
 import org.toucansaddle.daemon.internal.PacedTask;
-import org.toucansaddle.daemon.internal.gateway.LoadReadiness.Lag;
 import org.toucansaddle.daemon.internal.gateway.LoadReadiness.ZoneState;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
@@ -333,7 +333,7 @@
     ZoneState zone = new ZoneState(others.zone(), others.zoneBehind(), others.zoneOverloaded());
     ZoneState elsewhere = new ZoneState(others.elsewhere(), 0, others.elsewhereOverloaded());
     boolean fails = refusesOverdue || upstreamsSilent;
-    Lag lag = new Lag(lagMillis, state.shortestTargetMillis());
+    ReadLag lag = new ReadLag(lagMillis, state.shortestTargetMillis());
     boolean changed = loadReadiness.update(now, lag, fails, zone, elsewhere);
     state.setLoad(!loadReadiness.takesCallers(), loadReadiness.isOverloaded());
     if (changed) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/LoadReadiness.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/LoadReadiness.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway;
 
 import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.admission.ReadLag;
 
 /**
  * Decides whether a router takes new callers, from how far it is behind with reading requests.
@@ -13,17 +14,6 @@
  */
 final class LoadReadiness {
 
-  /** Fraction of the shortest target that may pass before a router reads a request. */
-  private static final double BEHIND_TARGET_FRACTION = 0.3;
-
-  /** Lag that is borne whatever the targets: pauses of the runtime are as long. */
-  private static final double MIN_BEHIND_LAG_MILLIS = 60;
-
-  private static final double MAX_BEHIND_LAG_MILLIS = 250;
-
-  /** Fraction of the lag of a router that is behind from which it has caught up. */
-  private static final double CAUGHT_UP_FRACTION = 0.4;
-
   private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
   private static final long CAUGHT_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
@@ -41,20 +31,6 @@
   private boolean asksForNone;
   private boolean zoneGivesWay;
 
-  /**
-   * How late a router reads requests. Immutable.
-   *
-   * @param millis average lag of its I/O threads, in milliseconds
-   * @param shortestTargetMillis shortest target of all routes, in milliseconds
-   */
-  record Lag(double millis, int shortestTargetMillis) {
-
-    private double behindMillis() {
-      double fromTarget = BEHIND_TARGET_FRACTION * shortestTargetMillis;
-      return Math.max(MIN_BEHIND_LAG_MILLIS, Math.min(MAX_BEHIND_LAG_MILLIS, fromTarget));
-    }
-  }
-
   /**
    * State of the routers of some availability zones, one router excluded. Immutable.
    *
@@ -81,7 +57,7 @@
    * @return whether the decision has changed
    */
   synchronized boolean update(
-      long now, Lag lag, boolean failsCallers, ZoneState zoneOfOthers, ZoneState elsewhere) {
+      long now, ReadLag lag, boolean failsCallers, ZoneState zoneOfOthers, ZoneState elsewhere) {
     boolean tookCallers = takesCallers();
     updateOverload(now, lag, failsCallers);
     if (!overloaded) {
@@ -96,11 +72,9 @@
     return takesCallers() != tookCallers;
   }
 
-  private void updateOverload(long now, Lag lag, boolean failsCallers) {
+  private void updateOverload(long now, ReadLag lag, boolean failsCallers) {
     boolean wantsChange =
-        overloaded
-            ? lag.millis() < CAUGHT_UP_FRACTION * lag.behindMillis() && !failsCallers
-            : lag.millis() >= lag.behindMillis() || failsCallers;
+        overloaded ? lag.hasCaughtUp() && !failsCallers : lag.isBehind() || failsCallers;
     if (!wantsChange) {
       changePending = false;
       return;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -20,6 +20,9 @@
 public record ErrorResponse(
     int status, String type, RunState runState, String detail, long retryAfterMillis) {
 
+  /** Delay for a retry at another router, which can read the request at once, in milliseconds. */
+  private static final long RETRY_ELSEWHERE_MILLIS = 10;
+
   static ErrorResponse noRoute(String host) {
     return new ErrorResponse(
         404, "no-route", RunState.NOT_RUN, "No route of host '" + host + "' matches this path.", 0);
@@ -34,6 +37,14 @@
     return notRun("no-configuration", "This router has no confirmed configuration yet.", 500);
   }
 
+  /** Refuses a request that another router can read sooner. */
+  static ErrorResponse routerBehind() {
+    return notRun(
+        "router-behind",
+        "This router has more requests than it can read in time.",
+        RETRY_ELSEWHERE_MILLIS);
+  }
+
   static ErrorResponse bodyTooLong(int maxBytes) {
     String detail = "The body is longer than " + maxBytes + " bytes. Send a shorter body.";
     return new ErrorResponse(413, "body-too-long", RunState.NOT_RUN, detail, 0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -85,6 +85,10 @@
       refuse(exchange, head, ErrorResponse.unknownKey());
       return;
     }
+    if (context.refusesForLag(account.get(), head.isLikelyRetry(route.get()))) {
+      refuse(exchange, head, ErrorResponse.routerBehind());
+      return;
+    }
     int maxHeadBytes = view.get().document().limits().maxHeaderBytes();
     if (HeadSize.of(exchange) > maxHeadBytes) {
       refuse(exchange, head, ErrorResponse.headTooLong(maxHeadBytes));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -3,11 +3,16 @@
 import io.undertow.connector.ByteBufferPool;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.toucansaddle.coordination.admission.LoadShedding;
+import org.toucansaddle.coordination.admission.LoadShedding.Others;
+import org.toucansaddle.coordination.admission.ReadLag;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementClient;
+import org.toucansaddle.daemon.internal.gateway.routing.ReportedRouters;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
 import org.xnio.XnioIoThread;
 
@@ -29,6 +34,7 @@
   private final BooleanSupplier closing;
   private final CallerConnections connections;
   private final IoLag ioLag;
+  private final LoadShedding shedding;
   private final ConnectOutcomes connectOutcomes = new ConnectOutcomes();
   private final OriginLookup originLookup;
   private final PlacementClient placement;
@@ -74,6 +80,7 @@
     this.closing = closing;
     this.connections = connections;
     this.ioLag = ioLag;
+    this.shedding = new LoadShedding(nanoClock, () -> ThreadLocalRandom.current().nextDouble());
     this.originLookup = originLookup;
     this.placement = placement;
   }
@@ -111,6 +118,17 @@
     return ioLag;
   }
 
+  /**
+   * Records a request that was read and returns whether it is left to another router, since this
+   * one is behind.
+   */
+  boolean refusesForLag(String account, boolean returned) {
+    ReadLag lag = new ReadLag(ioLag.averageMillis(), state.shortestTargetMillis());
+    ReportedRouters others = state.reportedRouters();
+    return shedding.refuses(
+        account, returned, lag, new Others(others.zone(), others.zoneOverloaded()));
+  }
+
   /** Returns the recent outcomes of opening connections to upstreams. */
   public ConnectOutcomes connectOutcomes() {
     return connectOutcomes;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -1,14 +1,11 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
-import java.util.stream.DoubleStream;
-import org.toucansaddle.coordination.sharing.MaxMinShare;
+import org.toucansaddle.coordination.admission.AccountParts;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 
 /**
@@ -38,15 +35,9 @@
   /** Smallest part, so that a router notices when the upstreams have room again. */
   private static final double MIN_ADMITTED = 0.02;
 
-  /** Time in which the demand of an account decays to 1/e. */
-  private static final double DEMAND_DECAY_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-  /** Requests below which the demand of an account is dropped. */
-  private static final double FORGOTTEN_REQUESTS = 0.01;
-
   private final LongSupplier clock;
   private final DoubleSupplier random;
-  private final Map<String, Demand> demands = new HashMap<>();
+  private final AccountParts parts;
   private double admitted = 1;
   private long lastStepAt;
 
@@ -58,20 +49,10 @@
   ServiceThrottle(LongSupplier clock, DoubleSupplier random) {
     this.clock = clock;
     this.random = random;
+    this.parts = new AccountParts(clock);
     this.lastStepAt = clock.getAsLong();
   }
 
-  /** Recent requests of one account at this router; they decay over time. */
-  private static final class Demand {
-    private double requests;
-    private long updatedAt;
-
-    void decay(long now) {
-      requests *= Math.exp(-(now - updatedAt) / DEMAND_DECAY_NANOS);
-      updatedAt = now;
-    }
-  }
-
   /**
    * Returns whether a request to one of these upstreams is admitted.
    *
@@ -95,22 +76,10 @@
     double steps = (now - lastStepAt) / (double) STEP_NANOS;
     if (steps >= 1) {
       lastStepAt = now;
-      demands.values().forEach(demand -> demand.decay(now));
-      demands.values().removeIf(demand -> demand.requests < FORGOTTEN_REQUESTS);
       adjust(requests / Math.max(1, slots * TARGET_REQUESTS_PER_SLOT), steps);
     }
-    Demand demand = demands.computeIfAbsent(account, name -> new Demand());
-    demand.decay(now);
-    demand.requests++;
-    return admitted >= 1 || random.getAsDouble() < admittedPart(demand, now);
-  }
-
-  /** Returns the part of an account's requests that fits its share of what is admitted. */
-  private double admittedPart(Demand demand, long now) {
-    demands.values().forEach(other -> other.decay(now));
-    double[] requests = demands.values().stream().mapToDouble(other -> other.requests).toArray();
-    double share = MaxMinShare.compute(requests, admitted * DoubleStream.of(requests).sum());
-    return demand.requests > share ? share / demand.requests : 1;
+    parts.record(account);
+    return admitted >= 1 || random.getAsDouble() < parts.partOf(account, admitted);
   }
 
   /** Adjusts the admitted part to a load, as a fraction of the target. */
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/LoadReadinessTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/LoadReadinessTest.java
@@ -6,7 +6,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.toucansaddle.daemon.internal.gateway.LoadReadiness.Lag;
+import org.toucansaddle.coordination.admission.ReadLag;
 import org.toucansaddle.daemon.internal.gateway.LoadReadiness.ZoneState;
 
 /** Tests of {@link LoadReadiness}. */
@@ -34,7 +34,7 @@
       int steps, double lagMillis, boolean refuses, ZoneState others, ZoneState elsewhere) {
     for (int step = 0; step < steps; step++) {
       now += STEP_NANOS;
-      readiness.update(now, new Lag(lagMillis, targetMillis), refuses, others, elsewhere);
+      readiness.update(now, new ReadLag(lagMillis, targetMillis), refuses, others, elsewhere);
     }
   }
 
