--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/FleetStateMachineTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/FleetStateMachineTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.coordination.zones.ZoneOrder;
 import org.toucansaddle.coordination.zones.ZoneOrders;
@@ -91,11 +92,35 @@
     assertThat(zones).isEmpty();
   }
 
-  @Test
-  public void shouldRejectCorruptZonesOfSnapshot() {
-    byte[] corrupt = {3, 0, 0, 0, 1, (byte) 0xff};
+  @DataProvider
+  public Object[][] corruptBytes() {
+    // {distance of the byte from the end, its value}; the length ends 9 bytes before the end
+    return new Object[][] {{13, 0xff}, {12, 0xff}, {12, 0x7f}, {9, 0xff}};
+  }
+
+  @Test(dataProvider = "corruptBytes")
+  public void shouldRejectCorruptZonesOfSnapshot(int fromEnd, int value) throws Exception {
+    order(OUT);
+    byte[] corrupt = machine.snapshot();
+    corrupt[corrupt.length - fromEnd] = (byte) value;
     assertThatThrownBy(() -> machine.restore(corrupt))
         .isInstanceOf(IllegalArgumentException.class)
         .hasMessageContaining("corrupt");
   }
+
+  // A member without zones took an order for a document of a huge version and lost the real one.
+  @Test
+  public void shouldNotChangeDocumentOfVersionsWithoutZones() throws Exception {
+    DocumentStateMachine older =
+        new DocumentStateMachine(document -> documents.add(document.version()));
+    older.apply(1, DocumentStateMachine.command(DOCUMENT));
+    older.apply(2, FleetStateMachine.command(new ZoneOrder("a zone with a long name", true)));
+    assertThat(documents).containsExactly(7L);
+    order(OUT);
+    machine.apply(2, DocumentStateMachine.command(DOCUMENT));
+    documents.clear();
+    older.restore(machine.snapshot());
+    assertThat(documents).containsExactly(7L);
+    assertThat(older.snapshot()).isEqualTo(DocumentStateMachine.command(DOCUMENT));
+  }
 }
