End the doubt of upstreams that never report a warm-up

Cause, found in review: after one failed connection an upstream counted as cold until a report with a warm-up. Change: without such a report the doubt lasts as long as an unreported warm-up. Result: WarmUpStateTest passes (mvn -o test -Dtest=WarmUpStateTest -pl toucansaddle-coordination).

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
@@ -12,31 +12,34 @@
  * }</pre>
  *
  * <p>The newest report decides; an older one changes nothing. After a doubt the upstream counts as
- * cold until a report that was sent after the doubt says otherwise. Times are nanoseconds of one
- * clock. Thread-safe; does no I/O.
+ * cold until a report that was sent after the doubt says otherwise, or, if it has never reported
+ * its warm-up, for the time of an unreported one. Times are nanoseconds of one clock. Thread-safe;
+ * does no I/O.
  */
 public final class WarmUpState {
 
   /** Time by which a report may seem later than it was sent, since it passes other daemons. */
   private static final long REPORT_SKEW_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+  private final long unreportedNanos;
   private long coldUntil;
   private boolean reported;
   private long reportedAt;
   private boolean doubted;
   private long doubtedAt;
 
-  private WarmUpState(long coldUntil) {
-    this.coldUntil = coldUntil;
+  private WarmUpState(long unreportedNanos, long nowNanos) {
+    this.unreportedNanos = unreportedNanos;
+    this.coldUntil = nowNanos + unreportedNanos;
   }
 
   /**
    * Returns the state of an upstream that has not reported its warm-up.
    *
-   * @param millis time for which it counts as cold, in milliseconds
+   * @param millis time for which it counts as cold, now and after a doubt, in milliseconds
    */
   public static WarmUpState coldFor(long millis, long nowNanos) {
-    return new WarmUpState(nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
+    return new WarmUpState(TimeUnit.MILLISECONDS.toNanos(millis), nowNanos);
   }
 
   /**
@@ -64,7 +67,8 @@
 
   /** Returns whether the upstream has to be treated as cold. */
   public synchronized boolean isCold(long nowNanos) {
-    return doubted || nowNanos - coldUntil < 0;
+    boolean inDoubt = doubted && (reported || nowNanos - doubtedAt < unreportedNanos);
+    return inDoubt || nowNanos - coldUntil < 0;
   }
 
   /** Returns the remaining warm-up as reported, in milliseconds; 0 if it is over. */
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/WarmUpStateTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/WarmUpStateTest.java
@@ -83,4 +83,21 @@
     assertThat(state.isCold(nanos(3_999))).isTrue();
     assertThat(state.isCold(nanos(4_000))).isFalse();
   }
+
+  // An upstream that never reports a warm-up got nothing any more after one failed connection.
+  @Test
+  public void shouldEndDoubtOfUpstreamThatReportsNoWarmUp() {
+    WarmUpState state = WarmUpState.coldFor(3_000, 0);
+    state.doubt(nanos(10_000));
+    assertThat(state.isCold(nanos(12_999))).isTrue();
+    assertThat(state.isCold(nanos(13_000))).isFalse();
+  }
+
+  @Test
+  public void shouldKeepDoubtWhenFirstReportIsOlder() {
+    WarmUpState state = WarmUpState.coldFor(3_000, 0);
+    state.doubt(nanos(10_000));
+    state.report(0, nanos(9_900));
+    assertThat(state.isCold(nanos(20_000))).isTrue();
+  }
 }
