Doubt upstreams of a zone before it is back in service

Cause, found in review: the new orders were visible before the upstreams were in doubt, so that a request in between met a cold upstream without a permit. Change: in the other order, under a lock. Result: ZonesInServiceTest passes (mvn -o test -Dtest=ZonesInServiceTest -pl toucansaddle-daemon -am).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInService.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInService.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -9,7 +8,8 @@
 /**
  * Availability zones out of service, as a router knows them.
  *
- * <p>The revision never falls. Upstreams of a zone that comes back may be cold. Thread-safe.
+ * <p>The revision never falls. Upstreams of a zone that comes back are in doubt before they are in
+ * service. Thread-safe.
  */
 final class ZonesInService {
 
@@ -17,7 +17,7 @@
 
   private final UpstreamTable upstreams;
   private final LongSupplier clock;
-  private final AtomicReference<ZoneOrders> orders = new AtomicReference<>(ZoneOrders.none());
+  private volatile ZoneOrders orders = ZoneOrders.none();
 
   ZonesInService(UpstreamTable upstreams, LongSupplier clock) {
     this.upstreams = upstreams;
@@ -25,9 +25,8 @@
   }
 
   /** Takes over a state, unless one that is as new is known. */
-  void apply(ZoneOrders newer) {
-    ZoneOrders before =
-        orders.getAndUpdate(known -> newer.revision() > known.revision() ? newer : known);
+  synchronized void apply(ZoneOrders newer) {
+    ZoneOrders before = orders;
     if (newer.revision() <= before.revision()) {
       return;
     }
@@ -35,15 +34,16 @@
     upstreams.all().stream()
         .filter(upstream -> before.isOutOfService(upstream.report().zone()))
         .forEach(upstream -> upstream.warmUp().doubt(now));
+    orders = newer;
     LOG.info("zones out of service: {}, revision {}", newer.outOfService(), newer.revision());
   }
 
   /** Returns whether an upstream may get requests at all. */
   boolean isInService(Upstream upstream) {
-    return !orders.get().isOutOfService(upstream.report().zone());
+    return !orders.isOutOfService(upstream.report().zone());
   }
 
   ZoneOrders current() {
-    return orders.get();
+    return orders;
   }
 }
