Read what cold upstreams take only when a router asks

Cause, found in review: each applied document was parsed on the replica's thread before it was acknowledged. Change: ColdRates reads the newest one on the first ask. Result: ColdRatesTest passes (mvn -o test -Dtest=ColdRatesTest -pl toucansaddle-daemon -am).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -19,12 +19,11 @@
 import org.toucansaddle.daemon.gateway.FleetDocument;
 import org.toucansaddle.daemon.gateway.GatewaySettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.ControlSettings;
-import org.toucansaddle.daemon.gateway.ServiceDefinition;
-import org.toucansaddle.daemon.gateway.ServiceDefinition.WarmUp;
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.internal.control.ControlReplica;
 import org.toucansaddle.daemon.internal.control.PeerReplicaTransport;
+import org.toucansaddle.daemon.internal.gateway.control.ColdRates;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStateMachine;
 import org.toucansaddle.daemon.internal.gateway.control.DocumentStore;
 import org.toucansaddle.daemon.internal.gateway.control.FleetState;
@@ -98,7 +97,6 @@
   private final PlacementServer placement;
   private final PeerServer server;
   private volatile FleetState applied = FleetState.none();
-  private volatile List<ServiceDefinition> appliedServices = List.of();
   private volatile Runnable onApplied = () -> {};
 
   /**
@@ -144,7 +142,10 @@
             control.dataFolder().resolve("quarantine"), quarantine, System::nanoTime);
     this.followers =
         new FollowServer(
-            new FollowSources(() -> applied, replicaSet::addresses, this::coldRate),
+            new FollowSources(
+                () -> applied,
+                replicaSet::addresses,
+                new ColdRates(format, () -> applied.document())),
             registry,
             quarantine,
             origins,
@@ -228,7 +229,6 @@
 
   private void apply(StoredDocument document) {
     applied = applied.withDocument(document);
-    appliedServices = readServices(document);
     DECISIONS.info("applied configuration={} bytes={}", document.version(), size(document));
     onApplied.run();
   }
@@ -240,28 +240,6 @@
     onApplied.run();
   }
 
-  private List<ServiceDefinition> readServices(StoredDocument document) {
-    try {
-      return format.read(document.content()).services();
-    } catch (DocumentException e) {
-      LOG.error(
-          "configuration {} cannot be read, so cold upstreams get no requests: {}",
-          document.version(),
-          e.getMessage());
-      return List.of();
-    }
-  }
-
-  /** Returns the requests a second that a cold upstream of a service takes; 0 if none is cold. */
-  private double coldRate(String service) {
-    return appliedServices.stream()
-        .filter(definition -> definition.name().equals(service))
-        .flatMap(definition -> definition.warmUp().stream())
-        .mapToDouble(WarmUp::requestsPerSecond)
-        .findFirst()
-        .orElse(0);
-  }
-
   private static int size(StoredDocument document) {
     return document.content().length;
   }
