Check zone and permit when a request has its connection

Cause, found in review: a request that waited for a connection while its zone was taken out of service was sent nevertheless, however long that took; and all requests that waited for connections to one cold upstream counted on the same permit, so that all but one connected in vain and had used up that upstream. Change: the zone is checked when the request is sent; a permit is set aside before the connection is opened and is checked again when it is used. Result: ColdUpstreamTest passes (mvn -o test -Dtest=ColdUpstreamTest -pl toucansaddle-daemon -am).

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/ColdPermits.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/ColdPermits.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -109,14 +110,24 @@
   }
 
   /** Uses up the permit for a request that is sent now; returns false if there is none. */
-  public synchronized boolean take(String upstream, long startedAtMillis, long nowNanos) {
+  public boolean take(String upstream, long startedAtMillis, long nowNanos) {
+    return reserve(upstream, startedAtMillis, nowNanos).isPresent();
+  }
+
+  /**
+   * Uses up the permit for a request that is sent once there is a connection.
+   *
+   * @return time from which it must not be sent any more; empty if there is no permit
+   */
+  public synchronized OptionalLong reserve(String upstream, long startedAtMillis, long nowNanos) {
     Deque<Long> held = expiries.get(new Start(upstream, startedAtMillis));
     while (held != null && !held.isEmpty()) {
-      if (nowNanos - held.removeFirst() < 0) {
-        return true;
+      long expiry = held.removeFirst();
+      if (nowNanos - expiry < 0) {
+        return OptionalLong.of(expiry);
       }
     }
-    return false;
+    return OptionalLong.empty();
   }
 
   /** Returns the number of requests that may be sent, some of which may have expired. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -10,6 +10,7 @@
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementGrant;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
@@ -99,33 +100,35 @@
     UpstreamConnectionPool pool = context.connectionPool(exchange.getIoThread());
     Connection idle = pool.acquireIdle(address);
     if (idle != null) {
-      startIfPermitted(idle, fallback);
+      startIfPermitted(idle, OptionalLong.empty(), fallback);
     } else if (pool.openCount(address) >= maxConnections) {
       long delayMillis = RetryAfter.randomDelayMillis(call.route().targetMillis());
       String detail = "All connections are in use.";
       call.onUnavailable(this, ErrorResponse.notRun("connections-used", detail, delayMillis));
     } else {
+      OptionalLong reservedUntil = context.state().coldStart().reserve(upstream);
       pool.connect(
           address,
-          connection -> onConnected(connection, fallback),
+          connection -> onConnected(connection, reservedUntil, fallback),
           failure -> onConnectFailed(failure, fallback));
     }
   }
 
-  private void onConnected(Connection connection, ErrorResponse fallback) {
+  private void onConnected(
+      Connection connection, OptionalLong reservedUntil, ErrorResponse fallback) {
     if (!call.isUnderWay(this)) {
       connection.release(0);
     } else if (upstream.turnsAway(context.nowNanos())) {
       connection.close();
       call.onUnavailable(this, fallback);
     } else {
-      startIfPermitted(connection, fallback);
+      startIfPermitted(connection, reservedUntil, fallback);
     }
   }
 
-  /** An upstream may have turned cold, or a permit may have expired, since it was selected. */
-  private void startIfPermitted(Connection connection, ErrorResponse fallback) {
-    if (context.state().coldStart().beginRequest(upstream)) {
+  private void startIfPermitted(
+      Connection connection, OptionalLong reservedUntil, ErrorResponse fallback) {
+    if (context.state().beginRequest(upstream, reservedUntil)) {
       start(connection);
     } else {
       connection.release(0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -57,13 +58,37 @@
     return false;
   }
 
+  /**
+   * Sets a permit aside for a request that has to wait for a connection, so that no others wait for
+   * the same permit.
+   *
+   * @return time from which the request must not be sent; empty if no permit is needed or left
+   */
+  public OptionalLong reserve(Upstream upstream) {
+    return isCold(upstream)
+        ? permits.reserve(upstream.id(), upstream.startedAtMillis(), clock.getAsLong())
+        : OptionalLong.empty();
+  }
+
   /** Returns whether a request may be sent to an upstream at this moment; uses up a permit. */
   public boolean beginRequest(Upstream upstream) {
+    return beginRequest(upstream, OptionalLong.empty());
+  }
+
+  /**
+   * Returns whether a request may be sent to an upstream at this moment.
+   *
+   * @param reservedUntil result of {@link #reserve}; if empty, a permit is used up
+   */
+  boolean beginRequest(Upstream upstream, OptionalLong reservedUntil) {
     if (!isCold(upstream)) {
       return true;
     }
     long now = clock.getAsLong();
-    boolean permitted = permits.take(upstream.id(), upstream.startedAtMillis(), now);
+    boolean permitted =
+        reservedUntil.isPresent()
+            ? now - reservedUntil.getAsLong() < 0
+            : permits.take(upstream.id(), upstream.startedAtMillis(), now);
     (permitted ? used : withheld).incrementAndGet();
     LOG.info(
         "cold upstream {} {}, remaining warm-up {} ms",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -133,6 +134,16 @@
     return coldStart;
   }
 
+  /**
+   * Returns whether a request may be sent to an upstream at this moment, which may have turned cold
+   * or gone out of service since it was selected.
+   *
+   * @param reservedUntil result of {@link ColdStart#reserve}
+   */
+  public boolean beginRequest(Upstream upstream, OptionalLong reservedUntil) {
+    return zones.isInService(upstream) && coldStart.beginRequest(upstream, reservedUntil);
+  }
+
   /** Returns the number of upstreams that have to be spared since they are cold. */
   public int coldUpstreams() {
     return (int) upstreams.all().stream().filter(coldStart::isCold).count();
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -165,6 +166,30 @@
     assertThat(router.coldStart().isCold(upstream)).isFalse();
   }
 
+  // Requests that connected at the same time all waited for one permit.
+  @Test
+  public void shouldLetOneRequestWaitForConnectionForEachPermit() {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(30_000));
+    assertThat(router.coldStart().mayGetRequest(upstream)).isFalse();
+    reports.onNext(router.createReport().build());
+    assertThat(router.coldStart().mayGetRequest(upstream)).isTrue();
+    OptionalLong reservedUntil = router.coldStart().reserve(upstream);
+    assertThat(router.coldStart().mayGetRequest(upstream)).isFalse();
+    advance(799);
+    assertThat(router.beginRequest(upstream, reservedUntil)).isTrue();
+    advance(1);
+    assertThat(router.beginRequest(upstream, reservedUntil)).isFalse();
+  }
+
+  // A request that was connecting while its zone was taken out of service was still sent.
+  @Test
+  public void shouldNotBeginRequestInZoneOutOfService() {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    assertThat(router.beginRequest(upstream, OptionalLong.empty())).isTrue();
+    order(new ZoneOrder("z1", true));
+    assertThat(router.beginRequest(upstream, OptionalLong.empty())).isFalse();
+  }
+
   // A warm-up that begins must not wait for the next heartbeat of the control daemon.
   @Test
   public void shouldPassOnAtOnceThatUpstreamTurnsCold() {
