Serve requests only in the regions that route and account allow

Cause: a document may name regions in which a route or an account may be served; no code read it. Change: AllowedRegions and ZoneRegions (coordination.zones) decide; the settings give the region of each zone; UpstreamChoice leaves out upstreams elsewhere, for first attempts, retries, takeovers, resumed streams and placement. A request that only upstreams elsewhere would accept is refused at once (503 no-upstream-in-region).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/FleetDocument.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/FleetDocument.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.toucansaddle.coordination.zones.AllowedRegions;
 
 /**
  * Complete, versioned configuration of a gateway: routes, services, client accounts and limits.
@@ -60,6 +61,7 @@
     }
     checkRoutes(checkServices());
     checkKeys();
+    checkRegions();
     return this;
   }
 
@@ -111,6 +113,25 @@
     }
   }
 
+  private void checkRegions() throws DocumentException {
+    for (Route route : routes) {
+      checkRegions("route '" + route.name() + "': ", route.regions());
+    }
+    for (ClientAccount account : accounts.orElse(List.of())) {
+      checkRegions("account '" + account.name() + "': ", account.regions());
+    }
+  }
+
+  private static void checkRegions(String where, AllowedRegions regions) throws DocumentException {
+    Set<String> names = regions.names().orElse(Set.of("any"));
+    if (names.isEmpty() || names.contains("")) {
+      throw new DocumentException(
+          where
+              + "the list of regions or a name in it is empty, so that nothing may be served;"
+              + " name at least one region, or leave out the list to allow all");
+    }
+  }
+
   private void checkKeys() throws DocumentException {
     Map<String, String> owners = new HashMap<>();
     for (ClientAccount account : accounts.orElse(List.of())) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import org.toucansaddle.coordination.zones.ZoneRegions;
 
 /**
  * Settings of one daemon of a gateway. Immutable.
@@ -14,6 +15,7 @@
  * @param seeds peer addresses of some control daemons; the list may be out of date
  * @param headers names of the header fields
  * @param format format of configuration documents
+ * @param regions region of each availability zone
  */
 public record GatewaySettings(
     String name,
@@ -22,7 +24,20 @@
     String fleetSecret,
     List<String> seeds,
     HeaderNames headers,
-    DocumentFormat format) {
+    DocumentFormat format,
+    ZoneRegions regions) {
+
+  /** Creates settings of a gateway whose zones belong to no region. */
+  public GatewaySettings(
+      String name,
+      String zone,
+      String peerAddress,
+      String fleetSecret,
+      List<String> seeds,
+      HeaderNames headers,
+      DocumentFormat format) {
+    this(name, zone, peerAddress, fleetSecret, seeds, headers, format, ZoneRegions.none());
+  }
 
   /** Copies the seeds. */
   public GatewaySettings {
@@ -31,7 +46,13 @@
 
   /** Returns a copy of these settings with other seeds. */
   public GatewaySettings withSeeds(List<String> other) {
-    return new GatewaySettings(name, zone, peerAddress, fleetSecret, other, headers, format);
+    return new GatewaySettings(
+        name, zone, peerAddress, fleetSecret, other, headers, format, regions);
+  }
+
+  /** Returns a copy of these settings with other regions. */
+  public GatewaySettings withRegions(ZoneRegions other) {
+    return new GatewaySettings(name, zone, peerAddress, fleetSecret, seeds, headers, format, other);
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/Route.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/Route.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.gateway;
 
 import java.util.List;
+import org.toucansaddle.coordination.zones.AllowedRegions;
 
 /**
  * Routing rule for the requests of one host and path prefix. Immutable.
@@ -19,6 +20,7 @@
  * @param open whether requests are accepted without a key
  * @param resumable whether an interrupted stream may be resumed at another upstream; false unless
  *     the route is one of streams, whatever a document says
+ * @param regions regions in which the requests may be served
  */
 public record Route(
     String name,
@@ -32,7 +34,8 @@
     List<WeightedService> services,
     int maxAttempts,
     boolean open,
-    boolean resumable) {
+    boolean resumable,
+    AllowedRegions regions) {
 
   /** Lower bound of the stall timeout, whatever the targets. */
   private static final int MIN_STALL_TIMEOUT_MILLIS = 2_000;
@@ -40,12 +43,60 @@
   private static final int STALL_TIMEOUT_PER_TARGET = 4;
   private static final int STALL_TIMEOUT_PER_GAP_TARGET = 8;
 
+  /** Creates a route whose requests may be served in all regions. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      Repetition repetition,
+      int timeoutMillis,
+      int targetMillis,
+      int gapTargetMillis,
+      int priority,
+      List<WeightedService> services,
+      int maxAttempts,
+      boolean open,
+      boolean resumable) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        repetition,
+        timeoutMillis,
+        targetMillis,
+        gapTargetMillis,
+        priority,
+        services,
+        maxAttempts,
+        open,
+        resumable,
+        AllowedRegions.any());
+  }
+
   /** Copies the services; only streams can be resumed. */
   public Route {
     services = List.copyOf(services);
     resumable = resumable && repetition == Repetition.STREAM;
   }
 
+  /** Returns a copy whose requests may be served in other regions. */
+  public Route withRegions(AllowedRegions other) {
+    return new Route(
+        name,
+        host,
+        pathPrefix,
+        repetition,
+        timeoutMillis,
+        targetMillis,
+        gapTargetMillis,
+        priority,
+        services,
+        maxAttempts,
+        open,
+        resumable,
+        other);
+  }
+
   /** Returns whether a request may be sent again although it may have been executed already. */
   public boolean isRepeatable() {
     return repetition == Repetition.REPEATABLE || resumable;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/TomlDocuments.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/TomlDocuments.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.toucansaddle.coordination.zones.AllowedRegions;
 import org.toucansaddle.daemon.gateway.ServiceDefinition.EngineCapacity;
 import org.toucansaddle.daemon.gateway.ServiceDefinition.WarmUp;
 import org.toucansaddle.daemon.internal.gateway.control.TomlTable;
@@ -75,11 +76,18 @@
             readTargets(table),
             table.integer("max_attempts", 1),
             table.flag("open"),
-            table.flag("resumable"));
+            table.flag("resumable"),
+            readRegions(table));
     table.rejectUnknownFields();
     return route;
   }
 
+  private static AllowedRegions readRegions(TomlTable table) throws DocumentException {
+    return table.has("regions")
+        ? AllowedRegions.of(new HashSet<>(table.strings("regions")))
+        : AllowedRegions.any();
+  }
+
   private static Repetition parseRepetition(String text) throws DocumentException {
     for (Repetition value : Repetition.values()) {
       if (value.name().toLowerCase(Locale.ROOT).equals(text)) {
@@ -144,7 +152,9 @@
     }
     List<ClientAccount> accounts = new ArrayList<>();
     for (TomlTable table : root.tables("accounts")) {
-      accounts.add(new ClientAccount(table.string("name"), new HashSet<>(table.strings("keys"))));
+      accounts.add(
+          new ClientAccount(
+              table.string("name"), new HashSet<>(table.strings("keys")), readRegions(table)));
       table.rejectUnknownFields();
     }
     return Optional.of(accounts);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -142,15 +142,7 @@
             control.dataFolder().resolve("quarantine"), quarantine, System::nanoTime);
     this.followers =
         new FollowServer(
-            new FollowSources(
-                () -> applied,
-                replicaSet::addresses,
-                new ColdRates(format, () -> applied.document())),
-            registry,
-            quarantine,
-            origins,
-            System::nanoTime,
-            settings.zone());
+            followSources(), registry, quarantine, origins, System::nanoTime, settings.zone());
     RouterState observed = new RouterState(format, UPSTREAM_TIMEOUT_MILLIS, System::nanoTime);
     this.observer = createObserver(settings, observed);
     this.placement = new PlacementServer(observed, System::nanoTime);
@@ -214,6 +206,11 @@
         "toucansaddle_gateway_origins", "Origins of streams in memory.", origins::size);
   }
 
+  private FollowSources followSources() {
+    return new FollowSources(
+        () -> applied, replicaSet::addresses, new ColdRates(format, () -> applied.document()));
+  }
+
   /** Follows the fleet once a router has asked for slots. */
   private void observeFleet() {
     if (placement.isUsed()) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -187,7 +187,8 @@
             connections,
             ioLag,
             originLookup,
-            placement);
+            placement,
+            settings.regions());
     this.connectOutcomes = context.connectOutcomes();
     this.handler = new GatewayHandler(context);
     startServers(buffers);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
@@ -67,7 +67,7 @@
    */
   Optional<ErrorResponse> admit(Optional<Selection> selected, List<Upstream> usable) {
     if (admitted || usable.isEmpty()) {
-      return Optional.empty();
+      return admitted ? Optional.empty() : choice.refuseForRegion();
     }
     Admission admission =
         context.admission().admit(admissionRequest(), selected, () -> choice.refuseForLoad(usable));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -1,6 +1,9 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.zones.AllowedRegions;
 import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.AccountState;
@@ -45,6 +48,16 @@
         RETRY_ELSEWHERE_MILLIS);
   }
 
+  /** Refuses a request that may not be served where the upstreams are that would accept it. */
+  static ErrorResponse notInRegion(String service, AllowedRegions regions) {
+    return notRun(
+        "no-upstream-in-region",
+        ("No upstream of service '%s' is ready in the regions %s,"
+                + " to which route and account restrict the request.")
+            .formatted(service, new TreeSet<>(regions.names().orElse(Set.of()))),
+        500);
+  }
+
   static ErrorResponse bodyTooLong(int maxBytes) {
     String detail = "The body is longer than " + maxBytes + " bytes. Send a shorter body.";
     return new ErrorResponse(413, "body-too-long", RunState.NOT_RUN, detail, 0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import org.toucansaddle.coordination.admission.LoadShedding;
 import org.toucansaddle.coordination.admission.LoadShedding.Others;
 import org.toucansaddle.coordination.admission.ReadLag;
+import org.toucansaddle.coordination.zones.ZoneRegions;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementClient;
@@ -38,6 +39,7 @@
   private final ConnectOutcomes connectOutcomes = new ConnectOutcomes();
   private final OriginLookup originLookup;
   private final PlacementClient placement;
+  private final ZoneRegions regions;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<String, OnTimeRate> onTimeRates = new ConcurrentHashMap<>();
   private final Map<String, FirstTokenEstimator> estimators = new ConcurrentHashMap<>();
@@ -55,6 +57,7 @@
    * @param ioLag lag of the I/O threads
    * @param originLookup finds where streams began that callers take up again
    * @param placement asks a control daemon where requests go
+   * @param regions region of each availability zone
    */
   public RelayContext(
       RouterState state,
@@ -68,7 +71,8 @@
       CallerConnections connections,
       IoLag ioLag,
       OriginLookup originLookup,
-      PlacementClient placement) {
+      PlacementClient placement,
+      ZoneRegions regions) {
     this.state = state;
     this.codec = codec;
     this.admission = new AdmissionControl(state.shares());
@@ -83,6 +87,7 @@
     this.shedding = new LoadShedding(nanoClock, () -> ThreadLocalRandom.current().nextDouble());
     this.originLookup = originLookup;
     this.placement = placement;
+    this.regions = regions;
   }
 
   RouterState state() {
@@ -134,6 +139,10 @@
     return connectOutcomes;
   }
 
+  ZoneRegions regions() {
+    return regions;
+  }
+
   OriginLookup originLookup() {
     return originLookup;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -72,7 +72,7 @@
     this.route = request.route();
     RequestHead head = request.head();
     this.times = new CallTimes(context::nowNanos, startNanos, head.timeoutMillis(route));
-    this.choice = new UpstreamChoice(context, head, route, request.view(), origin);
+    this.choice = new UpstreamChoice(context, request, origin);
     this.quarantine =
         new CallQuarantine(
             context.state().quarantine(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
+import org.toucansaddle.coordination.zones.AllowedRegions;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.gateway.WeightedService;
@@ -36,6 +37,7 @@
   private final Route route;
   private final RoutingView view;
   private final String service;
+  private final AllowedRegions regions;
 
   /** Where the stream began; empty while it may begin anywhere. */
   private Optional<StreamOrigin> origin;
@@ -45,17 +47,13 @@
   private double nominalTokensPerMilli;
 
   /** Takes the service of an earlier part of the stream, or else draws one of the route's. */
-  UpstreamChoice(
-      RelayContext context,
-      RequestHead head,
-      Route route,
-      RoutingView view,
-      Optional<StreamOrigin> origin) {
+  UpstreamChoice(RelayContext context, CallRequest request, Optional<StreamOrigin> origin) {
     this.context = context;
-    this.head = head;
-    this.route = route;
-    this.view = view;
+    this.head = request.head();
+    this.route = request.route();
+    this.view = request.view();
     this.origin = origin;
+    this.regions = view.regions(route, request.account());
     this.service =
         origin
             .map(StreamOrigin::service)
@@ -83,7 +81,27 @@
         .usableUpstreams(
             service,
             route.isRepeatable(),
-            upstream -> origin.isEmpty() || origin.get().equals(originAt(upstream)));
+            upstream ->
+                isAllowed(upstream)
+                    && (origin.isEmpty() || origin.get().equals(originAt(upstream))));
+  }
+
+  /** Returns whether a request of this account on this route may be served by an upstream. */
+  private boolean isAllowed(Upstream upstream) {
+    return regions.include(context.regions().regionOf(upstream.report().zone()));
+  }
+
+  /**
+   * Returns the response to a call that no upstream accepts, if others than those of the allowed
+   * regions would accept it.
+   */
+  Optional<ErrorResponse> refuseForRegion() {
+    boolean othersAccept =
+        regions.isRestricted()
+            && !context.state().usableUpstreams(service, route.isRepeatable()).isEmpty();
+    return othersAccept
+        ? Optional.of(ErrorResponse.notInRegion(service, regions))
+        : Optional.empty();
   }
 
   private static StreamOrigin originAt(Upstream upstream) {
@@ -115,7 +133,10 @@
     int count =
         origin.isEmpty()
             ? usable.size()
-            : context.state().usableUpstreams(service, route.isRepeatable()).size();
+            : context
+                .state()
+                .usableUpstreams(service, route.isRepeatable(), this::isAllowed)
+                .size();
     EngineProfile profile = EngineProfile.of(view, service, count, context.estimator(service));
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
     List<Upstream> allowed = usable.stream().filter(this::mayBeSentTo).toList();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RoutingView.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.toucansaddle.coordination.zones.AllowedRegions;
 import org.toucansaddle.daemon.gateway.ClientAccount;
 import org.toucansaddle.daemon.gateway.FleetDocument;
 import org.toucansaddle.daemon.gateway.Route;
@@ -16,6 +17,7 @@
   private final RouteTable routes;
   private final int shortestTargetMillis;
   private final Map<String, String> accountByKey = new HashMap<>();
+  private final Map<String, AllowedRegions> regionsByAccount = new HashMap<>();
   private final Map<String, ServiceDefinition> services = new HashMap<>();
 
   /** Creates the view of a document. */
@@ -26,6 +28,7 @@
         document.routes().stream().mapToInt(Route::targetMillis).min().orElse(Integer.MAX_VALUE);
     for (ClientAccount account : document.accounts().orElse(List.of())) {
       account.keys().forEach(key -> accountByKey.put(key, account.name()));
+      regionsByAccount.put(account.name(), account.regions());
     }
     document.services().forEach(service -> services.put(service.name(), service));
   }
@@ -45,6 +48,11 @@
     return Optional.ofNullable(accountByKey.get(key));
   }
 
+  /** Returns the regions in which requests of an account on a route may be served. */
+  public AllowedRegions regions(Route route, String account) {
+    return route.regions().and(regionsByAccount.getOrDefault(account, AllowedRegions.any()));
+  }
+
   /** Returns the service of a name. */
   public Optional<ServiceDefinition> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/gateway/TomlDocumentsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.coordination.zones.AllowedRegions;
 import org.toucansaddle.daemon.gateway.ServiceDefinition.WarmUp;
 
 /** Tests of {@link TomlDocuments}. */
@@ -52,10 +53,12 @@
       priority = 1
       open = true
       service = "buoys"
+      regions = [ "north", "south", "north" ]
 
       [[accounts]]
       name = "puntarenas"
       keys = [ "k1", "k2" ]
+      regions = [ "south" ]
       """;
 
   private static FleetDocument read(String text) throws DocumentException {
@@ -74,7 +77,9 @@
     assertThat(document.services().get(1).engine()).isEmpty();
     assertThat(document.services().get(1).warmUp()).isEmpty();
     assertThat(document.accounts().orElseThrow())
-        .containsExactly(new ClientAccount("puntarenas", Set.of("k1", "k2")));
+        .containsExactly(
+            new ClientAccount(
+                "puntarenas", Set.of("k1", "k2"), AllowedRegions.of(Set.of("south"))));
     Route stream = document.routes().get(0);
     assertThat(stream.host()).isEqualTo("charts.example");
     assertThat(stream.isStream() && stream.isRepeatable()).isTrue();
@@ -83,6 +88,8 @@
     Route buoy = document.routes().get(1);
     assertThat(buoy.targetMillis()).as("defaults to the timeout").isEqualTo(3_000);
     assertThat(buoy.open()).isTrue();
+    assertThat(buoy.regions()).isEqualTo(AllowedRegions.of(Set.of("north", "south")));
+    assertThat(stream.regions()).isEqualTo(AllowedRegions.any());
   }
 
   /** Guards against requests that run twice since a route without streams is marked resumable. */
@@ -120,6 +127,9 @@
       {"slots = 64", "slots = -1", "chart-model' engine: 'slots' must be a whole number"},
       {"requests_per_second = 6.9", "requests_per_second = 0", "must be a number above 0"},
       {"max_attempts = 2", "max_attempts = 3000000000", "at most 2147483647"},
+      {"regions = [ \"south\" ]", "regions = []", "account 'puntarenas': the list of regions"},
+      {"regions = [ \"south\" ]", "regions = \"south\"", "'regions' must be a list of strings"},
+      {"\"north\", \"south\", \"north\"", "\"\"", "route 'buoy': the list of regions"},
       {"[limits]", "[limits", "not valid TOML"},
       {"/answers/", "/answers", "begin and end with a slash"},
     };
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -16,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
+import org.toucansaddle.coordination.zones.ZoneRegions;
 import org.toucansaddle.daemon.gateway.CallerLimits;
 import org.toucansaddle.daemon.gateway.ClientAccount;
 import org.toucansaddle.daemon.gateway.ControlGateway;
@@ -54,6 +56,10 @@
   static final int TARGET_MILLIS = 1_000;
 
   static final int CONTROL_COUNT = 5;
+
+  /** Two zones of different regions, which matter only to documents that name regions. */
+  private static final ZoneRegions REGIONS = new ZoneRegions(Map.of("za", "east", "zb", "west"));
+
   private static final int SEED_COUNT = 3;
   private static final int ROUTER_COUNT = 2;
   private static final int MAX_DESCRIPTORS = 4_096;
@@ -101,7 +107,8 @@
   static GatewaySettings settings(
       String name, String peerAddress, List<String> seeds, DocumentFormat format) {
     return new GatewaySettings(
-        name, "z1", peerAddress, "secret-of-the-test", seeds, HeaderNames.defaults(), format);
+            name, "z1", peerAddress, "secret-of-the-test", seeds, HeaderNames.defaults(), format)
+        .withRegions(REGIONS);
   }
 
   private ControlGateway startControl(int index, boolean firstStart) throws IOException {
