Read what upstreams tell of their load, and learn the speed of each

Cause: no code read the load that upstreams tell in their responses, and all upstreams of a service counted as equally fast.

Change: UpstreamCondition holds the told load with its age, the counts of this router and the others, and the speed of one upstream, learned by all routers together; selection among engines expects the time to the first token from it. The estimate of a service is the ratio of observed to nominal times by their sums, no longer the mean of ratios, which short prompts that waited made too high.

--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/ToldLoad.java
@@ -0,0 +1,34 @@
+package org.toucansaddle.coordination.upstream;
+
+import java.util.OptionalInt;
+
+/**
+ * What an upstream says of its own load. Immutable.
+ *
+ * @param running requests that it works on
+ * @param waiting requests that wait there
+ * @param slots requests that it works on at the same time
+ * @param workPercent time that work takes there, in percent of the usual; empty if not told
+ */
+public record ToldLoad(int running, int waiting, int slots, OptionalInt workPercent) {
+
+  /** Requests per slot above which a figure cannot be right; queues are shorter. */
+  private static final int MAX_REQUESTS_PER_SLOT = 20;
+
+  private static final int MIN_WORK_PERCENT = 5;
+  private static final int MAX_WORK_PERCENT = 5_000;
+
+  /** Returns whether the figures may be right. */
+  public boolean isPlausible() {
+    return running >= 0
+        && waiting >= 0
+        && slots > 0
+        && (long) running + waiting <= (long) MAX_REQUESTS_PER_SLOT * slots
+        && workPercent.stream().allMatch(p -> p >= MIN_WORK_PERCENT && p <= MAX_WORK_PERCENT);
+  }
+
+  /** Returns the requests there. */
+  public int requests() {
+    return running + waiting;
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.LoadNotice;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -26,14 +27,20 @@
     return sums.values();
   }
 
-  /** Adds the time since a report to the age of what it says about a limit. */
+  /** Adds the time since a report to the age of what it says of the words of upstreams. */
   private static UpstreamWork aged(UpstreamWork work, long nanos) {
-    if (!work.hasLimit()) {
+    if (!work.hasLimit() && !work.hasLoad()) {
       return work;
     }
-    LimitNotice.Builder notice = work.getLimit().toBuilder();
-    notice.setAgeMillis(notice.getAgeMillis() + (int) TimeUnit.NANOSECONDS.toMillis(nanos));
-    return work.toBuilder().setLimit(notice).build();
+    int millis = (int) TimeUnit.NANOSECONDS.toMillis(nanos);
+    UpstreamWork.Builder aged = work.toBuilder();
+    if (work.hasLimit()) {
+      aged.getLimitBuilder().setAgeMillis(work.getLimit().getAgeMillis() + millis);
+    }
+    if (work.hasLoad()) {
+      aged.getLoadBuilder().setAgeMillis(work.getLoad().getAgeMillis() + millis);
+    }
+    return aged.build();
   }
 
   private static UpstreamWork add(UpstreamWork a, UpstreamWork b) {
@@ -43,16 +50,29 @@
             .setPendingTokens(a.getPendingTokens() + b.getPendingTokens())
             .setMemoryTokens(a.getMemoryTokens() + b.getMemoryTokens())
             .setStuck(a.getStuck() + b.getStuck())
-            .setAnswered(a.getAnswered() + b.getAnswered());
+            .setAnswered(a.getAnswered() + b.getAnswered())
+            .setObservedMillis(a.getObservedMillis() + b.getObservedMillis())
+            .setNominalMillis(a.getNominalMillis() + b.getNominalMillis());
     if (b.hasLimit() && (!a.hasLimit() || isNewer(b.getLimit(), a.getLimit()))) {
       sum.setLimit(b.getLimit());
     }
+    if (b.hasLoad() && (!a.hasLoad() || isNewer(b.getLoad(), a.getLoad()))) {
+      sum.setLoad(b.getLoad());
+    }
     return sum.build();
   }
 
   private static boolean isNewer(LimitNotice a, LimitNotice b) {
-    return a.getStartedAtMillis() == b.getStartedAtMillis()
-        ? a.getAgeMillis() < b.getAgeMillis()
-        : a.getStartedAtMillis() > b.getStartedAtMillis();
+    return isNewer(
+        a.getStartedAtMillis(), a.getAgeMillis(), b.getStartedAtMillis(), b.getAgeMillis());
+  }
+
+  private static boolean isNewer(LoadNotice a, LoadNotice b) {
+    return isNewer(
+        a.getStartedAtMillis(), a.getAgeMillis(), b.getStartedAtMillis(), b.getAgeMillis());
+  }
+
+  private static boolean isNewer(long startA, int ageA, long startB, int ageB) {
+    return startA == startB ? ageA < ageB : startA > startB;
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -9,8 +9,10 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.upstream.ToldLoad;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementGrant;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
@@ -227,6 +229,7 @@
     }
     if (status != HeaderCodec.MISDIRECTED_REQUEST) {
       takeNotice(context.codec().readNotice(status, headers));
+      takeLoad(context.codec().loadText(headers));
     }
     if (isRefusal) {
       close();
@@ -267,6 +270,22 @@
     }
   }
 
+  /** Takes over what the upstream tells of its load. */
+  private void takeLoad(String text) {
+    if (text == null) {
+      return;
+    }
+    Optional<ToldLoad> load = LoadField.parse(text);
+    if (load.isPresent()) {
+      upstream.condition().recordTold(load.get(), context.nowNanos());
+    } else {
+      context.metrics().recordMalformedLoad();
+      if (upstream.isFirstMalformedNotice()) {
+        RelayLog.malformedNotice(call, upstream, List.of(text));
+      }
+    }
+  }
+
   static boolean isSuccess(int status) {
     return status >= 200 && status < 300;
   }
@@ -301,6 +320,12 @@
       context
           .estimator(call.service())
           .addSample(pendingTokens, nominalTokensPerMilli, millis, lagMillis);
+      upstream
+          .condition()
+          .recordTime(
+              Math.max(0, millis - lagMillis),
+              FirstTokenEstimator.nominalMillis(pendingTokens, nominalTokensPerMilli),
+              context.nowNanos());
       grant.started(Math.max(0, millis - Math.round(lagMillis)));
     }
     call.admission().recordBegun();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/FirstTokenEstimator.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/FirstTokenEstimator.java
@@ -4,21 +4,35 @@
  * Estimates the time until the first token of a response for the engines of one service.
  *
  * <p>The estimate is the time to prefill all pending tokens at the nominal speed, multiplied by a
- * factor. The factor is a moving average of observed times, so it includes the other work of the
- * engines. Thread-safe; a lost concurrent update costs one sample.
+ * factor. The factor is the moving average of observed times divided by that of the nominal ones,
+ * so it includes the other work of the engines, and short prompts that waited have little weight.
+ * Thread-safe; a lost concurrent update costs one sample.
  */
 public final class FirstTokenEstimator {
 
   /** Time until the first token without any prefill. */
   private static final double BASE_MILLIS = 20;
 
-  /** Weight of one sample in the moving average. */
+  /** Weight of one sample in the moving averages. */
   private static final double SAMPLE_WEIGHT = 0.05;
 
+  /** Nominal time that the averages begin with. */
+  private static final double INITIAL_MILLIS = 50;
+
   private static final double MIN_FACTOR = 0.2;
   private static final double MAX_FACTOR = 8;
 
-  private volatile double factor = 1;
+  private volatile Averages averages = new Averages(INITIAL_MILLIS, INITIAL_MILLIS);
+
+  /** Moving averages of times, in milliseconds. Immutable. */
+  private record Averages(double observed, double nominal) {
+
+    Averages with(double observedMillis, double nominalMillis) {
+      return new Averages(
+          observed + SAMPLE_WEIGHT * (observedMillis - observed),
+          nominal + SAMPLE_WEIGHT * (nominalMillis - nominal));
+    }
+  }
 
   /**
    * Adds a sample.
@@ -29,19 +43,25 @@
    * @param lagMillis part of it in which the router was late to read the token, in milliseconds
    */
   public void addSample(long tokens, double nominalTokensPerMilli, long millis, double lagMillis) {
+    double nominal = nominalMillis(tokens, nominalTokensPerMilli);
     double engineMillis = Math.max(0, millis - lagMillis);
-    double sample = engineMillis / nominalMillis(tokens, nominalTokensPerMilli);
-    double bounded = Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, sample));
-    double previous = factor;
-    factor = previous + SAMPLE_WEIGHT * (bounded - previous);
+    double bounded = Math.max(MIN_FACTOR * nominal, Math.min(MAX_FACTOR * nominal, engineMillis));
+    averages = averages.with(bounded, nominal);
+  }
+
+  /** Returns the time until the first token as a multiple of the nominal time. */
+  public double factor() {
+    Averages current = averages;
+    return current.observed() / current.nominal();
   }
 
   /** Returns the expected time until the first token after a prefill, in milliseconds. */
   public double estimateMillis(long tokens, double nominalTokensPerMilli) {
-    return factor * nominalMillis(tokens, nominalTokensPerMilli);
+    return factor() * nominalMillis(tokens, nominalTokensPerMilli);
   }
 
-  private static double nominalMillis(long tokens, double nominalTokensPerMilli) {
+  /** Returns the time until the first token after a prefill at the nominal speed. */
+  static double nominalMillis(long tokens, double nominalTokensPerMilli) {
     return BASE_MILLIS + Math.max(0, tokens) / nominalTokensPerMilli;
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -55,6 +55,7 @@
   private final HttpString resumes;
   private final HttpString requestLimit;
   private final HttpString leaving;
+  private final HttpString load;
   private final Set<HttpString> withheldFromUpstreams;
 
   /** Creates a codec for a set of names. */
@@ -72,6 +73,7 @@
     this.resumes = new HttpString(names.resumes());
     this.requestLimit = new HttpString(names.requestLimit());
     this.leaving = new HttpString(names.leaving());
+    this.load = new HttpString(names.load());
     Set<HttpString> withheldHeaders = new HashSet<>(HOP_BY_HOP);
     withheldHeaders.add(credential);
     withheldHeaders.add(account);
@@ -227,6 +229,11 @@
         headers.getFirst(requestLimit), headers.getFirst(leaving), retryAfter);
   }
 
+  /** Returns the text in which an upstream tells its load; null if it tells none. */
+  String loadText(HeaderMap headers) {
+    return headers.getFirst(load);
+  }
+
   /** Returns whether the content of a response is an event stream or of an unknown type. */
   static boolean mayBeEventStream(HeaderMap headers) {
     String type = headers.getFirst(Headers.CONTENT_TYPE);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -63,7 +63,8 @@
     String shown = String.join("; ", values);
     LOG.warn(
         "malformed_notice upstream={} request={} values=\"{}\" expected=\"a limit in requests a"
-            + " second such as 5.8, 1 if it leaves, a pause in seconds such as 2.5\"",
+            + " second such as 5.8, 1 if it leaves, a pause in seconds such as 2.5, a load such as"
+            + " 3,0,8\"",
         upstream.id(),
         call.head().requestId(),
         shown.substring(0, Math.min(shown.length(), MAX_LOGGED_VALUE)));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
@@ -29,6 +29,11 @@
           .help("Lookups of where a stream began, by outcome.")
           .labelNames("outcome")
           .register(registry);
+  private final Counter malformedLoads =
+      Counter.builder()
+          .name("toucansaddle_gateway_malformed_loads_total")
+          .help("Responses whose field of the upstream's load cannot be used.")
+          .register(registry);
   private final Histogram firstByteSeconds =
       Histogram.builder()
           .name("toucansaddle_gateway_first_byte_seconds")
@@ -47,6 +52,11 @@
     attempts.labelValues(outcome).inc();
   }
 
+  /** Counts a response whose field of the upstream's load cannot be used. */
+  public void recordMalformedLoad() {
+    malformedLoads.inc();
+  }
+
   /** Counts a lookup of where a stream began. */
   public void recordOriginLookup(String outcome) {
     originLookups.labelValues(outcome).inc();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -116,7 +116,8 @@
         origin.isEmpty()
             ? usable.size()
             : context.state().usableUpstreams(service, route.isRepeatable()).size();
-    EngineProfile profile = EngineProfile.of(view, service, count, context.estimator(service));
+    EngineProfile profile =
+        EngineProfile.of(view, service, count, context.estimator(service), context.nowNanos());
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
     List<Upstream> allowed = usable.stream().filter(this::mayBeSentTo).toList();
     if (isFirst() && !isTurn(usable)) {
@@ -203,7 +204,8 @@
   Optional<Selection> selectPlaced(PlacementAnswer answer) {
     List<Upstream> usable = usable();
     nominalTokensPerMilli =
-        EngineProfile.of(view, service, usable.size(), context.estimator(service))
+        EngineProfile.of(
+                view, service, usable.size(), context.estimator(service), context.nowNanos())
             .nominalTokensPerMilli();
     return usable.stream()
         .filter(upstream -> upstream.id().equals(answer.getUpstream()))
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -83,9 +83,13 @@
    * @param estimator estimates the time to the first token
    * @param nominalTokensPerMilli nominal prefill speed, in tokens per millisecond
    * @param memoryTokens tokens that an engine holds in memory; 0 if unknown
+   * @param nowNanos time of the selection
    */
   public record EngineProfile(
-      FirstTokenEstimator estimator, double nominalTokensPerMilli, long memoryTokens) {
+      FirstTokenEstimator estimator,
+      double nominalTokensPerMilli,
+      long memoryTokens,
+      long nowNanos) {
 
     /** Prompt tokens that an engine prefills in the time in which it serves one token. */
     private static final double PREFILL_TO_SERVED_RATIO = 2;
@@ -98,7 +102,11 @@
      * @param engines number of usable engines
      */
     static EngineProfile of(
-        RoutingView view, String service, int engines, FirstTokenEstimator estimator) {
+        RoutingView view,
+        String service,
+        int engines,
+        FirstTokenEstimator estimator,
+        long nowNanos) {
       double served = view.tokensPerSecond() / MILLIS_PER_SECOND / Math.max(1, engines);
       double prefilled =
           served > 0 ? PREFILL_TO_SERVED_RATIO * served : DEFAULT_PREFILL_TOKENS_PER_MILLI;
@@ -107,11 +115,13 @@
               .flatMap(ServiceDefinition::engine)
               .map(ServiceDefinition.EngineCapacity::memoryTokens)
               .orElse(0L);
-      return new EngineProfile(estimator, prefilled, memoryTokens);
+      return new EngineProfile(estimator, prefilled, memoryTokens, nowNanos);
     }
 
-    double firstTokenMillis(long tokens) {
-      return estimator.estimateMillis(tokens, nominalTokensPerMilli);
+    /** Returns the expected time to the first token at an engine, in milliseconds. */
+    double firstTokenMillis(Upstream engine, long tokens) {
+      return engine.condition().multiple(estimator.factor(), nowNanos)
+          * FirstTokenEstimator.nominalMillis(tokens, nominalTokensPerMilli);
     }
   }
 
@@ -182,8 +192,8 @@
         continue;
       }
       int prefillTokens = head.promptTokens() - (first ? head.sharedPrefixTokens() : 0);
-      double queueMillis = profile.firstTokenMillis(upstream.pendingTokens());
-      double millis = profile.firstTokenMillis(upstream.pendingTokens() + prefillTokens);
+      double queueMillis = profile.firstTokenMillis(upstream, upstream.pendingTokens());
+      double millis = profile.firstTokenMillis(upstream, upstream.pendingTokens() + prefillTokens);
       if (!prefix.isEmpty() && millis < PREFIX_WAIT_TARGET_FRACTION * targetMillis) {
         Reason reason = first ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
         return Optional.of(new Selection(upstream, queueMillis, millis, prefillTokens, reason));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucansaddle.coordination.pacing.WarmUpState;
+import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
+import org.toucansaddle.coordination.upstream.UpstreamCondition;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.toucansaddle.protocol.generated.UpstreamWork;
@@ -34,7 +36,6 @@
   private volatile long lastReportAtNanos;
   private volatile long pausedUntilNanos;
   private volatile long avoidedUntilNanos;
-  private volatile int remoteRequests;
   private volatile int remotePendingTokens;
   private volatile int remoteMemoryTokens;
   private final HangDetector hangDetector = new HangDetector();
@@ -45,7 +46,7 @@
   private final AtomicBoolean malformedNoticed = new AtomicBoolean();
   private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
-  private final AtomicInteger localRequests = new AtomicInteger();
+  private final UpstreamCondition condition = new UpstreamCondition();
   private final AtomicLong localPendingTokens = new AtomicLong();
   private final AtomicLong localMemoryTokens = new AtomicLong();
 
@@ -193,7 +194,7 @@
    */
   public void recordRequestStarted(int tokens, int memoryTokens) {
     limit.recordSent();
-    localRequests.incrementAndGet();
+    condition.requestStarted();
     localPendingTokens.addAndGet(tokens);
     localMemoryTokens.addAndGet(memoryTokens);
   }
@@ -205,20 +206,21 @@
 
   /** Records the end of a request that occupied this many tokens in memory. */
   public void recordRequestEnded(int memoryTokens) {
-    localRequests.decrementAndGet();
+    condition.requestEnded();
     localMemoryTokens.addAndGet(-memoryTokens);
   }
 
   /** Replaces the load of the other routers at the upstream. */
-  void updateRemoteWork(UpstreamWork work) {
-    remoteRequests = work.getRequests();
+  void updateRemoteWork(UpstreamWork work, long nowNanos) {
+    Sums speed = new Sums(work.getObservedMillis(), work.getNominalMillis());
+    condition.updateOthers(work.getRequests(), speed, nowNanos);
     remotePendingTokens = work.getPendingTokens();
     remoteMemoryTokens = work.getMemoryTokens();
   }
 
   /** Returns the number of this router's requests under way at the upstream. */
   public int localRequests() {
-    return localRequests.get();
+    return condition.localRequests();
   }
 
   /** Returns this router's prompt tokens that the upstream has not processed yet. */
@@ -236,9 +238,14 @@
     return localMemoryTokens.get() + remoteMemoryTokens;
   }
 
-  /** Returns the number of all routers' requests under way, the others' as last reported. */
+  /** Returns the number of all routers' requests under way, as last reported or told. */
   public int requests() {
-    return localRequests.get() + remoteRequests;
+    return condition.requests();
+  }
+
+  /** Returns the load and the speed of this incarnation. */
+  public UpstreamCondition condition() {
+    return condition;
   }
 
   /** Returns the unprocessed prompt tokens of all routers, the others' as last reported. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -6,12 +6,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
+import org.toucansaddle.coordination.upstream.ToldLoad;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
 import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.LoadNotice;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -26,6 +30,12 @@
   /** Decayed count of stuck requests up to which an upstream without requests is not reported. */
   private static final double MIN_REPORTED_STUCK = 0.05;
 
+  /** Age of a word of an upstream from which the others need not hear of it. */
+  private static final long MAX_LOAD_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+  /** Nominal time of recent requests up to which an upstream without others is not reported. */
+  private static final double MIN_REPORTED_MILLIS = 5;
+
   private final UpstreamTable upstreams;
 
   WorkReports(UpstreamTable upstreams) {
@@ -38,9 +48,13 @@
     for (Upstream upstream : upstreams.all()) {
       RequestCounts counts = upstream.hangDetector().localCounts(now);
       Optional<LimitNotice> limit = upstream.limit().notice().map(n -> encode(n, upstream, now));
+      Optional<LoadNotice> load = freshLoad(upstream, now);
+      Sums speed = upstream.condition().localSpeed(now);
       if (upstream.localRequests() > 0
           || counts.stuck() > MIN_REPORTED_STUCK
-          || limit.isPresent()) {
+          || limit.isPresent()
+          || load.isPresent()
+          || speed.nominal() > MIN_REPORTED_MILLIS) {
         UpstreamWork.Builder work =
             UpstreamWork.newBuilder()
                 .setUpstream(upstream.id())
@@ -48,14 +62,37 @@
                 .setPendingTokens((int) Math.max(0, upstream.localPendingTokens()))
                 .setMemoryTokens((int) Math.max(0, upstream.localMemoryTokens()))
                 .setStuck((float) counts.stuck())
-                .setAnswered((float) counts.answered());
+                .setAnswered((float) counts.answered())
+                .setObservedMillis((float) speed.observed())
+                .setNominalMillis((float) speed.nominal());
         limit.ifPresent(work::setLimit);
+        load.ifPresent(work::setLoad);
         works.add(work.build());
       }
     }
     return works;
   }
 
+  /** Returns the newest word of an upstream of its load unless it is too old to be of use. */
+  private static Optional<LoadNotice> freshLoad(Upstream upstream, long now) {
+    return upstream
+        .condition()
+        .told()
+        .filter(told -> now - told.atNanos() < MAX_LOAD_AGE_NANOS)
+        .map(
+            told -> {
+              LoadNotice.Builder notice =
+                  LoadNotice.newBuilder()
+                      .setRunning(told.load().running())
+                      .setWaiting(told.load().waiting())
+                      .setSlots(told.load().slots())
+                      .setAgeMillis(ageMillis(told.atNanos(), now))
+                      .setStartedAtMillis(upstream.startedAtMillis());
+              told.load().workPercent().ifPresent(notice::setWorkPercent);
+              return notice.build();
+            });
+  }
+
   private static LimitNotice encode(Notice notice, Upstream upstream, long now) {
     LimitNotice.Builder encoded =
         LimitNotice.newBuilder()
@@ -75,7 +112,10 @@
     works.forEach(work -> byId.put(work.getUpstream(), work));
     for (Upstream upstream : upstreams.all()) {
       UpstreamWork work = byId.getOrDefault(upstream.id(), UpstreamWork.getDefaultInstance());
-      upstream.updateRemoteWork(work);
+      upstream.updateRemoteWork(work, now);
+      if (work.hasLoad() && work.getLoad().getStartedAtMillis() == upstream.startedAtMillis()) {
+        mergeLoad(upstream, work.getLoad(), now);
+      }
       if (work.hasLimit()) {
         mergeLimit(upstream, work.getLimit(), now);
       }
@@ -90,6 +130,19 @@
     }
   }
 
+  private static void mergeLoad(Upstream upstream, LoadNotice notice, long now) {
+    ToldLoad load =
+        new ToldLoad(
+            notice.getRunning(),
+            notice.getWaiting(),
+            notice.getSlots(),
+            notice.hasWorkPercent()
+                ? OptionalInt.of(notice.getWorkPercent())
+                : OptionalInt.empty());
+    long toldAt = now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis());
+    upstream.condition().recordTold(load, toldAt);
+  }
+
   private static void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
     if (notice.getStartedAtMillis() != upstream.startedAtMillis()) {
       return;
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
@@ -89,7 +89,7 @@
       admission.recordArrival(request);
       List<Upstream> usable = state.usableUpstreams(SERVICE, true);
       double nominal = 2 * fleet.ratedTokensPerSecond() / 1_000.0 / usable.size();
-      EngineProfile profile = new EngineProfile(estimator, nominal, MEMORY_TOKENS);
+      EngineProfile profile = new EngineProfile(estimator, nominal, MEMORY_TOKENS, now());
       Optional<Selection> selected =
           selector.select(
               usable, call.head(), call.route().targetMillis(), profile, upstream -> true);
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
@@ -27,7 +27,7 @@
   private static final int TARGET_MILLIS = 1_000;
   private static final long MEMORY_TOKENS = 540_000;
   private static final EngineProfile PROFILE =
-      new EngineProfile(new FirstTokenEstimator(), 50, MEMORY_TOKENS);
+      new EngineProfile(new FirstTokenEstimator(), 50, MEMORY_TOKENS, 0);
   private static final int ENGINE_COUNT = 13;
 
   private final UpstreamSelector selector = new UpstreamSelector("z0");
