Weigh what upstreams tell of their load against the others' counts by age

Cause: a word of an upstream never lost its effect and was compared with the time at which the others' sums arrived, not with that of their counts; their pending tokens counted although read long since; one late first token could decide the learned speed; all routers chose the same best engine; an upstream that refuses at once looked idle. Change: UpstreamCondition holds all counts of requests and pending tokens, with ages; pending tokens of others shrink with the requests that the upstream tells of; the better of two engines near the best is taken; speed and refusals weigh in the draw for plain services; the order for a prefix is computed without concatenation.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/SpeedEstimate.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/SpeedEstimate.java
@@ -12,6 +12,9 @@
   /** Time in which a recorded time decays to 1/e. */
   private static final double DECAY_NANOS = 5e9;
 
+  /** Largest multiple of the nominal time that one recorded time counts as. */
+  private static final double MAX_SAMPLE = 8;
+
   private double observed;
   private double nominal;
   private long decayedAt;
@@ -43,10 +46,15 @@
     }
   }
 
+  /** Returns an observed time, limited so that one outlier does not decide. */
+  public static double bounded(double observedMillis, double nominalMillis) {
+    return Math.max(0, Math.min(MAX_SAMPLE * nominalMillis, observedMillis));
+  }
+
   /** Records a time, in milliseconds. */
   public synchronized void record(double observedMillis, double nominalMillis, long nowNanos) {
     decay(nowNanos);
-    observed += observedMillis;
+    observed += bounded(observedMillis, nominalMillis);
     nominal += nominalMillis;
   }
 
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/ToldLoad.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/ToldLoad.java
@@ -12,18 +12,22 @@
  */
 public record ToldLoad(int running, int waiting, int slots, OptionalInt workPercent) {
 
-  /** Requests per slot above which a figure cannot be right; queues are shorter. */
-  private static final int MAX_REQUESTS_PER_SLOT = 20;
+  /** Running requests per slot above which the figure cannot be right. */
+  private static final int MAX_RUNNING_PER_SLOT = 4;
 
-  private static final int MIN_WORK_PERCENT = 5;
-  private static final int MAX_WORK_PERCENT = 5_000;
+  /** Waiting requests per slot above which the figure cannot be right; queues are shorter. */
+  private static final int MAX_WAITING_PER_SLOT = 20;
+
+  private static final int MIN_WORK_PERCENT = 10;
+  private static final int MAX_WORK_PERCENT = 2_000;
 
   /** Returns whether the figures may be right. */
   public boolean isPlausible() {
     return running >= 0
         && waiting >= 0
         && slots > 0
-        && (long) running + waiting <= (long) MAX_REQUESTS_PER_SLOT * slots
+        && running <= (long) MAX_RUNNING_PER_SLOT * slots
+        && waiting <= (long) MAX_WAITING_PER_SLOT * slots
         && workPercent.stream().allMatch(p -> p >= MIN_WORK_PERCENT && p <= MAX_WORK_PERCENT);
   }
 
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/UpstreamCondition.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/UpstreamCondition.java
@@ -11,63 +11,112 @@
  *
  * <pre>{@code
  * condition.recordTold(load, now);
- * int requests = condition.requests();
+ * int requests = condition.requests(now);
  * double millis = condition.multiple(usual, now) * nominalMillis;
  * }</pre>
  *
  * <p>Of two words of the upstream the newer one counts, wherever it was heard. It replaces the
- * other routers' count where it is newer. Times are nanoseconds of one clock. Thread-safe; does no
- * I/O.
+ * other routers' count where it is newer. Words and counts have no effect from a certain age on.
+ * Times are nanoseconds of one clock. Thread-safe; does no I/O.
  */
 public final class UpstreamCondition {
 
+  /** Age from which the told load has no effect. */
+  private static final long MAX_TOLD_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   /** Age from which the told time of work has no effect; it changes many times a second. */
   private static final long MAX_WORK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+  /** Age of the counts of the others when their sum arrives, in the mean. */
+  private static final long SUM_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Time from which a sum of the others has no effect unless a newer one arrives. */
+  private static final long MAX_SUM_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   /** Nominal time by which the usual multiple of a service counts, in milliseconds. */
   private static final double PRIOR_MILLIS = 300;
 
-  private static final double MIN_MULTIPLE = 0.2;
-  private static final double MAX_MULTIPLE = 8;
+  /** Largest deviation from the usual multiple of a service, in either direction. */
+  private static final double MAX_DEVIATION = 8;
+
   private static final double PERCENT = 100;
 
+  /** Weight of one request in the average number of prompt tokens. */
+  private static final double PROMPT_WEIGHT = 0.1;
+
+  /** Requests by which an upstream counts as one that takes them. */
+  private static final double PRIOR_REQUESTS = 2;
+
   private final SpeedEstimate speed = new SpeedEstimate();
+
+  /** Requests that were taken, beside all answered ones. */
+  private final SpeedEstimate taken = new SpeedEstimate();
+
   private Optional<Told> told = Optional.empty();
+  private Optional<Others> others = Optional.empty();
   private int local;
-  private int others;
-  private long othersAt;
-  private Sums othersSpeed = Sums.NONE;
+  private long localPendingTokens;
+  private double averagePrompt;
 
   /**
    * A word of the upstream. Immutable.
    *
    * @param load what it said
    * @param atNanos when it said it
-   * @param localThen this router's requests there at that time
+   * @param localThen this router's requests there when it learned of it
+   * @param fromResponse whether this router got the response
    */
-  public record Told(ToldLoad load, long atNanos, int localThen) {}
+  public record Told(ToldLoad load, long atNanos, int localThen, boolean fromResponse) {}
 
   /**
-   * Takes over what the upstream said, unless a newer word is known.
+   * What the other routers count. Immutable.
    *
-   * @return whether it was taken over
+   * @param requests requests under way
+   * @param pendingTokens prompt tokens that the upstream has not read yet
+   * @param speed their sums of recent times
    */
-  public synchronized boolean recordTold(ToldLoad load, long atNanos) {
-    if (told.isPresent() && atNanos - told.get().atNanos() <= 0) {
-      return false;
+  public record OthersWork(int requests, long pendingTokens, Sums speed) {}
+
+  private record Others(OthersWork work, long atNanos) {}
+
+  /** Takes over what the upstream said in a response to this router. */
+  public void recordTold(ToldLoad load, long atNanos) {
+    record(load, atNanos, true);
+  }
+
+  /** Takes over what the upstream said to another router, unless a newer word is known. */
+  public void recordToldToOthers(ToldLoad load, long atNanos) {
+    record(load, atNanos, false);
+  }
+
+  private synchronized void record(ToldLoad load, long atNanos, boolean fromResponse) {
+    if (told.isEmpty() || atNanos - told.get().atNanos() > 0) {
+      told = Optional.of(new Told(load, atNanos, local, fromResponse));
     }
-    told = Optional.of(new Told(load, atNanos, local));
-    return true;
   }
 
-  /** Returns the newest word of the upstream, whatever its age. */
-  public synchronized Optional<Told> told() {
-    return told;
+  /** Returns the newest word of the upstream; empty if it is too old to have an effect. */
+  public synchronized Optional<Told> told(long nowNanos) {
+    return told.filter(word -> nowNanos - word.atNanos() < MAX_TOLD_AGE_NANOS);
   }
 
-  /** Records the start of a request of this router. */
-  public synchronized void requestStarted() {
+  /**
+   * Records the start of a request of this router.
+   *
+   * @param promptTokens tokens that the upstream has to read; 0 if it has no prompt
+   */
+  public synchronized void requestStarted(int promptTokens) {
     local++;
+    localPendingTokens += promptTokens;
+    averagePrompt =
+        averagePrompt == 0
+            ? promptTokens
+            : averagePrompt + PROMPT_WEIGHT * (promptTokens - averagePrompt);
+  }
+
+  /** Records that the upstream has read a prompt with this many tokens. */
+  public synchronized void promptRead(int tokens) {
+    localPendingTokens -= tokens;
   }
 
   /** Records the end of a request of this router. */
@@ -76,10 +125,8 @@
   }
 
   /** Replaces what the other routers report. */
-  public synchronized void updateOthers(int requests, Sums otherSpeed, long nowNanos) {
-    others = requests;
-    othersSpeed = otherSpeed;
-    othersAt = nowNanos;
+  public synchronized void updateOthers(OthersWork work, long nowNanos) {
+    others = Optional.of(new Others(work, nowNanos - SUM_AGE_NANOS));
   }
 
   /** Returns this router's requests there. */
@@ -87,12 +134,44 @@
     return local;
   }
 
+  /** Returns this router's prompt tokens that the upstream has not read yet. */
+  public synchronized long localPendingTokens() {
+    return localPendingTokens;
+  }
+
   /** Returns the requests of all routers there, as far as known. */
-  public synchronized int requests() {
-    int counted = local + others;
-    return told.filter(word -> word.atNanos() - othersAt >= 0)
+  public synchronized int requests(long nowNanos) {
+    return newerTold(nowNanos)
         .map(word -> Math.max(local, word.load().requests() + local - word.localThen()))
-        .orElse(counted);
+        .orElse(local + countedOthers(nowNanos).map(OthersWork::requests).orElse(0));
+  }
+
+  /**
+   * Returns the prompt tokens of all routers that the upstream has not read yet, as far as known.
+   * Those of the others shrink with their requests if the upstream tells of fewer; what it says is
+   * waiting is not read yet.
+   */
+  public synchronized long pendingTokens(long nowNanos) {
+    OthersWork counted = countedOthers(nowNanos).orElseGet(() -> new OthersWork(0, 0, Sums.NONE));
+    Optional<Told> newer = newerTold(nowNanos);
+    if (newer.isEmpty()) {
+      return localPendingTokens + counted.pendingTokens();
+    }
+    ToldLoad load = newer.get().load();
+    int toldOthers = Math.max(0, load.requests() - newer.get().localThen());
+    double kept = Math.min(1, toldOthers / (double) Math.max(1, counted.requests()));
+    long byCount = localPendingTokens + Math.round(kept * counted.pendingTokens());
+    return Math.max(byCount, Math.round(load.waiting() * averagePrompt));
+  }
+
+  /** Returns the word of the upstream if it has an effect and is newer than the others' counts. */
+  private Optional<Told> newerTold(long nowNanos) {
+    return told(nowNanos)
+        .filter(word -> others.isEmpty() || word.atNanos() - others.get().atNanos() >= 0);
+  }
+
+  private Optional<OthersWork> countedOthers(long nowNanos) {
+    return others.filter(sum -> nowNanos - sum.atNanos() < MAX_SUM_AGE_NANOS).map(Others::work);
   }
 
   /** Records the time to the first token of a request of this router, in milliseconds. */
@@ -100,27 +179,42 @@
     speed.record(observedMillis, nominalMillis, nowNanos);
   }
 
+  /** Records that the upstream took a request of this router or refused it. */
+  public void recordAnswer(boolean wasTaken, long nowNanos) {
+    taken.record(wasTaken ? 1 : 0, 1, nowNanos);
+  }
+
+  /** Returns the part of this router's recent requests that the upstream took. */
+  public double takenPart(long nowNanos) {
+    return taken.sums(nowNanos).multiple(1, PRIOR_REQUESTS);
+  }
+
   /** Returns the sums of this router's recent times. */
   public Sums localSpeed(long nowNanos) {
     return speed.sums(nowNanos);
   }
 
+  /** Returns the sums of all routers' recent times, as far as known. */
+  public Sums speed(long nowNanos) {
+    Sums sums = speed.sums(nowNanos);
+    synchronized (this) {
+      return countedOthers(nowNanos).map(work -> sums.plus(work.speed())).orElse(sums);
+    }
+  }
+
   /**
    * Returns how long work takes there, as a multiple of the nominal time.
    *
    * @param usual multiple of all upstreams of the service
    */
   public double multiple(double usual, long nowNanos) {
-    Sums sums = speed.sums(nowNanos);
-    synchronized (this) {
-      double learned = sums.plus(othersSpeed).multiple(usual, PRIOR_MILLIS);
-      double now = Math.max(learned, usual * toldWork(nowNanos));
-      return Math.max(MIN_MULTIPLE, Math.min(MAX_MULTIPLE, now));
-    }
+    double learned = speed(nowNanos).multiple(usual, PRIOR_MILLIS);
+    double now = Math.max(learned, usual * toldWork(nowNanos));
+    return Math.max(usual / MAX_DEVIATION, Math.min(usual * MAX_DEVIATION, now));
   }
 
   /** Returns the told time of work as a multiple of the usual one; 0 if none was told lately. */
-  private double toldWork(long nowNanos) {
+  private synchronized double toldWork(long nowNanos) {
     OptionalInt percent =
         told.filter(word -> nowNanos - word.atNanos() < MAX_WORK_AGE_NANOS)
             .map(word -> word.load().workPercent())
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
@@ -24,6 +24,10 @@
         "toucansaddle_gateway_limited_upstreams",
         "Upstreams that say how many requests a second they take.",
         state::limitedUpstreams);
+    metrics.registerGauge(
+        "toucansaddle_gateway_told_upstreams",
+        "Upstreams that have told their load lately.",
+        state::toldUpstreams);
     metrics.registerGauge(
         "toucansaddle_gateway_zones_out_of_service",
         "Availability zones whose upstreams get nothing, as operators ordered.",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/AdmissionControl.java
@@ -19,7 +19,7 @@
 final class AdmissionControl {
 
   /** Fraction of a route's target within which the first token must be expected. */
-  private static final double MAX_WAIT_TARGET_FRACTION = 0.9;
+  static final double MAX_WAIT_TARGET_FRACTION = 0.9;
 
   /** Utilisation of the engines below which shares are not enforced. */
   private static final double SPARE_CAPACITY_UTILISATION = 0.8;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -73,8 +73,9 @@
     this.maxConnections = choice.maxConnections();
     this.expectedFirstTokenMillis = selection.expectedFirstTokenMillis();
     upstream.recordRequestStarted(prefillTokens, memoryTokens);
-    this.pendingTokens = upstream.pendingTokens();
-    this.dispatch = Dispatch.of(selection, context.nowNanos());
+    long now = context.nowNanos();
+    this.pendingTokens = upstream.pendingTokens(now);
+    this.dispatch = Dispatch.of(selection, now);
     this.grant = call.admission().takeGrant();
   }
 
@@ -232,6 +233,7 @@
       takeLoad(context.codec().loadText(headers));
     }
     if (isRefusal) {
+      upstream.condition().recordAnswer(false, context.nowNanos());
       close();
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
@@ -243,10 +245,12 @@
     } else {
       responseAccepted = true;
       survivalExpected = isSuccess(status);
+      upstream.condition().recordAnswer(true, context.nowNanos());
       if (call.takeover().isStandby(this)) {
         call.replaceSilentAttempt();
       }
       if (!call.route().isStream()) {
+        recordPlainTime();
         releasePrefillLoad();
         stallDetector.onResponseStarted();
       }
@@ -301,6 +305,18 @@
         && (sealed || !(isSuccess(status) || claimsNotRun));
   }
 
+  /** Records the time to the response to a request without a prompt, beside the route's target. */
+  private void recordPlainTime() {
+    if (survivalExpected && call.head().promptTokens() == 0) {
+      long now = context.nowNanos();
+      double millis = (now - sentAtNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+      double lagMillis = context.ioLag().averageMillis();
+      upstream
+          .condition()
+          .recordTime(millis - lagMillis, Math.max(1, call.route().targetMillis()), now);
+    }
+  }
+
   private void fail(String outcome, String cause) {
     cancel();
     call.onAttemptLost(this, outcome, cause);
@@ -314,7 +330,7 @@
     call.takeover().dismiss();
     stallDetector.onData();
     recordSurvival(context.nowNanos());
-    if (prefillCounted && prefillTokens > 0) {
+    if (prefillCounted && prefillTokens > 0 && survivalExpected) {
       long millis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - sentAtNanos);
       double lagMillis = context.ioLag().averageMillis();
       context
@@ -323,7 +339,7 @@
       upstream
           .condition()
           .recordTime(
-              Math.max(0, millis - lagMillis),
+              millis - lagMillis,
               FirstTokenEstimator.nominalMillis(pendingTokens, nominalTokensPerMilli),
               context.nowNanos());
       grant.started(Math.max(0, millis - Math.round(lagMillis)));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Dispatch.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Dispatch.java
@@ -1,6 +1,10 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.UpstreamCondition;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
+import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 
 /**
  * Where a call was sent, for the log. Immutable.
@@ -9,18 +13,39 @@
  * @param softwareVersion version of the upstream's software; empty if unknown
  * @param reason why it was selected
  * @param reportAgeMillis age of its last report at that time, in milliseconds
+ * @param told requests that it said were running and waiting; empty if it said nothing lately
+ * @param toldAgeMillis age of what it said, in milliseconds
+ * @param multiple learned time of its work as a multiple of the nominal time
  */
-record Dispatch(String upstream, String softwareVersion, String reason, long reportAgeMillis) {
+record Dispatch(
+    String upstream,
+    String softwareVersion,
+    String reason,
+    long reportAgeMillis,
+    String told,
+    long toldAgeMillis,
+    double multiple) {
 
   /** A call that was not sent. */
-  static final Dispatch NONE = new Dispatch("", "", "", -1);
+  static final Dispatch NONE = new Dispatch("", "", "", -1, "", -1, 0);
 
   static Dispatch of(Selection selected, long nowNanos) {
-    long ageNanos = nowNanos - selected.upstream().lastReportAtNanos();
+    Upstream upstream = selected.upstream();
+    UpstreamCondition condition = upstream.condition();
     return new Dispatch(
-        selected.upstream().id(),
-        selected.upstream().report().softwareVersion(),
+        upstream.id(),
+        upstream.report().softwareVersion(),
         selected.reason().name(),
-        ageNanos / 1_000_000);
+        TimeUnit.NANOSECONDS.toMillis(nowNanos - upstream.lastReportAtNanos()),
+        condition.told(nowNanos).map(word -> text(word.load())).orElse(""),
+        condition
+            .told(nowNanos)
+            .map(word -> TimeUnit.NANOSECONDS.toMillis(nowNanos - word.atNanos()))
+            .orElse(-1L),
+        condition.multiple(1, nowNanos));
+  }
+
+  private static String text(ToldLoad load) {
+    return load.running() + "+" + load.waiting();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/FirstTokenEstimator.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/FirstTokenEstimator.java
@@ -1,5 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import org.toucansaddle.coordination.upstream.SpeedEstimate;
+
 /**
  * Estimates the time until the first token of a response for the engines of one service.
  *
@@ -20,7 +22,6 @@
   private static final double INITIAL_MILLIS = 50;
 
   private static final double MIN_FACTOR = 0.2;
-  private static final double MAX_FACTOR = 8;
 
   private volatile Averages averages = new Averages(INITIAL_MILLIS, INITIAL_MILLIS);
 
@@ -44,9 +45,8 @@
    */
   public void addSample(long tokens, double nominalTokensPerMilli, long millis, double lagMillis) {
     double nominal = nominalMillis(tokens, nominalTokensPerMilli);
-    double engineMillis = Math.max(0, millis - lagMillis);
-    double bounded = Math.max(MIN_FACTOR * nominal, Math.min(MAX_FACTOR * nominal, engineMillis));
-    averages = averages.with(bounded, nominal);
+    double bounded = SpeedEstimate.bounded(millis - lagMillis, nominal);
+    averages = averages.with(Math.max(MIN_FACTOR * nominal, bounded), nominal);
   }
 
   /** Returns the time until the first token as a multiple of the nominal time. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -59,7 +59,8 @@
    * @param account client account; empty if the request has none
    */
   boolean admits(String account, Collection<Upstream> upstreams) {
-    int requests = upstreams.stream().mapToInt(Upstream::requests).sum();
+    long now = clock.getAsLong();
+    int requests = upstreams.stream().mapToInt(upstream -> upstream.requests(now)).sum();
     int slots = upstreams.stream().mapToInt(upstream -> upstream.report().slots()).sum();
     return admits(account, requests, slots);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -8,6 +9,8 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -39,8 +42,19 @@
   /** Waiting time added to another availability zone. */
   private static final double OTHER_ZONE_PENALTY_MILLIS = 4;
 
+  /** Time by which another engine may take longer than the best one and still be selected. */
+  private static final double NEAR_BEST_FACTOR = 1.1;
+
+  /** Engines of which the better one is selected. */
+  private static final int DRAWN_ENGINES = 2;
+
+  /** Nominal time of known responses from which their average speed counts more than 1. */
+  private static final double MIN_KNOWN_MILLIS = 1;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  private static final Hasher64 HASHER = Hashing.komihash5_0();
+
   private final String zone;
 
   /** Creates the selector of a router in an availability zone. */
@@ -61,7 +75,17 @@
       double expectedQueueMillis,
       double expectedFirstTokenMillis,
       int prefillTokens,
-      Reason reason) {}
+      Reason reason) {
+
+    private Selection asLeastWait(double penaltyMillis) {
+      return new Selection(
+          upstream,
+          expectedQueueMillis,
+          expectedFirstTokenMillis + penaltyMillis,
+          prefillTokens,
+          Reason.LEAST_WAIT);
+    }
+  }
 
   /** Why an upstream was selected. */
   public enum Reason {
@@ -118,10 +142,16 @@
       return new EngineProfile(estimator, prefilled, memoryTokens, nowNanos);
     }
 
-    /** Returns the expected time to the first token at an engine, in milliseconds. */
-    double firstTokenMillis(Upstream engine, long tokens) {
-      return engine.condition().multiple(estimator.factor(), nowNanos)
-          * FirstTokenEstimator.nominalMillis(tokens, nominalTokensPerMilli);
+    private Selection selection(Upstream engine, int prefillTokens, Reason reason) {
+      double multiple = engine.condition().multiple(estimator.factor(), nowNanos);
+      long pending = engine.pendingTokens(nowNanos);
+      return new Selection(
+          engine,
+          multiple * FirstTokenEstimator.nominalMillis(pending, nominalTokensPerMilli),
+          multiple
+              * FirstTokenEstimator.nominalMillis(pending + prefillTokens, nominalTokensPerMilli),
+          prefillTokens,
+          reason);
     }
   }
 
@@ -142,19 +172,27 @@
       Predicate<Upstream> takesMore) {
     return head.promptTokens() > 0
         ? selectEngine(upstreams, head, targetMillis, profile, takesMore)
-        : drawByFreeCapacity(upstreams.stream().filter(takesMore).toList());
+        : drawByFreeCapacity(upstreams.stream().filter(takesMore).toList(), profile.nowNanos());
   }
 
   /**
-   * Draws an upstream in proportion to its free capacity. All routers see the load of the others as
-   * last reported; if each of them selected the least loaded upstream, they would overload it until
-   * the next report.
+   * Draws an upstream in proportion to its free capacity and its speed. All routers see the load of
+   * the others as last reported; if each of them selected the least loaded upstream, they would
+   * overload it until the next report.
    */
-  private Optional<Selection> drawByFreeCapacity(List<Upstream> candidates) {
+  private Optional<Selection> drawByFreeCapacity(List<Upstream> candidates, long nowNanos) {
+    double usual =
+        candidates.stream()
+            .map(upstream -> upstream.condition().speed(nowNanos))
+            .reduce(Sums.NONE, Sums::plus)
+            .multiple(1, MIN_KNOWN_MILLIS);
     double[] free = new double[candidates.size()];
     double sum = 0;
     for (int i = 0; i < free.length; i++) {
-      free[i] = freeCapacity(candidates.get(i));
+      Upstream upstream = candidates.get(i);
+      double slowness = upstream.condition().multiple(usual, nowNanos) / usual;
+      double taken = upstream.condition().takenPart(nowNanos);
+      free[i] = freeCapacity(upstream, nowNanos) * taken / slowness;
       sum += free[i];
     }
     if (sum <= 0) {
@@ -170,9 +208,9 @@
   }
 
   /** Returns the requests per slot that an upstream can accept; 0 if it is full. */
-  private double freeCapacity(Upstream upstream) {
+  private double freeCapacity(Upstream upstream, long nowNanos) {
     double penalty = isSameZone(upstream) ? 0 : OTHER_ZONE_LOAD_PENALTY;
-    return Math.max(0, 1 + MAX_QUEUED_PER_SLOT - loadPerSlot(upstream) - penalty);
+    return Math.max(0, 1 + MAX_QUEUED_PER_SLOT - loadPerSlot(upstream, nowNanos) - penalty);
   }
 
   private Optional<Selection> selectEngine(
@@ -182,37 +220,59 @@
       EngineProfile profile,
       Predicate<Upstream> takesMore) {
     String prefix = head.sharedPrefixKey();
-    Selection best = null;
+    List<Selection> selections = new ArrayList<>();
     boolean first = true;
     for (Upstream upstream : rankForPrefix(candidates, prefix)) {
-      if (loadPerSlot(upstream) > MAX_ENGINE_LOAD
+      if (loadPerSlot(upstream, profile.nowNanos()) > MAX_ENGINE_LOAD
           || !hasMemory(upstream, head, profile)
           || !takesMore.test(upstream)) {
         first = false;
         continue;
       }
       int prefillTokens = head.promptTokens() - (first ? head.sharedPrefixTokens() : 0);
-      double queueMillis = profile.firstTokenMillis(upstream, upstream.pendingTokens());
-      double millis = profile.firstTokenMillis(upstream, upstream.pendingTokens() + prefillTokens);
-      if (!prefix.isEmpty() && millis < PREFIX_WAIT_TARGET_FRACTION * targetMillis) {
-        Reason reason = first ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
-        return Optional.of(new Selection(upstream, queueMillis, millis, prefillTokens, reason));
+      Reason reason = first ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
+      Selection selection = profile.selection(upstream, prefillTokens, reason);
+      if (!prefix.isEmpty()
+          && selection.expectedFirstTokenMillis() < PREFIX_WAIT_TARGET_FRACTION * targetMillis) {
+        return Optional.of(selection);
       }
       first = false;
-      double adjustedMillis = millis + zonePenaltyMillis(upstream);
-      if (best == null || adjustedMillis < best.expectedFirstTokenMillis()) {
-        best =
-            new Selection(upstream, queueMillis, adjustedMillis, prefillTokens, Reason.LEAST_WAIT);
-      }
+      selections.add(selection.asLeastWait(zonePenaltyMillis(upstream)));
+    }
+    return drawNearBest(selections, targetMillis, profile.nowNanos());
+  }
+
+  /**
+   * Returns the better of two drawn ones that are about as good as the best. If routers with the
+   * same reports all selected the best engine, they would overload it until the next report. One
+   * that cannot meet the target is not drawn if the best can.
+   */
+  private static Optional<Selection> drawNearBest(
+      List<Selection> selections, int targetMillis, long nowNanos) {
+    ToDoubleFunction<Selection> cost =
+        selection ->
+            selection.expectedFirstTokenMillis()
+                / selection.upstream().condition().takenPart(nowNanos);
+    double best = selections.stream().mapToDouble(cost).min().orElse(0);
+    double admitted = AdmissionControl.MAX_WAIT_TARGET_FRACTION * targetMillis;
+    double near = best * NEAR_BEST_FACTOR;
+    double limit = best <= admitted ? Math.min(near, admitted) : near;
+    List<Selection> drawable =
+        selections.stream().filter(s -> cost.applyAsDouble(s) <= limit).toList();
+    if (drawable.isEmpty()) {
+      return Optional.empty();
     }
-    return Optional.ofNullable(best);
+    return ThreadLocalRandom.current()
+        .ints(DRAWN_ENGINES, 0, drawable.size())
+        .mapToObj(drawable::get)
+        .min(Comparator.comparingDouble(cost));
   }
 
   /** An engine that runs out of memory preempts its newest request and prefills it again. */
   private static boolean hasMemory(Upstream upstream, RequestHead head, EngineProfile profile) {
     long expectedTokens = upstream.memoryTokens() + head.promptTokens() + head.maxOutputTokens();
     return profile.memoryTokens() == 0
-        || upstream.requests() == 0
+        || upstream.requests(profile.nowNanos()) == 0
         || expectedTokens < MAX_MEMORY_FRACTION * profile.memoryTokens();
   }
 
@@ -224,17 +284,12 @@
     return upstream.report().zone().equals(zone);
   }
 
-  private static double loadPerSlot(Upstream upstream) {
-    return upstream.requests() / (double) Math.max(1, upstream.report().slots());
+  private static double loadPerSlot(Upstream upstream, long nowNanos) {
+    return upstream.requests(nowNanos) / (double) Math.max(1, upstream.report().slots());
   }
 
   /** Upstream with its place in the order of a prefix. Immutable. */
-  private record RankedUpstream(long score, Upstream upstream) {
-
-    RankedUpstream(String prefix, Upstream upstream) {
-      this(Hashing.komihash5_0().hashCharsToLong(prefix + upstream.id()), upstream);
-    }
-  }
+  private record RankedUpstream(long score, Upstream upstream) {}
 
   /** Returns the upstreams in an order that depends on the prefix and is equal on all routers. */
   private static List<Upstream> rankForPrefix(Collection<Upstream> candidates, String prefix) {
@@ -242,7 +297,11 @@
       return List.copyOf(candidates);
     }
     List<RankedUpstream> ranked = new ArrayList<>(candidates.size());
-    candidates.forEach(upstream -> ranked.add(new RankedUpstream(prefix, upstream)));
+    long prefixHash = HASHER.hashCharsToLong(prefix);
+    for (Upstream upstream : candidates) {
+      long score = HASHER.hashLongLongToLong(prefixHash, upstream.idHash());
+      ranked.add(new RankedUpstream(score, upstream));
+    }
     ranked.sort(
         Comparator.comparingLong(RankedUpstream::score)
             .thenComparing(entry -> entry.upstream().id()));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -402,6 +402,12 @@
     return (int) upstreams.all().stream().filter(upstream -> upstream.limit().isNamed()).count();
   }
 
+  /** Returns the number of upstreams that have told their load lately. */
+  public int toldUpstreams() {
+    long now = clock.getAsLong();
+    return (int) upstreams.all().stream().filter(u -> u.condition().told(now).isPresent()).count();
+  }
+
   /** Removes a control daemon that this router no longer follows. */
   public void removeControlDaemon(String source) {
     lastUpdateBySource.remove(source);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -8,6 +9,7 @@
 import org.toucansaddle.coordination.pacing.WarmUpState;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.coordination.upstream.UpstreamCondition;
+import org.toucansaddle.coordination.upstream.UpstreamCondition.OthersWork;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.toucansaddle.protocol.generated.UpstreamWork;
@@ -31,12 +33,12 @@
   private static final long UNREPORTED_WARM_UP_MILLIS = 3_000;
 
   private final String id;
+  private final long idHash;
   private final long startedAtMillis;
   private volatile UpstreamReport report;
   private volatile long lastReportAtNanos;
   private volatile long pausedUntilNanos;
   private volatile long avoidedUntilNanos;
-  private volatile int remotePendingTokens;
   private volatile int remoteMemoryTokens;
   private final HangDetector hangDetector = new HangDetector();
   private final RequestLimit limit =
@@ -47,11 +49,11 @@
   private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
   private final UpstreamCondition condition = new UpstreamCondition();
-  private final AtomicLong localPendingTokens = new AtomicLong();
   private final AtomicLong localMemoryTokens = new AtomicLong();
 
   Upstream(UpstreamReport report, long lastReportAtNanos) {
     this.id = report.id();
+    this.idHash = Hashing.komihash5_0().hashCharsToLong(id);
     this.startedAtMillis = report.startedAtMillis();
     this.report = report;
     this.lastReportAtNanos = lastReportAtNanos;
@@ -64,6 +66,11 @@
     return id;
   }
 
+  /** Returns a hash of the identity, equal on all routers. */
+  public long idHash() {
+    return idHash;
+  }
+
   /** Returns the start time of this incarnation, in milliseconds since 1970. */
   public long startedAtMillis() {
     return startedAtMillis;
@@ -194,14 +201,13 @@
    */
   public void recordRequestStarted(int tokens, int memoryTokens) {
     limit.recordSent();
-    condition.requestStarted();
-    localPendingTokens.addAndGet(tokens);
+    condition.requestStarted(tokens);
     localMemoryTokens.addAndGet(memoryTokens);
   }
 
   /** Records that the prompt of a request, with this many pending tokens, was processed. */
   public void recordPromptProcessed(int tokens) {
-    localPendingTokens.addAndGet(-tokens);
+    condition.promptRead(tokens);
   }
 
   /** Records the end of a request that occupied this many tokens in memory. */
@@ -213,8 +219,8 @@
   /** Replaces the load of the other routers at the upstream. */
   void updateRemoteWork(UpstreamWork work, long nowNanos) {
     Sums speed = new Sums(work.getObservedMillis(), work.getNominalMillis());
-    condition.updateOthers(work.getRequests(), speed, nowNanos);
-    remotePendingTokens = work.getPendingTokens();
+    condition.updateOthers(
+        new OthersWork(work.getRequests(), work.getPendingTokens(), speed), nowNanos);
     remoteMemoryTokens = work.getMemoryTokens();
   }
 
@@ -225,7 +231,7 @@
 
   /** Returns this router's prompt tokens that the upstream has not processed yet. */
   public long localPendingTokens() {
-    return localPendingTokens.get();
+    return condition.localPendingTokens();
   }
 
   /** Returns the tokens that this router's requests occupy in the memory of the upstream. */
@@ -239,8 +245,8 @@
   }
 
   /** Returns the number of all routers' requests under way, as last reported or told. */
-  public int requests() {
-    return condition.requests();
+  public int requests(long nowNanos) {
+    return condition.requests(nowNanos);
   }
 
   /** Returns the load and the speed of this incarnation. */
@@ -248,8 +254,8 @@
     return condition;
   }
 
-  /** Returns the unprocessed prompt tokens of all routers, the others' as last reported. */
-  public long pendingTokens() {
-    return localPendingTokens.get() + remotePendingTokens;
+  /** Returns the unprocessed prompt tokens of all routers, as last reported or told. */
+  public long pendingTokens(long nowNanos) {
+    return condition.pendingTokens(nowNanos);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.UpstreamCondition.Told;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
 import org.toucansaddle.protocol.generated.LimitNotice;
@@ -30,9 +31,6 @@
   /** Decayed count of stuck requests up to which an upstream without requests is not reported. */
   private static final double MIN_REPORTED_STUCK = 0.05;
 
-  /** Age of a word of an upstream from which the others need not hear of it. */
-  private static final long MAX_LOAD_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
-
   /** Nominal time of recent requests up to which an upstream without others is not reported. */
   private static final double MIN_REPORTED_MILLIS = 5;
 
@@ -73,12 +71,12 @@
     return works;
   }
 
-  /** Returns the newest word of an upstream of its load unless it is too old to be of use. */
+  /** Returns the newest word of an upstream of its load if it was said to this router. */
   private static Optional<LoadNotice> freshLoad(Upstream upstream, long now) {
     return upstream
         .condition()
-        .told()
-        .filter(told -> now - told.atNanos() < MAX_LOAD_AGE_NANOS)
+        .told(now)
+        .filter(Told::fromResponse)
         .map(
             told -> {
               LoadNotice.Builder notice =
@@ -140,7 +138,9 @@
                 ? OptionalInt.of(notice.getWorkPercent())
                 : OptionalInt.empty());
     long toldAt = now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis());
-    upstream.condition().recordTold(load, toldAt);
+    if (load.isPlausible()) {
+      upstream.condition().recordToldToOthers(load, toldAt);
+    }
   }
 
   private static void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
@@ -111,7 +111,7 @@
       Upstream upstream = selected.upstream();
       int memory = selected.prefillTokens() + call.head().expectedOutputTokens();
       upstream.recordRequestStarted(selected.prefillTokens(), memory);
-      long pending = upstream.pendingTokens();
+      long pending = upstream.pendingTokens(now());
       long sentAt = now;
       Run run =
           new Run(
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
@@ -179,7 +179,7 @@
       selection = select(upstreams, plainRequest());
     }
     assertThat(placed).isBetween(3 * 6, 3 * 6 * 3);
-    assertThat(upstreams).extracting(Upstream::requests).allMatch(n -> n >= 6);
+    assertThat(upstreams).extracting(upstream -> upstream.requests(0)).allMatch(n -> n >= 6);
   }
 
   /**
@@ -204,7 +204,7 @@
     }
     for (Upstream upstream : upstreams) {
       double arrivalsPerReport = arrivals.getOrDefault(upstream, 0) / (double) rounds;
-      assertThat(upstream.requests() + arrivalsPerReport)
+      assertThat(upstream.requests(0) + arrivalsPerReport)
           .as("requests at %s", upstream.id())
           .isLessThanOrEqualTo(acceptedPerUpstream);
     }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTableTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTableTest.java
@@ -49,7 +49,7 @@
     table.ready("desk").get(0).recordRequestStarted(100, 100);
     table.accept(report("a", "desk", "10.0.0.1:80", State.READY, 20, 1), 0);
 
-    assertThat(table.ready("desk").get(0).requests()).isZero();
+    assertThat(table.ready("desk").get(0).requests(0)).isZero();
   }
 
   @Test
