--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottleTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottleTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Random;
@@ -13,6 +14,13 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
+import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.UpstreamCondition;
+import org.toucansaddle.coordination.upstream.UpstreamCondition.OthersWork;
+import org.toucansaddle.daemon.gateway.UpstreamReport;
+import org.toucansaddle.daemon.gateway.UpstreamReport.State;
+import org.toucansaddle.daemon.internal.gateway.routing.UpstreamTable;
 
 /** Tests of {@link ServiceThrottle}, the larger ones on simulated routers and upstreams. */
 public class ServiceThrottleTest {
@@ -58,6 +66,26 @@
     assertThat(throttle.admits("", 0, SLOTS)).isTrue();
   }
 
+  /**
+   * Short calls at an idle service. Guards against a throttle that trusts the counts of late
+   * routers: they report requests that have ended.
+   */
+  @Test
+  public void shouldAdmitAllRequestsToUpstreamsThatTellOfFew() {
+    ServiceThrottle throttle = new ServiceThrottle(() -> clockNanos, () -> 0.999);
+    UpstreamTable table = new UpstreamTable();
+    table.accept(new UpstreamReport("u", "s", "10.0.0.1:80", "z", SLOTS, State.READY, 1, 1), 0);
+    UpstreamCondition condition = table.ready("s").get(0).condition();
+    for (int i = 0; i < 200; i++) {
+      clockNanos += TimeUnit.MILLISECONDS.toNanos(50);
+      if (i % 8 == 0) {
+        condition.updateOthers(new OthersWork(5 * SLOTS, 0, Sums.NONE), clockNanos);
+      }
+      condition.recordTold(new ToldLoad(1, 0, SLOTS, OptionalInt.empty()), clockNanos);
+      assertThat(throttle.admits("", table.ready("s"))).isTrue();
+    }
+  }
+
   /**
    * Hot account of short calls. Guards against calls that are admitted by how often an account
    * asks.
