--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -9,9 +9,11 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.upstream.ToldLoad;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementGrant;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
@@ -72,8 +74,9 @@
     this.maxConnections = choice.maxConnections();
     this.expectedFirstTokenMillis = selection.expectedFirstTokenMillis();
     upstream.recordRequestStarted(prefillTokens, memoryTokens);
-    this.pendingTokens = upstream.pendingTokens();
-    this.dispatch = Dispatch.of(selection, context.nowNanos());
+    long now = context.nowNanos();
+    this.pendingTokens = upstream.pendingTokens(now);
+    this.dispatch = Dispatch.of(selection, now);
     this.grant = call.admission().takeGrant();
   }
 
@@ -230,8 +233,10 @@
     }
     if (status != HeaderCodec.MISDIRECTED_REQUEST) {
       takeNotice(context.codec().readNotice(status, headers));
+      takeLoad(context.codec().loadText(headers));
     }
     if (isRefusal) {
+      upstream.condition().recordAnswer(false, context.nowNanos());
       close();
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
@@ -243,10 +248,12 @@
     } else {
       responseAccepted = true;
       survivalExpected = isSuccess(status);
+      upstream.condition().recordAnswer(true, context.nowNanos());
       if (call.takeover().isStandby(this)) {
         call.replaceSilentAttempt();
       }
       if (!call.route().isStream()) {
+        recordPlainTime();
         releasePrefillLoad();
         stallDetector.onResponseStarted();
       }
@@ -270,6 +277,22 @@
     }
   }
 
+  /** Takes over what the upstream tells of its load. */
+  private void takeLoad(String text) {
+    if (text == null) {
+      return;
+    }
+    Optional<ToldLoad> load = LoadField.parse(text);
+    if (load.isPresent()) {
+      upstream.condition().recordTold(load.get(), context.nowNanos());
+    } else {
+      context.metrics().recordMalformedLoad();
+      if (upstream.isFirstMalformedNotice()) {
+        RelayLog.malformedNotice(call, upstream, List.of(text));
+      }
+    }
+  }
+
   static boolean isSuccess(int status) {
     return status >= 200 && status < 300;
   }
@@ -285,6 +308,18 @@
         && (sealed || !(isSuccess(status) || claimsNotRun));
   }
 
+  /** Records the time to the response to a request without a prompt, beside the route's target. */
+  private void recordPlainTime() {
+    if (survivalExpected && call.head().promptTokens() == 0) {
+      long now = context.nowNanos();
+      double millis = (now - sentAtNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+      double lagMillis = context.ioLag().averageMillis();
+      upstream
+          .condition()
+          .recordTime(millis - lagMillis, Math.max(1, call.route().targetMillis()), now);
+    }
+  }
+
   private void fail(String outcome, String cause) {
     cancel();
     call.onAttemptLost(this, outcome, cause);
@@ -298,12 +333,18 @@
     call.takeover().dismiss();
     stallDetector.onData();
     recordSurvival(context.nowNanos());
-    if (prefillCounted && prefillTokens > 0) {
+    if (prefillCounted && prefillTokens > 0 && survivalExpected) {
       long millis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - sentAtNanos);
       double lagMillis = context.ioLag().averageMillis();
       context
           .estimator(call.service())
           .addSample(pendingTokens, nominalTokensPerMilli, millis, lagMillis);
+      upstream
+          .condition()
+          .recordTime(
+              millis - lagMillis,
+              FirstTokenEstimator.nominalMillis(pendingTokens, nominalTokensPerMilli),
+              context.nowNanos());
       grant.started(Math.max(0, millis - Math.round(lagMillis)));
     }
     call.admission().recordBegun();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -1,11 +1,15 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucansaddle.coordination.pacing.WarmUpState;
+import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
+import org.toucansaddle.coordination.upstream.UpstreamCondition;
+import org.toucansaddle.coordination.upstream.UpstreamCondition.OthersWork;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.toucansaddle.protocol.generated.UpstreamWork;
@@ -29,13 +33,12 @@
   private static final long UNREPORTED_WARM_UP_MILLIS = 3_000;
 
   private final String id;
+  private final long idHash;
   private final long startedAtMillis;
   private volatile UpstreamReport report;
   private volatile long lastReportAtNanos;
   private volatile long pausedUntilNanos;
   private volatile long avoidedUntilNanos;
-  private volatile int remoteRequests;
-  private volatile int remotePendingTokens;
   private volatile int remoteMemoryTokens;
   private final HangDetector hangDetector = new HangDetector();
   private final RequestLimit limit =
@@ -45,12 +48,12 @@
   private final AtomicBoolean malformedNoticed = new AtomicBoolean();
   private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
-  private final AtomicInteger localRequests = new AtomicInteger();
-  private final AtomicLong localPendingTokens = new AtomicLong();
+  private final UpstreamCondition condition = new UpstreamCondition();
   private final AtomicLong localMemoryTokens = new AtomicLong();
 
   Upstream(UpstreamReport report, long lastReportAtNanos) {
     this.id = report.id();
+    this.idHash = Hashing.komihash5_0().hashCharsToLong(id);
     this.startedAtMillis = report.startedAtMillis();
     this.report = report;
     this.lastReportAtNanos = lastReportAtNanos;
@@ -63,6 +66,11 @@
     return id;
   }
 
+  /** Returns a hash of the identity, equal on all routers. */
+  public long idHash() {
+    return idHash;
+  }
+
   /** Returns the start time of this incarnation, in milliseconds since 1970. */
   public long startedAtMillis() {
     return startedAtMillis;
@@ -193,37 +201,37 @@
    */
   public void recordRequestStarted(int tokens, int memoryTokens) {
     limit.recordSent();
-    localRequests.incrementAndGet();
-    localPendingTokens.addAndGet(tokens);
+    condition.requestStarted(tokens);
     localMemoryTokens.addAndGet(memoryTokens);
   }
 
   /** Records that the prompt of a request, with this many pending tokens, was processed. */
   public void recordPromptProcessed(int tokens) {
-    localPendingTokens.addAndGet(-tokens);
+    condition.promptRead(tokens);
   }
 
   /** Records the end of a request that occupied this many tokens in memory. */
   public void recordRequestEnded(int memoryTokens) {
-    localRequests.decrementAndGet();
+    condition.requestEnded();
     localMemoryTokens.addAndGet(-memoryTokens);
   }
 
   /** Replaces the load of the other routers at the upstream. */
-  void updateRemoteWork(UpstreamWork work) {
-    remoteRequests = work.getRequests();
-    remotePendingTokens = work.getPendingTokens();
+  void updateRemoteWork(UpstreamWork work, long nowNanos) {
+    Sums speed = new Sums(work.getObservedMillis(), work.getNominalMillis());
+    condition.updateOthers(
+        new OthersWork(work.getRequests(), work.getPendingTokens(), speed), nowNanos);
     remoteMemoryTokens = work.getMemoryTokens();
   }
 
   /** Returns the number of this router's requests under way at the upstream. */
   public int localRequests() {
-    return localRequests.get();
+    return condition.localRequests();
   }
 
   /** Returns this router's prompt tokens that the upstream has not processed yet. */
   public long localPendingTokens() {
-    return localPendingTokens.get();
+    return condition.localPendingTokens();
   }
 
   /** Returns the tokens that this router's requests occupy in the memory of the upstream. */
@@ -236,13 +244,18 @@
     return localMemoryTokens.get() + remoteMemoryTokens;
   }
 
-  /** Returns the number of all routers' requests under way, the others' as last reported. */
-  public int requests() {
-    return localRequests.get() + remoteRequests;
+  /** Returns the number of all routers' requests under way, as last reported or told. */
+  public int requests(long nowNanos) {
+    return condition.requests(nowNanos);
+  }
+
+  /** Returns the load and the speed of this incarnation. */
+  public UpstreamCondition condition() {
+    return condition;
   }
 
-  /** Returns the unprocessed prompt tokens of all routers, the others' as last reported. */
-  public long pendingTokens() {
-    return localPendingTokens.get() + remotePendingTokens;
+  /** Returns the unprocessed prompt tokens of all routers, as last reported or told. */
+  public long pendingTokens(long nowNanos) {
+    return condition.pendingTokens(nowNanos);
   }
 }
