Bound all connections of a router's callers in sum

Cause: kept connections, those that wait, those that linger after an early refusal and those that never send a request were bounded one by one or not at all; together they exceeded the descriptors ('Socket accept failed, backing off').

Change: one DescriptorBudget for all; idle connections give way first, then lingering ones, then the one that waits longest. Readiness and metrics have budgets of their own. Counts and log lines moved to ConnectionLoad.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ArrivalQueue.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ArrivalQueue.java
@@ -42,9 +42,12 @@
    */
   Optional<T> add(T connection, long now) {
     waiting.addLast(new Arrival<>(connection, now));
-    return waiting.size() > capacity
-        ? Optional.of(waiting.removeFirst().connection())
-        : Optional.empty();
+    return waiting.size() > capacity ? takeOldest() : Optional.empty();
+  }
+
+  /** Removes the connection that has waited longest. */
+  Optional<T> takeOldest() {
+    return Optional.ofNullable(waiting.pollFirst()).map(Arrival::connection);
   }
 
   /** Removes the connection that arrived last. */
@@ -58,7 +61,7 @@
     if (oldest == null || now - oldest.arrivedAt() <= maxWaitNanos) {
       return Optional.empty();
     }
-    return Optional.of(waiting.removeFirst().connection());
+    return takeOldest();
   }
 
   boolean isEmpty() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -84,8 +84,11 @@
    */
   private static final double MAX_CALLER_DESCRIPTOR_FRACTION = 0.45;
 
+  /** Connections for readiness and metrics at each of their addresses. */
+  private static final int MAX_SERVICE_CONNECTIONS = 64;
+
   /** New connections that may wait at an I/O thread. */
-  private static final int MAX_ARRIVED_CONNECTIONS = 1_000;
+  static final int MAX_ARRIVED_CONNECTIONS = 1_000;
 
   private static final int LOAD_LOG_MILLIS = 1_000;
   private static final int READINESS_MILLIS = 250;
@@ -129,16 +132,12 @@
   private final GatewayHandler handler;
   private final XnioWorker worker;
   private final List<PacedHttpListener> listeners = new ArrayList<>();
+  private final ConnectionLoad connectionLoad;
   private final AtomicBoolean draining = new AtomicBoolean();
   private final LoadReadiness loadReadiness = new LoadReadiness();
   private final IoLagMonitor lagMonitor;
   private volatile boolean refusingConnections;
 
-  /** Rejected and refused connections up to the last log line; control executor only. */
-  private long loggedRejections;
-
-  private long loggedRefusals;
-
   /** Refused connections up to the last update of the readiness; control executor only. */
   private long seenRefusals;
 
@@ -174,6 +173,7 @@
     ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
     this.connections =
         new CallerConnections(maxCallerConnections(router.maxDescriptors()), System::nanoTime);
+    this.connectionLoad = new ConnectionLoad(listeners, connections.budget());
     RelayContext context =
         new RelayContext(
             state,
@@ -278,18 +278,7 @@
         "toucansaddle_gateway_io_lag_seconds",
         "Average time by which I/O threads are late.",
         () -> ioLag.averageMillis() / MILLIS_PER_SECOND);
-    metrics.registerGauge(
-        "toucansaddle_gateway_caller_connections",
-        "Open connections of callers.",
-        connections::openCount);
-    metrics.registerGauge(
-        "toucansaddle_gateway_rejected_connections",
-        "New connections closed since the start because too many waited.",
-        this::rejectedConnections);
-    metrics.registerGauge(
-        "toucansaddle_gateway_refused_connections",
-        "New connections refused since the start before their request was parsed.",
-        this::refusedConnections);
+    connectionLoad.register(metrics);
     metrics.registerGauge(
         "toucansaddle_gateway_takes_callers",
         "1 unless the router asks for no new callers because it is behind.",
@@ -310,20 +299,8 @@
             millis -> connections.closeIdleFor(TimeUnit.MILLISECONDS.toNanos((long) millis)));
   }
 
-  private long rejectedConnections() {
-    return listeners.stream().mapToLong(PacedHttpListener::rejectedCount).sum();
-  }
-
-  private long refusedConnections() {
-    return listeners.stream().mapToLong(PacedHttpListener::refusedCount).sum();
-  }
-
-  private int waitingConnections() {
-    return listeners.stream().mapToInt(PacedHttpListener::waitingCount).sum();
-  }
-
   private void updateReadiness() {
-    long refused = refusedConnections();
+    long refused = connectionLoad.refusedCount();
     boolean refusesOverdue = state.isInitialized() && refused > seenRefusals;
     seenRefusals = refused;
     long now = System.nanoTime();
@@ -350,29 +327,14 @@
   }
 
   private void logLoad() {
-    long rejected = rejectedConnections();
-    if (rejected > loggedRejections) {
-      LOG.warn(
-          "{} new connections closed, since {} waited at an I/O thread; add routers",
-          rejected - loggedRejections,
-          MAX_ARRIVED_CONNECTIONS);
-      loggedRejections = rejected;
-    }
-    long refused = refusedConnections();
-    if (refused > loggedRefusals) {
-      LOG.warn(
-          "{} new connections refused before their request was read: {}",
-          refused - loggedRefusals,
-          state.isInitialized() ? "they waited too long" : "this router has no configuration yet");
-      loggedRefusals = refused;
-    }
+    connectionLoad.log(state.isInitialized());
     double maxLagMillis = ioLag.drainMaxMillis();
     if (maxLagMillis >= LOGGED_LAG_MILLIS) {
       LOG.info(
           "late: io_lag_ms={} io_lag_max_ms={} caller_connections={} under_way={}",
           Math.round(ioLag.averageMillis()),
           Math.round(maxLagMillis),
-          connections.openCount(),
+          connections.budget().openCount(),
           handler.requestsInFlight());
     }
   }
@@ -382,15 +344,17 @@
         Handlers.path().addExactPath(settings.readinessPath(), this::handleReadiness);
     if (settings.metricsAddress().isPresent()) {
       HttpHandler handlesMetrics = exchange -> exchange.getResponseSender().send(metrics());
-      listeners.add(listen(settings.metricsAddress().get(), handlesMetrics, buffers, () -> false));
+      listeners.add(listenForService(settings.metricsAddress().get(), handlesMetrics, buffers));
     }
     if (settings.readinessAddress().isPresent()) {
-      listeners.add(listen(settings.readinessAddress().get(), readiness, buffers, () -> false));
-      listeners.add(listen(settings.callerAddress(), handler, buffers, this::refusesConnections));
+      listeners.add(listenForService(settings.readinessAddress().get(), readiness, buffers));
+      listeners.add(
+          listen(
+              settings.callerAddress(), handler, buffers, connections, this::refusesConnections));
     } else {
       HttpHandler combined =
           Handlers.path(handler).addExactPath(settings.readinessPath(), this::handleReadiness);
-      listeners.add(listen(settings.callerAddress(), combined, buffers, () -> false));
+      listeners.add(listen(settings.callerAddress(), combined, buffers, connections, () -> false));
     }
   }
 
@@ -399,15 +363,33 @@
     return refusingConnections || !state.isInitialized();
   }
 
+  /** Listens with a budget of its own, so that checks are answered whatever callers do. */
+  private PacedHttpListener listenForService(
+      String address, HttpHandler rootHandler, ByteBufferPool buffers) throws IOException {
+    CallerConnections own = new CallerConnections(MAX_SERVICE_CONNECTIONS, System::nanoTime);
+    return listen(address, rootHandler, buffers, own, () -> false);
+  }
+
   private PacedHttpListener listen(
-      String address, HttpHandler rootHandler, ByteBufferPool buffers, BooleanSupplier refusesAll)
+      String address,
+      HttpHandler rootHandler,
+      ByteBufferPool buffers,
+      CallerConnections bounds,
+      BooleanSupplier refusesAll)
       throws IOException {
     int colon = address.lastIndexOf(':');
     InetSocketAddress bound =
         new InetSocketAddress(
             address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     return new PacedHttpListener(
-        bound, rootHandler, worker, buffers, HTTP_OPTIONS, MAX_ARRIVED_CONNECTIONS, refusesAll);
+        bound,
+        rootHandler,
+        worker,
+        buffers,
+        HTTP_OPTIONS,
+        MAX_ARRIVED_CONNECTIONS,
+        bounds,
+        refusesAll);
   }
 
   private void handleReadiness(HttpServerExchange exchange) {
@@ -450,7 +432,7 @@
   }
 
   private boolean hasUnansweredCallers() {
-    return waitingConnections() > 0 || handler.requestsInFlight() > 0;
+    return connectionLoad.waitingCount() > 0 || handler.requestsInFlight() > 0;
   }
 
   private static void sleep(long millis) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -6,8 +6,11 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -16,6 +19,10 @@
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.admission.DescriptorBudget;
+import org.toucansaddle.daemon.internal.gateway.relay.CallerConnections;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -31,7 +38,11 @@
  * While callers connect faster than that, an I/O thread reads neither responses of upstreams nor
  * requests on open connections. Here a limited number is handled between two passes over the open
  * connections, the newest first ({@link ArrivalQueue}). Those that wait too long are refused
- * without being parsed ({@link EarlyRefusal}). Thread-safe.
+ * without being parsed ({@link EarlyRefusal}).
+ *
+ * <p>All of its connections share one budget of descriptors, so that accepting does not fail. For a
+ * new one an idle connection gives way first, then one that lingers after its refusal, then the one
+ * that waits longest; otherwise the new one is closed. Thread-safe.
  */
 final class PacedHttpListener implements AutoCloseable {
 
@@ -49,8 +60,16 @@
   /** Wait after which a new connection is refused. */
   private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-  /** Connections that wait to be accepted. */
-  private static final int BACKLOG = 1_000;
+  /** Bounds of the connections that wait to be accepted, within the budget of descriptors. */
+  private static final int MIN_BACKLOG = 128;
+
+  private static final int MAX_BACKLOG = 1_000;
+
+  /**
+   * Fraction of the budget that may wait to be accepted. All of them can arrive before the selector
+   * returns the descriptors of those that are closed for them.
+   */
+  private static final double MAX_BACKLOG_FRACTION = 0.25;
 
   private final HttpOpenListener connectionListener;
   private final AcceptingChannel<StreamConnection> server;
@@ -58,6 +77,8 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Map<XnioIoThread, ArrivedConnections> arrivedByThread = new ConcurrentHashMap<>();
   private final int maxArrived;
+  private final CallerConnections connections;
+  private final DescriptorBudget budget;
   private final BooleanSupplier refusesAll;
   private final AtomicLong rejected = new AtomicLong();
   private final AtomicLong refused = new AtomicLong();
@@ -69,6 +90,7 @@
    * @param options options for the HTTP protocol, as in {@link UndertowOptions}
    * @param maxArrived new connections that may wait at an I/O thread; more are closed, so that
    *     their callers go elsewhere
+   * @param connections open connections with their budget of descriptors
    * @param refusesAll whether new connections are refused as they arrive
    * @throws IOException if the address cannot be bound
    */
@@ -79,9 +101,12 @@
       ByteBufferPool buffers,
       OptionMap options,
       int maxArrived,
+      CallerConnections connections,
       BooleanSupplier refusesAll)
       throws IOException {
     this.maxArrived = maxArrived;
+    this.connections = connections;
+    this.budget = connections.budget();
     this.refusesAll = refusesAll;
     this.connectionListener =
         new HttpOpenListener(
@@ -100,7 +125,7 @@
         OptionMap.builder()
             .set(Options.TCP_NODELAY, true)
             .set(Options.REUSE_ADDRESSES, true)
-            .set(Options.BACKLOG, BACKLOG)
+            .set(Options.BACKLOG, backlog(budget.maxOpen()))
             .getMap();
     this.server =
         worker.createStreamConnectionServer(
@@ -108,6 +133,11 @@
     server.resumeAccepts();
   }
 
+  private static int backlog(int maxOpen) {
+    int byBudget = (int) (MAX_BACKLOG_FRACTION * maxOpen);
+    return Math.max(MIN_BACKLOG, Math.min(MAX_BACKLOG, byBudget));
+  }
+
   /** New connections of an I/O thread; null if none is left. */
   interface AcceptQueue {
     StreamConnection poll() throws IOException;
@@ -150,31 +180,67 @@
   private final class ArrivedConnections {
     private final ArrivalQueue<StreamConnection> queue =
         new ArrivalQueue<>(maxArrived, MAX_WAIT_NANOS);
+
+    /** Refused connections that are still open, in the order of their refusal. */
+    private final Set<StreamConnection> lingering = new LinkedHashSet<>();
+
+    private final List<BooleanSupplier> closers;
     private final SelectionTurn nextPass;
     private boolean passScheduled;
 
     ArrivedConnections(XnioIoThread thread) throws IOException {
       this.nextPass = new SelectionTurn(thread, this::handleSome);
+      this.closers =
+          List.of(
+              () -> connections.closeLeastRecentlyUsed(thread),
+              this::closeLingering,
+              this::closeOldestWaiting);
     }
 
     void add(StreamConnection connection) {
+      if (!budget.makeRoom(closers)) {
+        rejected.incrementAndGet();
+        IoUtils.safeClose(connection);
+        return;
+      }
+      DescriptorBudget.Holding holding = budget.hold();
+      connection.setCloseListener(closed -> onClosed(closed, holding));
       if (refusesAll.getAsBoolean()) {
         refuse(connection);
         return;
       }
       waiting.incrementAndGet();
-      queue
-          .add(connection, System.nanoTime())
-          .ifPresent(
-              displaced -> {
-                waiting.decrementAndGet();
-                rejected.incrementAndGet();
-                IoUtils.safeClose(displaced);
-              });
+      queue.add(connection, System.nanoTime()).ifPresent(this::reject);
+    }
+
+    private void onClosed(StreamConnection connection, DescriptorBudget.Holding holding) {
+      holding.close();
+      lingering.remove(connection);
+      connections.onClosed(connection);
+    }
+
+    private boolean closeLingering() {
+      Optional<StreamConnection> oldest = lingering.stream().findFirst();
+      oldest.ifPresent(IoUtils::safeClose);
+      return oldest.isPresent();
+    }
+
+    private boolean closeOldestWaiting() {
+      Optional<StreamConnection> oldest = queue.takeOldest();
+      oldest.ifPresent(this::reject);
+      return oldest.isPresent();
+    }
+
+    /** Closes a connection that was waiting, so that its caller goes elsewhere. */
+    private void reject(StreamConnection connection) {
+      waiting.decrementAndGet();
+      rejected.incrementAndGet();
+      IoUtils.safeClose(connection);
     }
 
     private void refuse(StreamConnection connection) {
       refused.incrementAndGet();
+      lingering.add(connection);
       EarlyRefusal.refuse(connection);
     }
 
@@ -202,7 +268,18 @@
 
     private void handle(StreamConnection connection) {
       waiting.decrementAndGet();
+      ChannelListener<? super StreamConnection> counting = connection.getCloseListener();
+      connections.onRead(connection);
       connectionListener.handleEvent(connection);
+      ChannelListener<? super StreamConnection> protocol = connection.getCloseListener();
+      connection.setCloseListener(
+          closed -> {
+            counting.handleEvent(closed);
+            ChannelListeners.invokeChannelListener(closed, protocol);
+          });
+      if (!connection.isOpen()) {
+        counting.handleEvent(connection);
+      }
     }
 
     private void refuseOverdue(long now) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
@@ -1,33 +1,34 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
+import org.toucansaddle.coordination.admission.DescriptorBudget;
 import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 
 /**
- * The open connections of callers that have sent at least one request.
+ * The open connections of callers and the budget of descriptors that all of them share.
  *
- * <p>A connection is idle between the end of one request and the start of the next. While more than
- * the maximum are open, those that have been idle longest are closed, so that descriptors remain
- * for new callers and for upstreams. Only idle connections are closed: a caller whose request
- * arrives during the close sees the connection end without a response, which shows that the request
- * was not read. Thread-safe.
+ * <p>A connection that is read is idle until its first request starts, and between the end of one
+ * request and the start of the next. Once the budget is used up, those that have been idle longest
+ * are closed first. Only idle connections are closed here: a caller whose request arrives during
+ * the close sees the connection end without a response, which shows that the request was not read.
+ * Thread-safe.
  */
 public final class CallerConnections {
 
-  private final int maxOpen;
+  private final DescriptorBudget budget;
   private final LongSupplier clock;
-  private final AtomicInteger open = new AtomicInteger();
 
   /** Start of the idle time in nanoseconds, least recently used connection first. */
-  private final Map<ServerConnection, Long> idle = new LinkedHashMap<>();
+  private final Map<StreamConnection, Long> idle = new LinkedHashMap<>();
 
   /**
    * Creates an empty set.
@@ -36,18 +37,18 @@
    * @param clock returns nanoseconds
    */
   public CallerConnections(int maxOpen, LongSupplier clock) {
-    this.maxOpen = maxOpen;
+    this.budget = new DescriptorBudget(maxOpen);
     this.clock = clock;
   }
 
-  /** Returns the number of open connections. */
-  public int openCount() {
-    return open.get();
+  /** Returns the budget, which also counts connections that are not read yet or any more. */
+  public DescriptorBudget budget() {
+    return budget;
   }
 
-  /** Returns whether more than the maximum are open, so that none should be kept. */
+  /** Returns whether the budget is used up, so that no connection should be kept. */
   boolean isFull() {
-    return open.get() > maxOpen;
+    return budget.isFull();
   }
 
   /**
@@ -58,44 +59,53 @@
     return connection instanceof HttpServerConnection http && http.getExtraBytes() != null;
   }
 
-  /** Records that a request arrived on a connection. */
-  void onRequestStarted(ServerConnection connection) {
-    if (removeIdle(connection)) {
-      return;
-    }
-    open.incrementAndGet();
-    connection.addCloseListener(this::onClosed);
-    if (isFull()) {
-      closeLeastRecentlyUsed(connection.getIoThread());
-    }
+  /** Records that a connection is read from now on; {@link #onClosed} has to follow. */
+  public void onRead(StreamConnection connection) {
+    putIdle(connection);
   }
 
-  private void onClosed(ServerConnection connection) {
-    open.decrementAndGet();
+  /** Records that a connection is closed. */
+  public void onClosed(StreamConnection connection) {
     removeIdle(connection);
   }
 
+  /** Records that a request arrived on a connection. */
+  void onRequestStarted(ServerConnection connection) {
+    removeIdle(channelOf(connection));
+  }
+
   /** Records that the response to the request of a connection is written completely. */
   void onRequestEnded(ServerConnection connection) {
-    if (!connection.isOpen()) {
-      return;
+    if (connection.isOpen()) {
+      putIdle(channelOf(connection));
     }
+  }
+
+  private static StreamConnection channelOf(ServerConnection connection) {
+    return ((AbstractServerConnection) connection).getChannel();
+  }
+
+  private void putIdle(StreamConnection connection) {
     synchronized (idle) {
       idle.put(connection, clock.getAsLong());
     }
   }
 
-  private boolean removeIdle(ServerConnection connection) {
+  private boolean removeIdle(StreamConnection connection) {
     synchronized (idle) {
       return idle.remove(connection) != null;
     }
   }
 
-  /** Closes the idle connection of the current I/O thread that was used least recently. */
-  private void closeLeastRecentlyUsed(XnioIoThread current) {
-    ServerConnection found = null;
+  /**
+   * Closes the idle connection of the current I/O thread that was used least recently.
+   *
+   * @return whether there was one
+   */
+  public boolean closeLeastRecentlyUsed(XnioIoThread current) {
+    StreamConnection found = null;
     synchronized (idle) {
-      for (ServerConnection connection : idle.keySet()) {
+      for (StreamConnection connection : idle.keySet()) {
         if (connection.getIoThread() == current) {
           found = connection;
           break;
@@ -104,14 +114,15 @@
       idle.remove(found);
     }
     IoUtils.safeClose(found);
+    return found != null;
   }
 
   /** Closes connections that have been idle for at least this time. */
   public void closeIdleFor(long nanos) {
     long now = clock.getAsLong();
-    List<ServerConnection> expired = new ArrayList<>();
+    List<StreamConnection> expired = new ArrayList<>();
     synchronized (idle) {
-      for (Map.Entry<ServerConnection, Long> entry : idle.entrySet()) {
+      for (Map.Entry<StreamConnection, Long> entry : idle.entrySet()) {
         if (now - entry.getValue() < nanos) {
           break;
         }
@@ -122,11 +133,11 @@
   }
 
   /** Closes a connection on its I/O thread unless a request has arrived until then. */
-  private void closeLater(ServerConnection connection) {
+  private void closeLater(StreamConnection connection) {
     connection.getIoThread().execute(() -> closeIfIdle(connection));
   }
 
-  private void closeIfIdle(ServerConnection connection) {
+  private void closeIfIdle(StreamConnection connection) {
     if (removeIdle(connection)) {
       IoUtils.safeClose(connection);
     }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
@@ -11,18 +11,22 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.internal.IoThreads;
+import org.toucansaddle.daemon.internal.gateway.relay.CallerConnections;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
@@ -71,6 +75,7 @@
             new DefaultByteBufferPool(true, 1_024),
             OptionMap.EMPTY,
             MAX_ARRIVED,
+            withBudget(2 * CONNECTIONS + FLOOD),
             () -> false)) {
       worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
       int answered = 0;
@@ -101,6 +106,7 @@
             new DefaultByteBufferPool(true, 1_024),
             OptionMap.EMPTY,
             FLOOD,
+            withBudget(2 * CONNECTIONS + FLOOD),
             () -> false)) {
       XnioIoThread thread = worker.getIoThread();
       thread.execute(() -> listener.takeOver(kept::poll));
@@ -173,6 +179,7 @@
             new DefaultByteBufferPool(true, 1_024),
             OptionMap.EMPTY,
             CONNECTIONS,
+            withBudget(2 * CONNECTIONS + FLOOD),
             () -> true)) {
       worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
       for (Socket caller : callers) {
@@ -187,6 +194,65 @@
     }
   }
 
+  /** What callers do with their connections, and whether all new ones are refused. */
+  @DataProvider
+  public Object[][] floods() {
+    return new Object[][] {{"", false}, {"GET / HTTP/1.1\r\n", false}, {"", true}};
+  }
+
+  /** Guards against connections that are silent, kept or refused and use up all descriptors. */
+  @Test(dataProvider = "floods")
+  public void shouldHoldNoMoreConnectionsThanItsBudget(String sent, boolean refusesAll)
+      throws Exception {
+    Queue<StreamConnection> flood = connectCallers(FLOOD);
+    for (Socket caller : callers) {
+      caller.getOutputStream().write(sent.getBytes(StandardCharsets.US_ASCII));
+    }
+    CallerConnections bounds = withBudget(CONNECTIONS);
+    try (PacedHttpListener listener =
+        new PacedHttpListener(
+            ANY_PORT,
+            HttpServerExchange::endExchange,
+            worker,
+            new DefaultByteBufferPool(true, 1_024),
+            OptionMap.EMPTY,
+            FLOOD,
+            bounds,
+            () -> refusesAll)) {
+      CompletableFuture<Integer> openCount = new CompletableFuture<>();
+      worker
+          .getIoThread()
+          .execute(
+              () -> {
+                listener.takeOver(flood::poll);
+                openCount.complete(bounds.budget().openCount());
+              });
+      assertThat(openCount.get()).isEqualTo(CONNECTIONS);
+      assertThat(bounds.budget().gaveWayCount()).isEqualTo(FLOOD - CONNECTIONS);
+      assertThat(countClosed()).isGreaterThanOrEqualTo(FLOOD - CONNECTIONS);
+    }
+  }
+
+  /** Returns how many connections of callers the listener has closed. */
+  private int countClosed() throws IOException {
+    int closed = 0;
+    for (Socket caller : callers) {
+      caller.setSoTimeout(20);
+      try {
+        closed += caller.getInputStream().read() < 0 ? 1 : 0;
+      } catch (SocketTimeoutException e) {
+        assertThat(caller.isClosed()).isFalse();
+      } catch (SocketException e) {
+        closed++;
+      }
+    }
+    return closed;
+  }
+
+  private static CallerConnections withBudget(int maxOpen) {
+    return new CallerConnections(maxOpen, System::nanoTime);
+  }
+
   /** Connects callers at a server of the test, so that all of them arrive at the same time. */
   private Queue<StreamConnection> connectCallers(int count) throws Exception {
     Queue<StreamConnection> arrived = new ConcurrentLinkedQueue<>();
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConnectionUsageTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -210,6 +211,21 @@
     }
   }
 
+  /** Guards against kept, silent and unfinished connections that are not bounded in sum. */
+  @Test
+  public void shouldServeNewCallersWhileConnectionsOfAllKindsExceedDescriptors() throws Exception {
+    int maxDescriptors = 300;
+    try (RouterProcess router = RouterProcess.startWithDescriptors(gateway, maxDescriptors)) {
+      LocalGateway.await(() -> isServing(router.callerAddress()));
+      for (int caller = 0; caller < 2 * maxDescriptors; caller++) {
+        connect(router.callerAddress());
+        connect(router.callerAddress()).getOutputStream().write('G');
+        assertThat(get(connect(router.callerAddress()))).as("caller %d", caller).isEqualTo(200);
+      }
+      assertThat(Files.readString(router.logFile())).doesNotContain("accept failed");
+    }
+  }
+
   /** Guards against requests that run for nobody: a router that was late sent them on. */
   @Test
   public void shouldNotSendRequestWhoseCallerLeftBeforeItWasRead() throws Exception {
