Bound the bytes held of all requests' bodies in sum

Cause: bodies were bounded one by one; forty unfinished ones of 4 MiB ended a router of 48 MB of heap with OutOfMemoryError (HeldBytesUsageTest.shouldServeOthersWhileUnfinishedBodiesExceedMemory, seen red before).

Change: ByteBudget of 16 % of the heap; a body without room is dropped and its request refused as not run. Gauge toucansaddle_gateway_body_bytes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -14,6 +14,8 @@
 import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.request.HeadSize;
+import org.toucansaddle.http.ByteBudget;
+import org.toucansaddle.http.NoRoomException;
 import org.toucansaddle.http.RequestBody;
 
 /**
@@ -28,15 +30,27 @@
   /** Retry delay during shutdown: short, since another router can serve the request at once. */
   private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
 
+  /** Fraction of the heap for bodies; while one is read, twice its bytes and a copy are needed. */
+  private static final double MAX_BODIES_HEAP_FRACTION = 0.16;
+
   private final RelayContext context;
   private final AtomicInteger requestsInFlight = new AtomicInteger();
   private final CallerConnections connections;
+  private final ByteBudget bodies =
+      new ByteBudget((long) (MAX_BODIES_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
+
   private volatile boolean refusingNewRequests;
 
   /** Creates a handler. */
   public GatewayHandler(RelayContext context) {
     this.context = context;
     this.connections = context.connections();
+    context
+        .metrics()
+        .registerGauge(
+            "toucansaddle_gateway_body_bytes",
+            "Bytes held of the bodies of requests under way.",
+            bodies::heldBytes);
   }
 
   /** Returns the number of requests whose responses are not completely written. */
@@ -102,6 +116,7 @@
     RequestBody.read(
         exchange,
         maxBytes,
+        bodies,
         bytes ->
             dispatchFromOrigin(
                 exchange,
@@ -117,7 +132,13 @@
         failure ->
             exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
-                () -> refuse(exchange, head, ErrorResponse.unreadableBody())));
+                () ->
+                    refuse(
+                        exchange,
+                        head,
+                        failure instanceof NoRoomException
+                            ? ErrorResponse.routerBehind()
+                            : ErrorResponse.unreadableBody())));
   }
 
   /**
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/RequestBody.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/RequestBody.java
@@ -41,11 +41,14 @@
   private final long maxBytes;
   private final Consumer<byte[]> onBody;
   private final Consumer<IOException> onFailure;
-  private final ByteArrayOutputStream content;
+  private final ByteBudget budget;
+  private final ByteBudget.Holding holding;
+  private ByteArrayOutputStream content;
 
   private RequestBody(
       HttpServerExchange exchange,
       long maxBytes,
+      ByteBudget budget,
       Consumer<byte[]> onBody,
       Consumer<IOException> onFailure) {
     this.exchange = exchange;
@@ -53,32 +56,51 @@
     this.maxBytes = maxBytes;
     this.onBody = onBody;
     this.onFailure = onFailure;
+    this.budget = budget;
+    this.holding = budget.open();
     // The announced length is not trusted with more memory until the content arrives.
     long expected = Math.min(INITIAL_BYTES, exchange.getRequestContentLength());
     this.content = new ByteArrayOutputStream((int) Math.max(0, expected));
   }
 
+  /** Reads the body without a bound of all bodies in sum; otherwise like the other method. */
+  public static void read(
+      HttpServerExchange exchange,
+      long maxBytes,
+      Consumer<byte[]> onBody,
+      Consumer<IOException> onFailure) {
+    read(exchange, maxBytes, new ByteBudget(Long.MAX_VALUE), onBody, onFailure);
+  }
+
   /**
    * Reads the body; called by a handler, on the I/O thread.
    *
    * @param maxBytes maximum size of the body, in bytes
+   * @param budget counts the bytes of the body from their arrival until the exchange is complete
    * @param onBody receives the body, which is empty if the request has none
-   * @param onFailure receives the reason if the body is too long or does not arrive completely
+   * @param onFailure receives the reason if the body is too long or does not arrive completely; a
+   *     {@link NoRoomException} if the budget is used up
    * @throws IllegalStateException if the body has been read already
    */
   public static void read(
       HttpServerExchange exchange,
       long maxBytes,
+      ByteBudget budget,
       Consumer<byte[]> onBody,
       Consumer<IOException> onFailure) {
     if (exchange.isRequestComplete()) {
       onBody.accept(new byte[0]);
       return;
     }
-    RequestBody body = new RequestBody(exchange, maxBytes, onBody, onFailure);
+    RequestBody body = new RequestBody(exchange, maxBytes, budget, onBody, onFailure);
     if (body.channel == null) {
       throw new IllegalStateException("The body of the request has been read already.");
     }
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          body.holding.close();
+          next.proceed();
+        });
     if (HttpContinue.requiresContinueResponse(exchange)) {
       body.readAfterContinue();
     } else {
@@ -130,6 +152,13 @@
     Connectors.executeRootHandler(handled -> result.run(), exchange);
   }
 
+  /** Drops what was read, so that the others can be read completely. */
+  private void giveUp() {
+    content = new ByteArrayOutputStream(0);
+    holding.close();
+    onFailure.accept(new NoRoomException(budget.heldBytes()));
+  }
+
   /** Reads until no content is available; returns the call of a consumer at the end of the body. */
   private Runnable readAvailable() {
     try (PooledByteBuffer pooled = exchange.getConnection().getByteBufferPool().allocate()) {
@@ -150,6 +179,9 @@
                   "The body is longer than " + maxBytes + " bytes; send a shorter one.");
           return () -> onFailure.accept(tooLong);
         }
+        if (!holding.grow(count)) {
+          return this::giveUp;
+        }
         buffer.flip();
         while (buffer.hasRemaining()) {
           int part = Math.min(buffer.remaining(), copy.length);
--- /dev/null
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/HeldBytesUsageTest.java
@@ -0,0 +1,133 @@
+package org.toucansaddle.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.toucansaddle.usage.RawCaller.RawResponse;
+import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
+
+/** Usage tests of a router with little memory whose callers or upstreams make it hold much. */
+public class HeldBytesUsageTest {
+
+  private static final int HEAP_MEGABYTES = 48;
+  private static final int MAX_DESCRIPTORS = 1_024;
+  private static final int CALLERS = 40;
+  private static final int BODY_BYTES = 4 << 20;
+  private static final String PART = "x".repeat(64 << 10);
+  private static final int PARTS = BODY_BYTES / PART.length();
+
+  private final List<KeptConnection> connections = new ArrayList<>();
+  private LocalGateway gateway;
+  private ScriptedUpstreams upstreams;
+  private RouterProcess router;
+
+  @BeforeClass
+  public void startGateway() throws Exception {
+    gateway = new LocalGateway();
+    gateway.awaitServing();
+    upstreams = new ScriptedUpstreams(gateway, 2, HeldBytesUsageTest::answer);
+  }
+
+  @BeforeMethod
+  public void startRouter() throws Exception {
+    router = RouterProcess.start(gateway, MAX_DESCRIPTORS, HEAP_MEGABYTES);
+    LocalGateway.await(this::isServing);
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stopRouter() throws IOException {
+    for (KeptConnection connection : connections) {
+      connection.close();
+    }
+    connections.clear();
+    router.close();
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopGateway() throws Exception {
+    upstreams.close();
+    gateway.close();
+  }
+
+  private static void answer(Exchange exchange) throws IOException {
+    if (exchange.path().endsWith("/long")) {
+      exchange.writeHead(200, "Content-Length: " + BODY_BYTES);
+      for (int part = 0; part < PARTS; part++) {
+        exchange.write(PART);
+      }
+    } else {
+      exchange.writeAnswer(200, Integer.toString(exchange.body().length()));
+    }
+  }
+
+  private boolean isServing() {
+    try {
+      return RawCaller.get(router.callerAddress(), "/once/x", "1.1").status() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private KeptConnection connect() throws IOException {
+    KeptConnection connection = new KeptConnection(router.callerAddress());
+    connections.add(connection);
+    return connection;
+  }
+
+  private void assertInMemory() throws IOException {
+    assertThat(RawCaller.get(router.callerAddress(), "/once/x", "1.1").status()).isEqualTo(200);
+    assertThat(Files.readString(router.logFile())).doesNotContain("OutOfMemory");
+  }
+
+  /** Guards against bodies that are each within the limit and together exceed the memory. */
+  @Test(timeOut = 60_000)
+  public void shouldServeOthersWhileUnfinishedBodiesExceedMemory() throws Exception {
+    for (int caller = 0; caller < CALLERS; caller++) {
+      connect().send(KeptConnection.postHead("/once/body", "r" + caller, BODY_BYTES));
+    }
+    for (int part = 0; part < PARTS - 1; part++) {
+      for (KeptConnection connection : connections) {
+        connection.send(PART);
+      }
+    }
+    assertInMemory();
+    int answered = 0;
+    for (KeptConnection connection : connections) {
+      connection.send(PART);
+      RawResponse response = connection.receive();
+      if (response.status() == 200) {
+        answered++;
+        assertThat(response.body()).isEqualTo(Integer.toString(BODY_BYTES));
+      } else {
+        assertThat(response.status()).isEqualTo(503);
+        assertThat(response.body()).contains("\"not-run\"");
+      }
+    }
+    assertThat(answered).as("requests answered").isPositive();
+    assertInMemory();
+  }
+
+  /** Guards against responses that are read from upstreams faster than callers take them. */
+  @Test(timeOut = 60_000)
+  public void shouldHoldLittleForManyCallersThatReadNothing() throws Exception {
+    for (int caller = 0; caller < CALLERS; caller++) {
+      connect().send(KeptConnection.get("/once/long", "r" + caller));
+    }
+    Thread.sleep(1_000);
+    assertInMemory();
+    for (KeptConnection connection : connections) {
+      RawResponse response = connection.receive();
+      assertThat(response.status()).isEqualTo(200);
+      assertThat(response.complete()).isTrue();
+      assertThat(response.body()).hasSize(BODY_BYTES);
+    }
+  }
+}
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RouterProcess.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RouterProcess.java
@@ -12,6 +12,8 @@
 /** Router of a {@link LocalGateway} in a process of its own. Used by one thread. */
 final class RouterProcess implements AutoCloseable {
 
+  private static final int HEAP_MEGABYTES = 128;
+
   private final FleetProcess process;
   private final String callerAddress;
 
@@ -23,6 +25,12 @@
   /** Starts a router that may open a limited number of file descriptors. */
   static RouterProcess startWithDescriptors(LocalGateway gateway, int maxDescriptors)
       throws IOException {
+    return start(gateway, maxDescriptors, HEAP_MEGABYTES);
+  }
+
+  /** Starts a router with limits on its file descriptors and its heap, in megabytes. */
+  static RouterProcess start(LocalGateway gateway, int maxDescriptors, int heapMegabytes)
+      throws IOException {
     String callerAddress = gateway.allocateAddress();
     List<String> arguments =
         new ArrayList<>(
@@ -31,7 +39,7 @@
     List<String> command =
         new ArrayList<>(
             List.of("bash", "-c", "ulimit -n " + maxDescriptors + "; exec \"$@\"", "router"));
-    command.addAll(FleetProcess.javaCommand(128, 1, RouterProcess.class, arguments));
+    command.addAll(FleetProcess.javaCommand(heapMegabytes, 1, RouterProcess.class, arguments));
     Path log = Files.createTempFile("router", ".log");
     FleetProcess process = new FleetProcess("router", command, log);
     process.start();
