--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/HeldBytesUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/HeldBytesUsageTest.java
@@ -24,6 +24,10 @@
   private static final String PART = "x".repeat(64 << 10);
   private static final int PARTS = BODY_BYTES / PART.length();
 
+  private static final int READ_PAUSE_MILLIS = 100;
+  private static final int SLOW_BODIES = 10;
+  private static final int SLOW_BODY_BYTES = 512 << 10;
+
   private final List<KeptConnection> connections = new ArrayList<>();
   private LocalGateway gateway;
   private ScriptedUpstreams upstreams;
@@ -130,4 +134,26 @@
       assertThat(response.body()).hasSize(BODY_BYTES);
     }
   }
+
+  /** Guards against bodies that wait for upstreams and take the memory of other requests. */
+  @Test(timeOut = 60_000)
+  public void shouldDeliverBodiesToUpstreamsThatReadSlowly() throws Exception {
+    upstreams.readSlowly(READ_PAUSE_MILLIS);
+    try {
+      for (int caller = 0; caller < SLOW_BODIES; caller++) {
+        connect().send(KeptConnection.postHead("/once/body", "r" + caller, SLOW_BODY_BYTES));
+        for (int sent = 0; sent < SLOW_BODY_BYTES; sent += PART.length()) {
+          connections.get(caller).send(PART);
+        }
+      }
+      assertInMemory();
+      for (KeptConnection connection : connections) {
+        RawResponse response = connection.receive();
+        assertThat(response.status()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo(Integer.toString(SLOW_BODY_BYTES));
+      }
+    } finally {
+      upstreams.readSlowly(0);
+    }
+  }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -1,8 +1,10 @@
 package org.toucansaddle.usage;
 
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -39,6 +41,9 @@
 
   private static final int DELIVERY_MILLIS = 100;
 
+  /** Bytes that a slow upstream reads at a time, and holds unread at most. */
+  private static final int SLOW_READ_BYTES = 64 << 10;
+
   /** Writes the answer to one request; the connection stays open unless the script closes it. */
   @FunctionalInterface
   interface Script {
@@ -50,6 +55,7 @@
   private final List<ScriptedUpstream> upstreams = new CopyOnWriteArrayList<>();
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
   private final AtomicLong sequence = new AtomicLong();
+  private volatile int readPauseMillis;
   private final ExecutorService connections = Executors.newCachedThreadPool();
   private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
 
@@ -91,6 +97,11 @@
     report();
   }
 
+  /** Lets the upstreams pause before each part of a body that they read; 0 for no pause. */
+  void readSlowly(int pauseMillis) {
+    readPauseMillis = pauseMillis;
+  }
+
   /** Deregisters an upstream and stops it. */
   void stop(String id) throws IOException {
     ScriptedUpstream upstream = find(id);
@@ -275,13 +286,35 @@
       }
     }
 
+    private byte[] readBody(Socket socket, InputStream in, int length) throws IOException {
+      if (readPauseMillis == 0) {
+        return in.readNBytes(length);
+      }
+      socket.setReceiveBufferSize(SLOW_READ_BYTES);
+      byte[] body = new byte[length];
+      int count = 0;
+      while (count < length) {
+        try {
+          Thread.sleep(readPauseMillis);
+        } catch (InterruptedException e) {
+          throw new InterruptedIOException("the test ended");
+        }
+        int part = in.readNBytes(body, count, Math.min(SLOW_READ_BYTES, length - count));
+        if (part == 0) {
+          throw new EOFException("the gateway closed the connection");
+        }
+        count += part;
+      }
+      return body;
+    }
+
     private void serve(Socket socket) {
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         for (String line = HttpText.readLine(in); !line.isEmpty(); line = HttpText.readLine(in)) {
           Map<String, String> headers = HttpText.readFields(in);
           int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
-          String body = new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+          String body = new String(readBody(socket, in, length), StandardCharsets.US_ASCII);
           script.answer(new Exchange(this, line.split(" ")[1], headers, body, socket));
           if (socket.isClosed()) {
             return;
