Refuse new connections by the shortest target, not after 400 ms

Cause: a router held new connections for 400 ms whatever the targets, and then closed what did not fit.

Change: the wait after which a new connection is refused is the lag from which a router is behind (ReadLag): its caller goes to another router while that can still answer in time.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ArrivalQueue.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ArrivalQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * New connections that wait to be handled, in an order that keeps goodput under overload.
@@ -19,7 +20,7 @@
 final class ArrivalQueue<T> {
 
   private final int capacity;
-  private final long maxWaitNanos;
+  private final LongSupplier maxWaitNanos;
   private final Deque<Arrival<T>> waiting = new ArrayDeque<>();
 
   private record Arrival<T>(T connection, long arrivedAt) {}
@@ -28,9 +29,9 @@
    * Creates an empty queue.
    *
    * @param capacity connections that may wait
-   * @param maxWaitNanos wait after which a connection is to be refused, in nanoseconds
+   * @param maxWaitNanos wait after which a connection is to be refused now, in nanoseconds
    */
-  ArrivalQueue(int capacity, long maxWaitNanos) {
+  ArrivalQueue(int capacity, LongSupplier maxWaitNanos) {
     this.capacity = capacity;
     this.maxWaitNanos = maxWaitNanos;
   }
@@ -58,7 +59,7 @@
   /** Removes the connection that has waited longest if it has waited too long. */
   Optional<T> takeOverdue(long now) {
     Arrival<T> oldest = waiting.peekFirst();
-    if (oldest == null || now - oldest.arrivedAt() <= maxWaitNanos) {
+    if (oldest == null || now - oldest.arrivedAt() <= maxWaitNanos.getAsLong()) {
       return Optional.empty();
     }
     return takeOldest();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -100,6 +100,7 @@
   private static final int LOGGED_LAG_MILLIS = 100;
 
   private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double NANOS_PER_MILLI = 1e6;
 
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -131,7 +132,10 @@
   private final ConnectOutcomes connectOutcomes;
   private final GatewayHandler handler;
   private final XnioWorker worker;
+
+  /** The last one is that of callers. */
   private final List<PacedHttpListener> listeners = new ArrayList<>();
+
   private final ConnectionLoad connectionLoad;
   private final AtomicBoolean draining = new AtomicBoolean();
   private final LoadReadiness loadReadiness = new LoadReadiness();
@@ -312,6 +316,8 @@
     ZoneState elsewhere = new ZoneState(others.elsewhere(), 0, others.elsewhereOverloaded());
     boolean fails = refusesOverdue || upstreamsSilent;
     ReadLag lag = new ReadLag(lagMillis, state.shortestTargetMillis());
+    long maxWaitNanos = (long) (lag.limitMillis() * NANOS_PER_MILLI);
+    listeners.get(listeners.size() - 1).refuseAfter(maxWaitNanos);
     boolean changed = loadReadiness.update(now, lag, fails, zone, elsewhere);
     state.setLoad(!loadReadiness.takesCallers(), loadReadiness.isOverloaded());
     if (changed) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -57,7 +57,7 @@
   /** Overdue connections refused in a pass. */
   private static final int MAX_REFUSED_PER_PASS = 64;
 
-  /** Wait after which a new connection is refused. */
+  /** Wait after which a new connection is refused unless a shorter one is set. */
   private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
   /** Bounds of the connections that wait to be accepted, within the budget of descriptors. */
@@ -83,6 +83,7 @@
   private final AtomicLong rejected = new AtomicLong();
   private final AtomicLong refused = new AtomicLong();
   private final AtomicInteger waiting = new AtomicInteger();
+  private volatile long maxWaitNanos = MAX_WAIT_NANOS;
 
   /**
    * Starts a listener.
@@ -161,6 +162,11 @@
     arrived.startHandling();
   }
 
+  /** Sets the wait after which new connections are refused, in nanoseconds. */
+  void refuseAfter(long nanos) {
+    maxWaitNanos = nanos;
+  }
+
   /** Returns the number of connections closed since too many waited. */
   long rejectedCount() {
     return rejected.get();
@@ -179,7 +185,7 @@
   /** Connections that have arrived at an I/O thread and are not handled yet; confined to it. */
   private final class ArrivedConnections {
     private final ArrivalQueue<StreamConnection> queue =
-        new ArrivalQueue<>(maxArrived, MAX_WAIT_NANOS);
+        new ArrivalQueue<>(maxArrived, () -> maxWaitNanos);
 
     /** Refused connections that are still open, in the order of their refusal. */
     private final Set<StreamConnection> lingering = new LinkedHashSet<>();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -131,14 +131,13 @@
                         startNanos)),
         failure ->
             exchange.dispatch(
-                SameThreadExecutor.INSTANCE,
-                () ->
-                    refuse(
-                        exchange,
-                        head,
-                        failure instanceof NoRoomException
-                            ? ErrorResponse.routerBehind()
-                            : ErrorResponse.unreadableBody())));
+                SameThreadExecutor.INSTANCE, () -> refuse(exchange, head, bodyError(failure))));
+  }
+
+  private static ErrorResponse bodyError(Throwable failure) {
+    return failure instanceof NoRoomException
+        ? ErrorResponse.routerBehind()
+        : ErrorResponse.unreadableBody();
   }
 
   /**
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/ArrivalQueueTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/ArrivalQueueTest.java
@@ -25,7 +25,7 @@
 
   @Test
   public void shouldTakeNewestFirst() {
-    ArrivalQueue<String> queue = new ArrivalQueue<>(CAPACITY, MAX_WAIT_NANOS);
+    ArrivalQueue<String> queue = new ArrivalQueue<>(CAPACITY, () -> MAX_WAIT_NANOS);
     queue.add("older", 0);
     queue.add("newer", MILLI);
     assertThat(queue.takeNewest()).contains("newer");
@@ -35,14 +35,14 @@
 
   @Test
   public void shouldGiveUpOldestIfTooManyWait() {
-    ArrivalQueue<String> queue = new ArrivalQueue<>(1, MAX_WAIT_NANOS);
+    ArrivalQueue<String> queue = new ArrivalQueue<>(1, () -> MAX_WAIT_NANOS);
     assertThat(queue.add("older", 0)).isEmpty();
     assertThat(queue.add("newer", 1)).contains("older");
   }
 
   @Test
   public void shouldReturnOnlyOverdueConnections() {
-    ArrivalQueue<String> queue = new ArrivalQueue<>(CAPACITY, MAX_WAIT_NANOS);
+    ArrivalQueue<String> queue = new ArrivalQueue<>(CAPACITY, () -> MAX_WAIT_NANOS);
     queue.add("older", 0);
     queue.add("newer", MILLI);
     assertThat(queue.takeOverdue(MAX_WAIT_NANOS)).isEmpty();
@@ -59,7 +59,7 @@
   /** Flood of one router: guards against a queue of requests whose callers are gone. */
   @Test(dataProvider = "offeredLoads")
   public void shouldKeepGoodputUnderAnyOfferedLoad(double load) {
-    ArrivalQueue<Long> queue = new ArrivalQueue<>(CAPACITY, MAX_WAIT_NANOS);
+    ArrivalQueue<Long> queue = new ArrivalQueue<>(CAPACITY, () -> MAX_WAIT_NANOS);
     long interval = (long) (SERVICE_NANOS / load);
     long nextArrival = 0;
     int served = 0;
@@ -84,4 +84,15 @@
         .as("goodput at %s times the capacity", load)
         .isGreaterThan(0.8 * Math.min(1, load));
   }
+
+  /** Guards against callers with short targets who wait as long as those with long ones. */
+  @Test
+  public void shouldFollowWaitThatChanges() {
+    long[] maxWaitNanos = {MAX_WAIT_NANOS};
+    ArrivalQueue<String> queue = new ArrivalQueue<>(CAPACITY, () -> maxWaitNanos[0]);
+    queue.add("a", 0);
+    assertThat(queue.takeOverdue(60 * MILLI)).isEmpty();
+    maxWaitNanos[0] = 50 * MILLI;
+    assertThat(queue.takeOverdue(60 * MILLI)).contains("a");
+  }
 }
