Let the test of a returning zone look at the time of the doubt

bin/prove-tests doubt-before-zone-returns passed without the mechanism: the test asked for the warmth at a time before the reports, when every upstream is cold, and did not wait for its observer.

--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInServiceTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInServiceTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.Test;
 import org.toucansaddle.coordination.zones.ZoneOrders;
@@ -25,8 +26,8 @@
         .withWarmUpMillis(0);
   }
 
-  private boolean isAnyWarmInService(ZonesInService zones, List<Upstream> upstreams) {
-    return upstreams.stream().anyMatch(u -> zones.isInService(u) && !u.warmUp().isCold(1));
+  private boolean isAnyWarmInService(ZonesInService zones, List<Upstream> upstreams, long now) {
+    return upstreams.stream().anyMatch(u -> zones.isInService(u) && !u.warmUp().isCold(now));
   }
 
   // For a moment, upstreams of a zone that came back were in service and not yet in doubt.
@@ -42,15 +43,18 @@
       ZonesInService zones = new ZonesInService(table, () -> second);
       zones.apply(new ZoneOrders(1, Set.of("za")));
       AtomicBoolean done = new AtomicBoolean();
+      CountDownLatch looking = new CountDownLatch(1);
       CompletableFuture<Boolean> seen =
           CompletableFuture.supplyAsync(
               () -> {
                 boolean warm = false;
                 while (!warm && !done.get()) {
-                  warm = isAnyWarmInService(zones, upstreams);
+                  warm = isAnyWarmInService(zones, upstreams, second + 1);
+                  looking.countDown();
                 }
                 return warm;
               });
+      looking.await();
       zones.apply(new ZoneOrders(2, Set.of()));
       done.set(true);
       assertThat(seen.get()).as("return %d", i).isFalse();
