Draw among engines once, and decay learned speeds only forward in time

Cause: costs of engines were computed twice and could change between, so that a request found no engine; times out of order made learned speeds decay twice. Change: costs once; times of others are not taken back.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/SpeedEstimate.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/SpeedEstimate.java
@@ -10,7 +10,7 @@
 public final class SpeedEstimate {
 
   /** Time in which a recorded time decays to 1/e. */
-  private static final double DECAY_NANOS = 5e9;
+  private static final double DECAY_NANOS = 4e9;
 
   /** Largest multiple of the nominal time that one recorded time counts as. */
   private static final double MAX_SAMPLE = 8;
@@ -65,9 +65,15 @@
   }
 
   private void decay(long nowNanos) {
-    double kept = Math.exp(-Math.max(0, nowNanos - decayedAt) / DECAY_NANOS);
-    observed *= kept;
-    nominal *= kept;
+    long nanos = nowNanos - decayedAt;
+    if (nominal > 0 && nanos <= 0) {
+      return;
+    }
+    if (nominal > 0) {
+      double kept = Math.exp(-nanos / DECAY_NANOS);
+      observed *= kept;
+      nominal *= kept;
+    }
     decayedAt = nowNanos;
   }
 }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/upstream/SpeedEstimateTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/upstream/SpeedEstimateTest.java
@@ -44,6 +44,15 @@
     assertThat(later.multiple(1, 300)).isCloseTo(1, within(0.05));
   }
 
+  /** Guards against threads whose times are out of order and make others decay twice. */
+  @Test
+  public void shouldNotDecayTwiceAfterAnEarlierTime() {
+    long now = -TimeUnit.SECONDS.toNanos(100);
+    estimate.record(100, 100, now);
+    estimate.sums(now - TimeUnit.SECONDS.toNanos(10));
+    assertThat(estimate.sums(now)).isEqualTo(new Sums(100, 100));
+  }
+
   @Test
   public void shouldStayNearTheUsualMultipleWhileLittleIsKnown() {
     estimate.record(300, 50, 0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -3,13 +3,14 @@
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
-import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
@@ -45,9 +46,6 @@
   /** Time by which another engine may take longer than the best one and still be selected. */
   private static final double NEAR_BEST_FACTOR = 1.1;
 
-  /** Engines of which the better one is selected. */
-  private static final int DRAWN_ENGINES = 2;
-
   /** Nominal time of known responses from which their average speed counts more than 1. */
   private static final double MIN_KNOWN_MILLIS = 1;
 
@@ -249,23 +247,25 @@
    */
   private static Optional<Selection> drawNearBest(
       List<Selection> selections, int targetMillis, long nowNanos) {
-    ToDoubleFunction<Selection> cost =
-        selection ->
-            selection.expectedFirstTokenMillis()
-                / selection.upstream().condition().takenPart(nowNanos);
-    double best = selections.stream().mapToDouble(cost).min().orElse(0);
+    double[] costs =
+        selections.stream().mapToDouble(selection -> costMillis(selection, nowNanos)).toArray();
+    double best = Arrays.stream(costs).min().orElse(0);
     double admitted = AdmissionControl.MAX_WAIT_TARGET_FRACTION * targetMillis;
     double near = best * NEAR_BEST_FACTOR;
     double limit = best <= admitted ? Math.min(near, admitted) : near;
-    List<Selection> drawable =
-        selections.stream().filter(s -> cost.applyAsDouble(s) <= limit).toList();
-    if (drawable.isEmpty()) {
+    int[] drawable = IntStream.range(0, costs.length).filter(i -> costs[i] <= limit).toArray();
+    if (drawable.length == 0) {
       return Optional.empty();
     }
-    return ThreadLocalRandom.current()
-        .ints(DRAWN_ENGINES, 0, drawable.size())
-        .mapToObj(drawable::get)
-        .min(Comparator.comparingDouble(cost));
+    int one = drawable[ThreadLocalRandom.current().nextInt(drawable.length)];
+    int other = drawable[ThreadLocalRandom.current().nextInt(drawable.length)];
+    return Optional.of(selections.get(costs[one] <= costs[other] ? one : other));
+  }
+
+  /** Returns the expected time to the first token, longer at an engine that refuses requests. */
+  private static double costMillis(Selection selection, long nowNanos) {
+    double taken = selection.upstream().condition().takenPart(nowNanos);
+    return selection.expectedFirstTokenMillis() / taken;
   }
 
   /** An engine that runs out of memory preempts its newest request and prefills it again. */
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelectorTest.java
@@ -55,6 +55,11 @@
         "r", "POST", "h", "/", "", 0, "", sharedTokens + ownTokens, 60, 0, "", "", parts);
   }
 
+  private static RequestHead unsharedRequest() {
+    List<PromptPart> parts = List.of(new PromptPart("own", 1_000));
+    return new RequestHead("r", "POST", "h", "/", "", 0, "", 1_000, 60, 0, "", "", parts);
+  }
+
   private static RequestHead plainRequest() {
     return new RequestHead("r", "POST", "h", "/", "", 0, "", 0, 0, 0, "", "", List.of());
   }
@@ -210,6 +215,33 @@
     }
   }
 
+  /** Guards against routers with the same reports that all send to the same engine. */
+  @Test
+  public void shouldSpreadPromptsOverEnginesThatAreAboutAsGoodAsTheBest() {
+    Set<Upstream> selected = new HashSet<>();
+    for (int i = 0; i < 200; i++) {
+      selected.add(select(engines, unsharedRequest()).orElseThrow().upstream());
+    }
+    assertThat(selected).hasSizeGreaterThan(ENGINE_COUNT / 2);
+  }
+
+  /** Guards against a refusal by the estimate of an engine that is not the best one. */
+  @Test
+  public void shouldNotDrawAnEngineThatCannotMeetTheTargetBesideOneThatCan() {
+    List<Upstream> pair =
+        upstreams(4, 64).stream().filter(UpstreamSelectorTest::isInOwnZone).toList();
+    pair.get(0).recordRequestStarted(41_000, 0);
+    pair.get(1).recordRequestStarted(43_500, 0);
+    for (int i = 0; i < 50; i++) {
+      Selection selection = select(pair, unsharedRequest()).orElseThrow();
+      assertThat(selection.upstream()).isSameAs(pair.get(0));
+    }
+  }
+
+  private static boolean isInOwnZone(Upstream upstream) {
+    return upstream.report().zone().equals("z0");
+  }
+
   @DataProvider
   public static Object[][] loads() {
     return new Object[][] {{List.of(5, 6, 6)}, {List.of(4, 4, 4)}, {List.of(0, 9, 9)}};
