--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/EarlyRefusal.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/EarlyRefusal.java
@@ -58,6 +58,15 @@
     }
   }
 
+  /**
+   * Refuses a connection on which nothing was read and closes it at once, for its descriptor. A
+   * caller whose request has not arrived yet gets no response.
+   */
+  static void refuseAndClose(StreamConnection connection) {
+    new EarlyRefusal(connection).read();
+    IoUtils.safeClose(connection);
+  }
+
   private static byte[] createResponse() {
     String body =
         "{\"type\":\"router-behind\",\"status\":503,\"run\":\"not-run\",\"detail\":\""
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -79,10 +79,10 @@
   private static final int ABORT_MARGIN_MILLIS = 400;
 
   /**
-   * Fraction of the descriptors for connections of callers; each request under way needs as many
-   * for its upstream.
+   * Fraction of the descriptors for connections of callers. Requests under way need as many for
+   * their upstreams, and closed connections keep theirs until the next selection.
    */
-  private static final double MAX_CALLER_DESCRIPTOR_FRACTION = 0.45;
+  private static final double MAX_CALLER_DESCRIPTOR_FRACTION = 0.4;
 
   /** Connections for readiness and metrics at each of their addresses. */
   private static final int MAX_SERVICE_CONNECTIONS = 64;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -200,7 +200,7 @@
     void add(StreamConnection connection) {
       if (!budget.makeRoom(closers)) {
         rejected.incrementAndGet();
-        IoUtils.safeClose(connection);
+        EarlyRefusal.refuseAndClose(connection);
         return;
       }
       DescriptorBudget.Holding holding = budget.hold();
@@ -235,7 +235,7 @@
     private void reject(StreamConnection connection) {
       waiting.decrementAndGet();
       rejected.incrementAndGet();
-      IoUtils.safeClose(connection);
+      EarlyRefusal.refuseAndClose(connection);
     }
 
     private void refuse(StreamConnection connection) {
