Keep the methods and lines of the bounds short

Measured: mvn verify of toucansaddle-http, -coordination and -daemon with the tests of internal.gateway, admission and http passes, Checkstyle included; the whole suite of the daemon was not run.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ConnectionLoad.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ConnectionLoad.java
@@ -78,7 +78,8 @@
     long rejected = rejectedCount();
     if (rejected > loggedRejections) {
       LOG.warn(
-          "{} new connections closed, since {} waited at an I/O thread or {} were open; add routers",
+          "{} new connections closed, since {} waited at an I/O thread or {} were open;"
+              + " add routers",
           rejected - loggedRejections,
           GatewayRouter.MAX_ARRIVED_CONNECTIONS,
           budget.maxOpen());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -131,14 +132,13 @@
                         startNanos)),
         failure ->
             exchange.dispatch(
-                SameThreadExecutor.INSTANCE,
-                () ->
-                    refuse(
-                        exchange,
-                        head,
-                        failure instanceof NoRoomException
-                            ? ErrorResponse.routerBehind()
-                            : ErrorResponse.unreadableBody())));
+                SameThreadExecutor.INSTANCE, () -> refuse(exchange, head, unread(failure))));
+  }
+
+  private static ErrorResponse unread(IOException failure) {
+    return failure instanceof NoRoomException
+        ? ErrorResponse.routerBehind()
+        : ErrorResponse.unreadableBody();
   }
 
   /**
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.io.InputStream;
@@ -69,15 +70,11 @@
   public void shouldCountConnectionsThatItClosesBecauseTooManyWait() throws Exception {
     Queue<StreamConnection> arrived = connectCallers(CONNECTIONS);
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
+        listen(
             HttpServerExchange::endExchange,
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
             MAX_ARRIVED,
             withBudget(2 * CONNECTIONS + FLOOD),
-            () -> false)) {
+            false)) {
       worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
       int answered = 0;
       for (Socket caller : callers) {
@@ -96,19 +93,15 @@
     Queue<StreamConnection> flood = connectCallers(FLOOD);
     AtomicBoolean ended = new AtomicBoolean();
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
+        listen(
             exchange -> {
               handled.add(exchange.getRequestPath());
               spin(HANDLER_NANOS);
               exchange.endExchange();
             },
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
             FLOOD,
             withBudget(2 * CONNECTIONS + FLOOD),
-            () -> false)) {
+            false)) {
       XnioIoThread thread = worker.getIoThread();
       thread.execute(() -> listener.takeOver(kept::poll));
       request(callers.get(0), "/first");
@@ -173,15 +166,11 @@
     Queue<StreamConnection> arrived = connectCallers(CONNECTIONS);
     AtomicInteger handled = new AtomicInteger();
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
+        listen(
             exchange -> handled.incrementAndGet(),
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
             CONNECTIONS,
             withBudget(2 * CONNECTIONS + FLOOD),
-            () -> true)) {
+            true)) {
       worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
       for (Socket caller : callers) {
         request(caller, "/");
@@ -204,15 +193,7 @@
     }
     Thread.sleep(DELIVERY_MILLIS);
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
-            HttpServerExchange::endExchange,
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
-            FLOOD,
-            withBudget(MAX_ARRIVED),
-            () -> false)) {
+        listen(HttpServerExchange::endExchange, FLOOD, withBudget(MAX_ARRIVED), false)) {
       worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
       for (int caller = 0; caller < CONNECTIONS; caller++) {
         boolean displaced = caller < CONNECTIONS - MAX_ARRIVED;
@@ -239,15 +220,7 @@
     }
     CallerConnections bounds = withBudget(CONNECTIONS);
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
-            HttpServerExchange::endExchange,
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
-            FLOOD,
-            bounds,
-            () -> refusesAll)) {
+        listen(HttpServerExchange::endExchange, FLOOD, bounds, refusesAll)) {
       CompletableFuture<Integer> openCount = new CompletableFuture<>();
       worker
           .getIoThread()
@@ -279,6 +252,20 @@
     return closed;
   }
 
+  private PacedHttpListener listen(
+      HttpHandler handler, int maxArrived, CallerConnections bounds, boolean refusesAll)
+      throws IOException {
+    return new PacedHttpListener(
+        ANY_PORT,
+        handler,
+        worker,
+        new DefaultByteBufferPool(true, 1_024),
+        OptionMap.EMPTY,
+        maxArrived,
+        bounds,
+        () -> refusesAll);
+  }
+
   private static CallerConnections withBudget(int maxOpen) {
     return new CallerConnections(maxOpen, System::nanoTime);
   }
