--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.io.InputStream;
@@ -41,6 +42,7 @@
   private static final int CONNECTIONS = 30;
   private static final int FLOOD = 200;
   private static final int TIMEOUT_MILLIS = 10_000;
+  private static final int DELIVERY_MILLIS = 100;
   private static final long HANDLER_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
   private static final long TIMER_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
   private static final InetSocketAddress ANY_PORT =
@@ -68,15 +70,11 @@
   public void shouldCountConnectionsThatItClosesBecauseTooManyWait() throws Exception {
     Queue<StreamConnection> arrived = connectCallers(CONNECTIONS);
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
+        listen(
             HttpServerExchange::endExchange,
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
             MAX_ARRIVED,
             withBudget(2 * CONNECTIONS + FLOOD),
-            () -> false)) {
+            false)) {
       worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
       int answered = 0;
       for (Socket caller : callers) {
@@ -95,19 +93,15 @@
     Queue<StreamConnection> flood = connectCallers(FLOOD);
     AtomicBoolean ended = new AtomicBoolean();
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
+        listen(
             exchange -> {
               handled.add(exchange.getRequestPath());
               spin(HANDLER_NANOS);
               exchange.endExchange();
             },
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
             FLOOD,
             withBudget(2 * CONNECTIONS + FLOOD),
-            () -> false)) {
+            false)) {
       XnioIoThread thread = worker.getIoThread();
       thread.execute(() -> listener.takeOver(kept::poll));
       request(callers.get(0), "/first");
@@ -172,15 +166,11 @@
     Queue<StreamConnection> arrived = connectCallers(CONNECTIONS);
     AtomicInteger handled = new AtomicInteger();
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
+        listen(
             exchange -> handled.incrementAndGet(),
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
             CONNECTIONS,
             withBudget(2 * CONNECTIONS + FLOOD),
-            () -> true)) {
+            true)) {
       worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
       for (Socket caller : callers) {
         request(caller, "/");
@@ -194,6 +184,26 @@
     }
   }
 
+  /** Guards against whole requests that are neither answered nor refused. */
+  @Test
+  public void shouldRefuseRequestThatHasArrivedOnDisplacedConnection() throws Exception {
+    Queue<StreamConnection> arrived = connectCallers(CONNECTIONS);
+    for (Socket caller : callers) {
+      request(caller, "/");
+    }
+    Thread.sleep(DELIVERY_MILLIS);
+    try (PacedHttpListener listener =
+        listen(HttpServerExchange::endExchange, FLOOD, withBudget(MAX_ARRIVED), false)) {
+      worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
+      for (int caller = 0; caller < CONNECTIONS; caller++) {
+        boolean displaced = caller < CONNECTIONS - MAX_ARRIVED;
+        assertThat(readHead(callers.get(caller)))
+            .as("caller %d", caller)
+            .startsWith(displaced ? "HTTP/1.1 503 " : "HTTP/1.1 200 ");
+      }
+    }
+  }
+
   /** What callers do with their connections, and whether all new ones are refused. */
   @DataProvider
   public Object[][] floods() {
@@ -210,15 +220,7 @@
     }
     CallerConnections bounds = withBudget(CONNECTIONS);
     try (PacedHttpListener listener =
-        new PacedHttpListener(
-            ANY_PORT,
-            HttpServerExchange::endExchange,
-            worker,
-            new DefaultByteBufferPool(true, 1_024),
-            OptionMap.EMPTY,
-            FLOOD,
-            bounds,
-            () -> refusesAll)) {
+        listen(HttpServerExchange::endExchange, FLOOD, bounds, refusesAll)) {
       CompletableFuture<Integer> openCount = new CompletableFuture<>();
       worker
           .getIoThread()
@@ -239,7 +241,8 @@
     for (Socket caller : callers) {
       caller.setSoTimeout(20);
       try {
-        closed += caller.getInputStream().read() < 0 ? 1 : 0;
+        caller.getInputStream().readAllBytes();
+        closed++;
       } catch (SocketTimeoutException e) {
         assertThat(caller.isClosed()).isFalse();
       } catch (SocketException e) {
@@ -249,6 +252,20 @@
     return closed;
   }
 
+  private PacedHttpListener listen(
+      HttpHandler handler, int maxArrived, CallerConnections bounds, boolean refusesAll)
+      throws IOException {
+    return new PacedHttpListener(
+        ANY_PORT,
+        handler,
+        worker,
+        new DefaultByteBufferPool(true, 1_024),
+        OptionMap.EMPTY,
+        maxArrived,
+        bounds,
+        () -> refusesAll);
+  }
+
   private static CallerConnections withBudget(int maxOpen) {
     return new CallerConnections(maxOpen, System::nanoTime);
   }
@@ -287,12 +304,13 @@
     }
   }
 
-  /** Sends a request; returns whether a response begins, rather than the connection closing. */
+  /** Sends a request; returns whether it is handled, not refused, and the connection not closed. */
   private static boolean isAnswered(Socket caller) throws IOException {
     try {
       byte[] request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
       caller.getOutputStream().write(request);
-      return caller.getInputStream().read() >= 0;
+      String start = new String(caller.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+      return start.equals("HTTP/1.1 200");
     } catch (SocketException e) {
       return false;
     }
