Compute once for all upstreams since when they must have reported

Cause: each request lists the usable upstreams two or three times, and each list went through the updates of all control daemons once for each upstream: 3.3 % of the I/O thread with 64 upstreams (perf).

Change: the time is computed once for each list. The decisions are the same.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -226,10 +226,11 @@
   public List<Upstream> usableUpstreams(
       String service, boolean repeatable, Predicate<Upstream> condition) {
     long now = clock.getAsLong();
+    long reportedAfter = reportDeadline(now);
     List<Upstream> reached = new ArrayList<>();
     for (Upstream upstream : upstreams.ready(service)) {
       if (upstream.isUsable(now)
-          && isReporting(upstream)
+          && upstream.hasReportedAfter(reportedAfter)
           && zones.isInService(upstream)
           && condition.test(upstream)) {
         reached.add(upstream);
@@ -239,17 +240,15 @@
   }
 
   /**
-   * Returns whether an upstream reported within the time limit before the latest update of a
-   * followed control daemon, or before now if none is followed.
+   * Returns the time after which an upstream must have reported: the time limit before the latest
+   * update of a followed control daemon, or before now if none is followed.
    */
-  private boolean isReporting(Upstream upstream) {
+  private long reportDeadline(long now) {
     long latestUpdateAt = 0;
-    long now = clock.getAsLong();
     for (long at : lastUpdateBySource.values()) {
       latestUpdateAt = latestUpdateAt == 0 ? at : Math.max(latestUpdateAt, at);
     }
-    long referenceAt = latestUpdateAt == 0 ? now : latestUpdateAt;
-    return upstream.hasReportedAfter(referenceAt - reportTimeoutNanos);
+    return (latestUpdateAt == 0 ? now : latestUpdateAt) - reportTimeoutNanos;
   }
 
   /** Records that an upstream refused a connection: unless it announced its end, it crashed. */
@@ -264,10 +263,12 @@
    * have fallen silent or been replaced without announcing their end.
    */
   private void findCrashes() {
+    long reportedAfter = reportDeadline(clock.getAsLong());
     for (String incarnation : quarantine.upstreamsOfAbandoned()) {
       upstreams
           .find(incarnation)
-          .filter(u -> !u.announcesEnd() && (!isReporting(u) || upstreams.isReplaced(u)))
+          .filter(u -> !u.announcesEnd())
+          .filter(u -> !u.hasReportedAfter(reportedAfter) || upstreams.isReplaced(u))
           .ifPresent(u -> quarantine.recordCrash(incarnation, u.lastReportAtNanos()));
     }
   }
