Keep no samples in metrics that are never written out

Cause: each counter and histogram kept exemplars, with a thread of its own that wakes for them (5 to 7 microseconds a request), and the histogram a native one; the text format has neither.

Change: both are off; the metrics that are written are the same.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
@@ -6,7 +6,12 @@
 import java.util.function.DoubleSupplier;
 import org.toucansaddle.daemon.internal.metrics.MetricsRegistry;
 
-/** Counters and histograms of one daemon of a gateway. Thread-safe. */
+/**
+ * Counters and histograms of one daemon of a gateway. Thread-safe.
+ *
+ * <p>No exemplars and no native histograms: the text format has neither, but each request would pay
+ * for them.
+ */
 public final class RelayMetrics {
 
   private final MetricsRegistry metrics = new MetricsRegistry();
@@ -16,24 +21,29 @@
           .name("toucansaddle_gateway_answers_total")
           .help("Requests ended, by route and outcome.")
           .labelNames("route", "outcome")
+          .withoutExemplars()
           .register(registry);
   private final Counter attempts =
       Counter.builder()
           .name("toucansaddle_gateway_attempts_total")
           .help("Attempts at upstreams, by outcome.")
           .labelNames("outcome")
+          .withoutExemplars()
           .register(registry);
   private final Counter originLookups =
       Counter.builder()
           .name("toucansaddle_gateway_origin_lookups_total")
           .help("Lookups of where a stream began, by outcome.")
           .labelNames("outcome")
+          .withoutExemplars()
           .register(registry);
   private final Histogram firstByteSeconds =
       Histogram.builder()
           .name("toucansaddle_gateway_first_byte_seconds")
           .help("Time from a request's arrival to the first byte of its answer, in seconds.")
           .labelNames("route")
+          .withoutExemplars()
+          .classicOnly()
           .classicUpperBounds(0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
           .register(registry);
 
