Search lines for control characters by a loop

Cause: a stream over the characters of each line of the log, of about 300 each, runs unoptimized at the first compiler level.

Change: a loop, with the same result.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/BoundedAppender.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/logging/BoundedAppender.java
@@ -114,7 +114,7 @@
 
   /** Escapes control characters, so that a value of a document or a caller begins no line. */
   private static String withoutControls(String message) {
-    if (message.codePoints().noneMatch(Character::isISOControl)) {
+    if (!hasControls(message)) {
       return message;
     }
     StringBuilder escaped = new StringBuilder();
@@ -130,4 +130,14 @@
             });
     return escaped.toString();
   }
+
+  /** A loop, since a stream costs more for each character of each line. */
+  private static boolean hasControls(String message) {
+    for (int i = 0; i < message.length(); i++) {
+      if (Character.isISOControl(message.charAt(i))) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
