Find the pace of upstreams that have started or recovered

Cause: an upstream that has just started is seen idle by all routers at once and flooded, or left idle. Its pace for all routers together now follows from how it answers (UpstreamPace): from 4 requests under way, doubled at most once a second until one falls behind, then halved and raised by one a round. Evidence passes with the reports of work.

Effect on callers not measured yet.

--- /dev/null
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -0,0 +1,334 @@
+package org.toucansaddle.coordination.pacing;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How many requests all routers together have under way at one start of an upstream that has just
+ * started or recovered, found from how it answers.
+ *
+ * <pre>{@code
+ * UpstreamPace pace = UpstreamPace.established(seed, listener, now);
+ * pace.begin(now);
+ * if (pace.admits(load, true, now)) {
+ *   pace.recordSent(now);
+ *   ...
+ *   pace.recordKept(slots, routers, now);
+ * }
+ * }</pre>
+ *
+ * <p>Invariants: the pace is at least {@link #MIN_PACE}; it rises only with a request that kept
+ * pace and was not counted before; it is halved at most once for the requests sent at one pace; a
+ * restriction ends only with a request that kept pace. Times are nanoseconds of one clock.
+ * Thread-safe; does no I/O.
+ */
+public final class UpstreamPace {
+
+  /** Requests under way at an upstream that has just started. */
+  public static final double INITIAL_PACE = 4;
+
+  /** Requests under way at an upstream after a failure. */
+  public static final double RECOVERY_PACE = 1;
+
+  /** Lower bound, which leaves one probe in some steps. */
+  public static final double MIN_PACE = 0.25;
+
+  /** Time in which the results of a pace are known to all routers. */
+  public static final long ROUND_TRIP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Time for which the same routers may send; the counts of the others are no older. */
+  public static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+  /** Time for which others' evidence shows that they pace the upstream as well. */
+  private static final long OTHERS_VALID_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /** Time for which evidence is reported after the end, so that other routers end as well. */
+  private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /** Time after the first sight of a start in which others' evidence makes it a paced one. */
+  private static final long ADOPTION_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /** Requests that have to keep pace to make up for one that fell behind. */
+  private static final int KEPT_FOR_BEHIND = 2;
+
+  /** Bound on what has to be made up for, so that an upstream which recovers is used again. */
+  private static final int MAX_DEBT = 8;
+
+  private static final double FRACTION_UNIT = 0x1.0p-53;
+
+  /** What became of a pace. */
+  public enum Change {
+    BEGUN,
+    HALVED,
+    ENDED
+  }
+
+  /** Gets each change, while the pace is locked. */
+  @FunctionalInterface
+  public interface Listener {
+    /** Takes note of a change and the pace after it. */
+    void onChange(Change change, double pace, long nowNanos);
+  }
+
+  /**
+   * Requests under way at the upstream. Immutable.
+   *
+   * @param own requests of this router
+   * @param all requests of all routers, as far as known
+   * @param routers number of routers
+   */
+  public record Load(int own, int all, int routers) {}
+
+  /**
+   * Results of requests since the pace began. Immutable.
+   *
+   * @param kept requests that kept pace
+   * @param behind requests that fell behind
+   * @param behindAtNanos time of the last request that fell behind; valid if there is one
+   */
+  public record Evidence(int kept, int behind, long behindAtNanos) {}
+
+  private final boolean enabled;
+  private final long seed;
+  private final Listener listener;
+  private final long seenAt;
+  private volatile boolean active;
+  private long begunAt;
+  private boolean isNewStart;
+  private boolean doubling;
+  private double pace;
+  private double roundPace;
+  private long roundAt;
+  private int debt;
+  private int kept;
+  private int behind;
+  private long behindAt;
+  private long cutAt;
+  private boolean hasEnded;
+  private long endedAt;
+  private boolean hasSent;
+  private long sentInStep;
+  private int othersKept;
+  private int othersBehind;
+  private boolean hasOthers;
+  private long othersAt;
+
+  private UpstreamPace(boolean enabled, long seed, Listener listener, long seenAt) {
+    this.enabled = enabled;
+    this.seed = seed;
+    this.listener = listener;
+    this.seenAt = seenAt;
+  }
+
+  /** Returns a pace that never restricts. */
+  public static UpstreamPace disabled() {
+    return new UpstreamPace(false, 0, (change, pace, now) -> {}, 0);
+  }
+
+  /**
+   * Returns the pace of an upstream that is not restricted until {@link #begin} or {@link
+   * #restart}.
+   *
+   * @param seed differs among routers and starts
+   * @param nowNanos when this router learns of the upstream; soon after that the evidence of other
+   *     routers makes it a paced one
+   */
+  public static UpstreamPace established(long seed, Listener listener, long nowNanos) {
+    return new UpstreamPace(true, seed, listener, nowNanos);
+  }
+
+  /** Begins the pace of an upstream that has just started. */
+  public synchronized void begin(long nowNanos) {
+    if (enabled && !active) {
+      isNewStart = true;
+      activate(INITIAL_PACE, nowNanos);
+    }
+  }
+
+  /** Records a failure of the upstream: begins a pace unless there is one. */
+  public synchronized void restart(long nowNanos) {
+    if (enabled && !active) {
+      isNewStart = false;
+      activate(RECOVERY_PACE, nowNanos);
+    }
+  }
+
+  private void activate(double initial, long now) {
+    active = true;
+    doubling = true;
+    pace = initial;
+    kept = 0;
+    behind = 0;
+    debt = 0;
+    cutAt = now;
+    begunAt = now;
+    roundPace = initial;
+    roundAt = now;
+    if (!areOthersPacing(now)) {
+      othersKept = 0;
+      othersBehind = 0;
+    }
+    listener.onChange(Change.BEGUN, pace, now);
+  }
+
+  /** Returns whether the upstream is restricted now. */
+  public boolean isActive() {
+    return active;
+  }
+
+  /** Returns the requests that all routers may have under way; no limit once established. */
+  public synchronized double pace() {
+    return active ? pace : Double.POSITIVE_INFINITY;
+  }
+
+  /**
+   * Returns whether this router may send a request now.
+   *
+   * @param repeatable whether the request may be repeated; others are not used as probes
+   */
+  public synchronized boolean admits(Load load, boolean repeatable, long nowNanos) {
+    if (!active) {
+      return true;
+    }
+    boolean probes = pace < 1;
+    if (load.all() >= Math.max(1, pace) || (probes && !(repeatable && isUnusedStep(nowNanos)))) {
+      return false;
+    }
+    double part = pace / sharing(load.routers(), nowNanos);
+    int whole = (int) part;
+    return load.own() < whole + (fraction(step(nowNanos)) < part - whole ? 1 : 0);
+  }
+
+  private boolean isUnusedStep(long now) {
+    return !hasSent || sentInStep != step(now);
+  }
+
+  /** A failure that only this router has seen restricts only this router. */
+  private int sharing(int routers, long now) {
+    boolean isRecentStart = isNewStart && now - begunAt < OTHERS_VALID_NANOS;
+    return isRecentStart || areOthersPacing(now) ? Math.max(1, routers) : 1;
+  }
+
+  private boolean areOthersPacing(long now) {
+    return hasOthers && now - othersAt < OTHERS_VALID_NANOS;
+  }
+
+  private static long step(long now) {
+    return Math.floorDiv(now, STEP_NANOS);
+  }
+
+  /** Returns a number below 1 that differs with the router, the start and the step. */
+  private double fraction(long step) {
+    long mixed = seed + step * 0x9e3779b97f4a7c15L;
+    mixed = (mixed ^ (mixed >>> 30)) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+    return ((mixed ^ (mixed >>> 31)) >>> 11) * FRACTION_UNIT;
+  }
+
+  /** Records that a request is sent. */
+  public synchronized void recordSent(long nowNanos) {
+    hasSent = true;
+    sentInStep = step(nowNanos);
+  }
+
+  /** Records a request of this router that kept pace. */
+  public synchronized void recordKept(int slots, int routers, long nowNanos) {
+    kept++;
+    raise(1, slots, routers, nowNanos);
+  }
+
+  /** Records a request of this router that was rejected, broke or was late. */
+  public synchronized void recordBehind(long sentAtNanos, long nowNanos) {
+    behind++;
+    behindAt = nowNanos;
+    owe(1);
+    if (sentAtNanos - cutAt > 0) {
+      cut(nowNanos);
+    }
+  }
+
+  /**
+   * Takes over the sum of the other routers' evidence. A sum that is smaller than one before, since
+   * a part was lost or it is an older one, changes nothing.
+   */
+  public synchronized void mergeOthers(Evidence sum, int slots, int routers, long nowNanos) {
+    adopt(sum, nowNanos);
+    hasOthers = true;
+    othersAt = nowNanos;
+    int addedKept = sum.kept() - othersKept;
+    int addedBehind = sum.behind() - othersBehind;
+    othersKept = Math.max(othersKept, sum.kept());
+    othersBehind = Math.max(othersBehind, sum.behind());
+    if (addedBehind > 0) {
+      owe(addedBehind);
+      if (sum.behindAtNanos() - cutAt >= ROUND_TRIP_NANOS) {
+        cut(nowNanos);
+      }
+    }
+    if (addedKept > 0) {
+      raise(addedKept, slots, routers, nowNanos);
+    }
+  }
+
+  /** A router that starts learns of a pace from the others, and counts only what follows. */
+  private void adopt(Evidence sum, long now) {
+    if (enabled && !active && !hasEnded && !hasOthers && now - seenAt < ADOPTION_NANOS) {
+      begin(now);
+      othersKept = sum.kept();
+      othersBehind = sum.behind();
+    }
+  }
+
+  private void owe(int requests) {
+    debt = (int) Math.min(MAX_DEBT, debt + (long) KEPT_FOR_BEHIND * requests);
+  }
+
+  private void raise(int requests, int slots, int routers, long now) {
+    if (!active) {
+      return;
+    }
+    int repaid = Math.min(debt, requests);
+    debt -= repaid;
+    double bound = Math.min(slots, boundOfRound(now));
+    for (int i = repaid; i < requests && pace < bound; i++) {
+      pace = Math.min(bound, pace + (doubling ? 1 : Math.min(pace, 1 / pace)));
+    }
+    int sharing = sharing(routers, now);
+    double part = (double) slots * sharing / Math.max(1, routers);
+    if (repaid < requests && pace >= Math.min(slots, Math.max(INITIAL_PACE, part))) {
+      active = false;
+      hasEnded = true;
+      endedAt = now;
+      listener.onChange(Change.ENDED, pace, now);
+    }
+  }
+
+  /** A pace at most doubles before its results are known. */
+  private double boundOfRound(long now) {
+    if (now - roundAt >= ROUND_TRIP_NANOS) {
+      roundAt = now;
+      roundPace = pace;
+    }
+    return Math.max(1, 2 * roundPace);
+  }
+
+  private void cut(long now) {
+    if (active) {
+      pace = Math.max(MIN_PACE, pace / 2);
+      doubling = false;
+      cutAt = now;
+      roundAt = now;
+      roundPace = pace;
+      listener.onChange(Change.HALVED, pace, now);
+    }
+  }
+
+  /** Returns whether other routers are told of this router's evidence. */
+  public synchronized boolean isReported(long nowNanos) {
+    return active || (hasEnded && nowNanos - endedAt < LINGER_NANOS);
+  }
+
+  /** Returns the results of this router's requests since the pace began. */
+  public synchronized Evidence evidence() {
+    return new Evidence(kept, behind, behindAt);
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
@@ -50,6 +50,8 @@
    * @param retryWindowMillis window of the retry budget, in milliseconds
    * @param graceMillis time to complete requests after a stop signal, in milliseconds
    * @param placement who decides which engine a request goes to
+   * @param pacing whether upstreams that have started or recovered get requests at a pace that
+   *     follows from how they answer
    */
   public record RouterSettings(
       String callerAddress,
@@ -63,7 +65,39 @@
       int retrySlack,
       int retryWindowMillis,
       int graceMillis,
-      PlacementMode placement) {}
+      PlacementMode placement,
+      boolean pacing) {
+
+    /** Creates settings with pacing. */
+    public RouterSettings(
+        String callerAddress,
+        Optional<String> readinessAddress,
+        String readinessPath,
+        Optional<String> metricsAddress,
+        int ioThreads,
+        int maxDescriptors,
+        int reportTimeoutMillis,
+        double retryRatio,
+        int retrySlack,
+        int retryWindowMillis,
+        int graceMillis,
+        PlacementMode placement) {
+      this(
+          callerAddress,
+          readinessAddress,
+          readinessPath,
+          metricsAddress,
+          ioThreads,
+          maxDescriptors,
+          reportTimeoutMillis,
+          retryRatio,
+          retrySlack,
+          retryWindowMillis,
+          graceMillis,
+          placement,
+          true);
+    }
+  }
 
   /**
    * Settings of a control daemon. Immutable.
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -148,7 +148,9 @@
   public GatewayRouter(GatewaySettings settings, RouterSettings router) throws IOException {
     this.settings = router;
     this.peers = new GatewayPeers(settings);
-    this.state = new RouterState(settings.format(), router.reportTimeoutMillis(), System::nanoTime);
+    this.state =
+        new RouterState(
+            settings.format(), router.reportTimeoutMillis(), System::nanoTime, router.pacing());
     this.follower =
         new ControlFollower(
             settings.name(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
@@ -40,6 +40,14 @@
         "toucansaddle_gateway_cold_withheld",
         "Requests not sent to cold upstreams since the start, though selected.",
         state.coldStart()::withheldRequests);
+    metrics.registerGauge(
+        "toucansaddle_gateway_paced_upstreams",
+        "Upstreams that have started or recovered and get requests at their pace.",
+        state.paced()::count);
+    metrics.registerGauge(
+        "toucansaddle_gateway_pace_passed_over",
+        "Times that an upstream was passed over for its pace since the start.",
+        state.paced()::passedOverCount);
     metrics.registerGauge(
         "toucansaddle_gateway_paused_upstreams",
         "Upstreams that get nothing from this router for a time, as they asked.",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.PaceEvidence;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -26,14 +27,21 @@
     return sums.values();
   }
 
-  /** Adds the time since a report to the age of what it says about a limit. */
+  /** Adds the time since a report to the age of what it says. */
   private static UpstreamWork aged(UpstreamWork work, long nanos) {
-    if (!work.hasLimit()) {
+    if (!work.hasLimit() && !work.hasPace()) {
       return work;
     }
-    LimitNotice.Builder notice = work.getLimit().toBuilder();
-    notice.setAgeMillis(notice.getAgeMillis() + (int) TimeUnit.NANOSECONDS.toMillis(nanos));
-    return work.toBuilder().setLimit(notice).build();
+    int millis = (int) TimeUnit.NANOSECONDS.toMillis(nanos);
+    UpstreamWork.Builder aged = work.toBuilder();
+    if (work.hasLimit()) {
+      aged.getLimitBuilder().setAgeMillis(work.getLimit().getAgeMillis() + millis);
+    }
+    if (work.hasPace()) {
+      int behindMillis = work.getPace().getFellBehindAgeMillis() + millis;
+      aged.getPaceBuilder().setFellBehindAgeMillis(behindMillis);
+    }
+    return aged.build();
   }
 
   private static UpstreamWork add(UpstreamWork a, UpstreamWork b) {
@@ -47,9 +55,29 @@
     if (b.hasLimit() && (!a.hasLimit() || isNewer(b.getLimit(), a.getLimit()))) {
       sum.setLimit(b.getLimit());
     }
+    if (b.hasPace()) {
+      sum.setPace(a.hasPace() ? add(a.getPace(), b.getPace()) : b.getPace());
+    }
     return sum.build();
   }
 
+  /** Adds up the evidence of one start; of several starts the latest counts. */
+  private static PaceEvidence add(PaceEvidence a, PaceEvidence b) {
+    if (a.getStartedAtMillis() != b.getStartedAtMillis()) {
+      return a.getStartedAtMillis() > b.getStartedAtMillis() ? a : b;
+    }
+    PaceEvidence newer =
+        a.getFellBehind() == 0
+                || (b.getFellBehind() > 0
+                    && b.getFellBehindAgeMillis() < a.getFellBehindAgeMillis())
+            ? b
+            : a;
+    return newer.toBuilder()
+        .setKeptPace(a.getKeptPace() + b.getKeptPace())
+        .setFellBehind(a.getFellBehind() + b.getFellBehind())
+        .build();
+  }
+
   private static boolean isNewer(LimitNotice a, LimitNotice b) {
     return a.getStartedAtMillis() == b.getStartedAtMillis()
         ? a.getAgeMillis() < b.getAgeMillis()
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -43,6 +43,7 @@
   private final PlacementGrant grant;
   private UpstreamExchange upstreamExchange;
   private StallDetector stallDetector;
+  private PaceSample paceSample;
   private long sentAtNanos;
   private boolean prefillCounted = true;
   private boolean loadCounted = true;
@@ -134,7 +135,9 @@
   }
 
   private void onConnectFailed(IOException failure, ErrorResponse fallback) {
-    upstream.markUnreachable(context.nowNanos());
+    long now = context.nowNanos();
+    upstream.markUnreachable(now);
+    upstream.pace().recordBehind(now, now);
     if (failure instanceof ConnectException) {
       context.state().recordRefusedConnection(upstream);
     }
@@ -148,6 +151,13 @@
   private void start(Connection connection) {
     byte[] body = call.onAttemptStarted(this);
     sentAtNanos = context.nowNanos();
+    paceSample =
+        new PaceSample(
+            context.state().paced(),
+            upstream,
+            expectedFirstTokenMillis,
+            call.route().targetMillis(),
+            sentAtNanos);
     upstreamExchange = new UpstreamExchange(connection, body, this);
     stallDetector =
         new StallDetector(context, call, this, exchange.getIoThread(), expectedFirstTokenMillis);
@@ -181,6 +191,7 @@
   /** Cancels the attempt; the closed connection signals the upstream to stop, but it may run on. */
   void cancel() {
     if (close()) {
+      paceSample.onAbandoned(context.ioLag().averageMillis(), context.nowNanos());
       call.quarantine().recordAbandoned(upstream, call.remainingMillis());
     }
   }
@@ -229,6 +240,9 @@
       takeNotice(context.codec().readNotice(status, headers));
     }
     if (isRefusal) {
+      if (status != HeaderCodec.MISDIRECTED_REQUEST) {
+        paceSample.onFailure(context.nowNanos());
+      }
       close();
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
@@ -283,6 +297,7 @@
   }
 
   private void fail(String outcome, String cause) {
+    paceSample.onFailure(context.nowNanos());
     cancel();
     call.onAttemptLost(this, outcome, cause);
   }
@@ -295,6 +310,7 @@
     call.takeover().dismiss();
     stallDetector.onData();
     recordSurvival(context.nowNanos());
+    paceSample.onData(context.ioLag().averageMillis(), context.nowNanos());
     if (prefillCounted && prefillTokens > 0) {
       long millis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - sentAtNanos);
       double lagMillis = context.ioLag().averageMillis();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -141,7 +141,8 @@
     long now = context.nowNanos();
     return upstream.requestedPause().permits(now, upstream.localRequests())
         && upstream.limit().permits(now, context.state().limitPart(service))
-        && context.state().coldStart().mayGetRequest(upstream);
+        && context.state().coldStart().mayGetRequest(upstream)
+        && context.state().paced().mayGetRequest(upstream, route.isRepeatable());
   }
 
   /** Returns whether all upstreams have said that they take few requests or none. */
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
@@ -0,0 +1,64 @@
+package org.toucansaddle.daemon.internal.gateway.routing;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.toucansaddle.coordination.pacing.UpstreamPace;
+import org.toucansaddle.coordination.pacing.UpstreamPace.Load;
+
+/**
+ * Keeps this router's requests to upstreams that have started or recovered at their pace.
+ *
+ * <p>Without effect on a service of which more than half of the ready upstreams are being paced:
+ * there is nowhere else to go. Thread-safe.
+ */
+public final class PacedUpstreams {
+
+  private final UpstreamTable upstreams;
+  private final IntSupplier routers;
+  private final LongSupplier clock;
+  private final AtomicLong passedOver = new AtomicLong();
+
+  /** Creates an object that has passed over no request; {@code clock} returns nanoseconds. */
+  PacedUpstreams(UpstreamTable upstreams, IntSupplier routers, LongSupplier clock) {
+    this.upstreams = upstreams;
+    this.routers = routers;
+    this.clock = clock;
+  }
+
+  /** Returns whether an upstream may get a request of this router now, as far as its pace goes. */
+  public boolean mayGetRequest(Upstream upstream, boolean repeatable) {
+    UpstreamPace pace = upstream.pace();
+    if (!pace.isActive() || !isRestricted(upstream.report().service())) {
+      return true;
+    }
+    Load load = new Load(upstream.localRequests(), upstream.requests(), routers.getAsInt());
+    boolean admitted = pace.admits(load, repeatable, clock.getAsLong());
+    if (!admitted) {
+      passedOver.incrementAndGet();
+    }
+    return admitted;
+  }
+
+  private boolean isRestricted(String service) {
+    List<Upstream> ready = upstreams.ready(service);
+    long paced = ready.stream().filter(upstream -> upstream.pace().isActive()).count();
+    return paced * 2 <= ready.size();
+  }
+
+  /** Records a request that an upstream answered in time. */
+  public void recordKept(Upstream upstream) {
+    upstream.pace().recordKept(upstream.report().slots(), routers.getAsInt(), clock.getAsLong());
+  }
+
+  /** Returns the number of upstreams that are being paced. */
+  public int count() {
+    return (int) upstreams.all().stream().filter(upstream -> upstream.pace().isActive()).count();
+  }
+
+  /** Returns how often an upstream was passed over for its pace since the start. */
+  public long passedOverCount() {
+    return passedOver.get();
+  }
+}
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -49,8 +49,9 @@
   private final DocumentFormat format;
   private final LongSupplier clock;
   private final long reportTimeoutNanos;
-  private final UpstreamTable upstreams = new UpstreamTable();
-  private final WorkReports work = new WorkReports(upstreams);
+  private final UpstreamTable upstreams;
+  private final WorkReports work;
+  private final PacedUpstreams paced;
   private final ColdStart coldStart;
   private final ZonesInService zones;
   private final AccountShares shares;
@@ -82,6 +83,15 @@
    * @param clock returns nanoseconds
    */
   public RouterState(DocumentFormat format, int reportTimeoutMillis, LongSupplier clock) {
+    this(format, reportTimeoutMillis, clock, false);
+  }
+
+  /** Creates the state of a router that may pace upstreams which have started or recovered. */
+  public RouterState(
+      DocumentFormat format, int reportTimeoutMillis, LongSupplier clock, boolean paces) {
+    this.upstreams = new UpstreamTable(paces);
+    this.paced = new PacedUpstreams(upstreams, this::routers, clock);
+    this.work = new WorkReports(upstreams, this::routers);
     this.format = format;
     this.reportTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(reportTimeoutMillis);
     this.clock = clock;
@@ -133,6 +143,11 @@
     return coldStart;
   }
 
+  /** Returns what keeps upstreams that have started or recovered at their pace. */
+  public PacedUpstreams paced() {
+    return paced;
+  }
+
   /** Returns the number of upstreams that have to be spared since they are cold. */
   public int coldUpstreams() {
     return (int) upstreams.all().stream().filter(coldStart::isCold).count();
@@ -337,6 +352,7 @@
         .forEach(message -> upstreams.markLeaving(message.getId(), message.getStartedAtMillis()));
     if (update.getComplete()) {
       upstreamsCompleteAt = now;
+      upstreams.paceNewStarts();
     }
     if (update.getRouters() > 0) {
       routers = update.getRouters();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.toucansaddle.coordination.pacing.UpstreamPace;
 import org.toucansaddle.coordination.pacing.WarmUpState;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
@@ -42,6 +43,7 @@
       new RequestLimit(() -> ThreadLocalRandom.current().nextDouble());
   private final RequestedPause requestedPause = new RequestedPause();
   private final WarmUpState warmUp;
+  private final UpstreamPace pace;
   private final AtomicBoolean malformedNoticed = new AtomicBoolean();
   private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
@@ -49,11 +51,12 @@
   private final AtomicLong localPendingTokens = new AtomicLong();
   private final AtomicLong localMemoryTokens = new AtomicLong();
 
-  Upstream(UpstreamReport report, long lastReportAtNanos) {
+  Upstream(UpstreamReport report, long lastReportAtNanos, UpstreamPace pace) {
     this.id = report.id();
     this.startedAtMillis = report.startedAtMillis();
     this.report = report;
     this.lastReportAtNanos = lastReportAtNanos;
+    this.pace = pace;
     this.warmUp = WarmUpState.coldFor(UNREPORTED_WARM_UP_MILLIS, lastReportAtNanos);
     updateWarmUp(report, lastReportAtNanos);
   }
@@ -98,6 +101,11 @@
     return warmUp;
   }
 
+  /** Returns how many requests this incarnation gets after it has started or recovered. */
+  public UpstreamPace pace() {
+    return pace;
+  }
+
   /** Returns whether new requests may be sent to the upstream. */
   public boolean isUsable(long nowNanos) {
     return report.state() == State.READY && !leaving && nowNanos - pausedUntilNanos >= 0;
@@ -153,6 +161,7 @@
   /** Records a connection failure and pauses the upstream for a time that grows with failures. */
   public void markUnreachable(long nowNanos) {
     warmUp.doubt(nowNanos);
+    pace.restart(nowNanos);
     pausedUntilNanos = nowNanos + nextPauseNanos();
   }
 
@@ -162,6 +171,7 @@
    */
   public void markBroken(long nowNanos) {
     warmUp.doubt(nowNanos);
+    pace.restart(nowNanos);
     avoidedUntilNanos = nowNanos + nextPauseNanos();
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.toucansaddle.coordination.pacing.UpstreamPace;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 
@@ -31,6 +33,8 @@
     }
   }
 
+  private final boolean paces;
+  private volatile boolean pacesNewStarts;
   private final Map<String, Upstream> byId = new HashMap<>();
 
   /** Versions of replaced incarnations, with the time of the last report of each. */
@@ -39,6 +43,34 @@
   private volatile Map<String, List<Upstream>> byService = Map.of();
   private volatile Map<String, Set<String>> versionsByService = Map.of();
 
+  /** Creates an empty table of upstreams that are not paced. */
+  public UpstreamTable() {
+    this(false);
+  }
+
+  /** Creates an empty table; {@code paces} says whether upstreams that recover are paced. */
+  UpstreamTable(boolean paces) {
+    this.paces = paces;
+  }
+
+  /** Upstreams that were known before this call are established, those that start later are not. */
+  void paceNewStarts() {
+    pacesNewStarts = true;
+  }
+
+  private UpstreamPace createPace(UpstreamReport report, long nowNanos) {
+    if (!paces) {
+      return UpstreamPace.disabled();
+    }
+    UpstreamPace pace =
+        UpstreamPace.established(
+            ThreadLocalRandom.current().nextLong(), new PaceLog(report.id()), nowNanos);
+    if (pacesNewStarts) {
+      pace.begin(nowNanos);
+    }
+    return pace;
+  }
+
   /**
    * Merges a report.
    *
@@ -83,7 +115,8 @@
     if (isBareDeparture && current != null) {
       current.updateReport(current.report().withState(State.GONE), reportedAtNanos);
     } else {
-      byId.put(report.id(), new Upstream(report, reportedAtNanos));
+      byId.put(
+          report.id(), new Upstream(report, reportedAtNanos, createPace(report, reportedAtNanos)));
       if (current != null) {
         long lastReportAt = current.lastReportAtNanos();
         replacedVersions.merge(
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -7,11 +7,14 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.pacing.UpstreamPace.Evidence;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
 import org.toucansaddle.protocol.generated.LimitNotice;
+import org.toucansaddle.protocol.generated.PaceEvidence;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -27,9 +30,11 @@
   private static final double MIN_REPORTED_STUCK = 0.05;
 
   private final UpstreamTable upstreams;
+  private final IntSupplier routers;
 
-  WorkReports(UpstreamTable upstreams) {
+  WorkReports(UpstreamTable upstreams, IntSupplier routers) {
     this.upstreams = upstreams;
+    this.routers = routers;
   }
 
   /** Returns what this router reports of its requests at each upstream. */
@@ -40,7 +45,8 @@
       Optional<LimitNotice> limit = upstream.limit().notice().map(n -> encode(n, upstream, now));
       if (upstream.localRequests() > 0
           || counts.stuck() > MIN_REPORTED_STUCK
-          || limit.isPresent()) {
+          || limit.isPresent()
+          || upstream.pace().isReported(now)) {
         UpstreamWork.Builder work =
             UpstreamWork.newBuilder()
                 .setUpstream(upstream.id())
@@ -50,6 +56,9 @@
                 .setStuck((float) counts.stuck())
                 .setAnswered((float) counts.answered());
         limit.ifPresent(work::setLimit);
+        if (upstream.pace().isReported(now)) {
+          work.setPace(encodePace(upstream, now));
+        }
         works.add(work.build());
       }
     }
@@ -65,6 +74,19 @@
     return encoded.build();
   }
 
+  private static PaceEvidence encodePace(Upstream upstream, long now) {
+    Evidence evidence = upstream.pace().evidence();
+    PaceEvidence.Builder encoded =
+        PaceEvidence.newBuilder()
+            .setStartedAtMillis(upstream.startedAtMillis())
+            .setKeptPace(evidence.kept())
+            .setFellBehind(evidence.behind());
+    if (evidence.behind() > 0) {
+      encoded.setFellBehindAgeMillis(ageMillis(evidence.behindAtNanos(), now));
+    }
+    return encoded.build();
+  }
+
   private static int ageMillis(long nanos, long now) {
     return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(now - nanos));
   }
@@ -79,6 +101,9 @@
       if (work.hasLimit()) {
         mergeLimit(upstream, work.getLimit(), now);
       }
+      if (work.hasPace() && work.getPace().getStartedAtMillis() == upstream.startedAtMillis()) {
+        mergePace(upstream, work.getPace(), now);
+      }
       RequestCounts remoteCounts = new RequestCounts(work.getStuck(), work.getAnswered());
       if (upstream.hangDetector().updateRemoteCounts(remoteCounts, now)) {
         LOG.info(
@@ -90,6 +115,12 @@
     }
   }
 
+  private void mergePace(Upstream upstream, PaceEvidence sum, long now) {
+    long behindAt = now - TimeUnit.MILLISECONDS.toNanos(sum.getFellBehindAgeMillis());
+    Evidence evidence = new Evidence(sum.getKeptPace(), sum.getFellBehind(), behindAt);
+    upstream.pace().mergeOthers(evidence, upstream.report().slots(), routers.getAsInt(), now);
+  }
+
   private static void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
     if (notice.getStartedAtMillis() != upstream.startedAtMillis()) {
       return;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInService.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInService.java
@@ -34,7 +34,11 @@
     long now = clock.getAsLong();
     upstreams.all().stream()
         .filter(upstream -> before.isOutOfService(upstream.report().zone()))
-        .forEach(upstream -> upstream.warmUp().doubt(now));
+        .forEach(
+            upstream -> {
+              upstream.warmUp().doubt(now);
+              upstream.pace().begin(now);
+            });
     LOG.info("zones out of service: {}, revision {}", newer.outOfService(), newer.revision());
   }
 
