--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -236,13 +236,22 @@
     raise(1, slots, routers, nowNanos);
   }
 
-  /** Records a request of this router that was rejected, broke or was late. */
-  public synchronized void recordBehind(long sentAtNanos, long nowNanos) {
+  /** Records a request of this router that was answered late; that alone leaves a pace of one. */
+  public synchronized void recordLate(long sentAtNanos, long nowNanos) {
+    recordBehind(sentAtNanos, Math.min(1, pace), nowNanos);
+  }
+
+  /** Records a request of this router that was rejected or broke. */
+  public synchronized void recordFailed(long sentAtNanos, long nowNanos) {
+    recordBehind(sentAtNanos, MIN_PACE, nowNanos);
+  }
+
+  private void recordBehind(long sentAtNanos, double floor, long nowNanos) {
     behind++;
     behindAt = nowNanos;
     owe(1);
     if (sentAtNanos - cutAt > 0) {
-      cut(nowNanos);
+      cut(floor, nowNanos);
     }
   }
 
@@ -261,7 +270,7 @@
     if (addedBehind > 0) {
       owe(addedBehind);
       if (sum.behindAtNanos() - cutAt >= ROUND_TRIP_NANOS) {
-        cut(nowNanos);
+        cut(Math.min(1, pace), nowNanos);
       }
     }
     if (addedKept > 0) {
@@ -311,9 +320,9 @@
     return Math.max(1, 2 * roundPace);
   }
 
-  private void cut(long now) {
+  private void cut(double floor, long now) {
     if (active) {
-      pace = Math.max(MIN_PACE, pace / 2);
+      pace = Math.max(floor, pace / 2);
       doubling = false;
       cutAt = now;
       roundAt = now;
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedFleet.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedFleet.java
@@ -137,10 +137,13 @@
           } else if (isDue) {
             behind++;
             UpstreamPace pace = paces[request.router()];
+            long sentAt = TimeUnit.MILLISECONDS.toNanos(request.sentAt());
             if (request.answer().isFailure()) {
               pace.restart(nanos());
+              pace.recordFailed(sentAt, nanos());
+            } else {
+              pace.recordLate(sentAt, nanos());
             }
-            pace.recordBehind(TimeUnit.MILLISECONDS.toNanos(request.sentAt()), nanos());
           }
           return isDue;
         });
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedUpstreamPatternsTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedUpstreamPatternsTest.java
@@ -131,4 +131,26 @@
       assertThat(sent).as("sent in 20 s, seed %d", seed).isBetween(1, 40 + 4 * restarts);
     }
   }
+
+  /** Speeds of an engine for good, and the requests in 10 s that it gets at least. */
+  @DataProvider
+  public Object[][] speeds() {
+    return new Object[][] {
+      {"within the target", 390, 400},
+      {"always late", 900, 5},
+    };
+  }
+
+  @Test(dataProvider = "speeds")
+  public void shouldNotStarveSlowUpstream(String name, int firstTokenMillis, int atLeast) {
+    Engine slow =
+        (underWay, millis, random) -> new Answer(firstTokenMillis, firstTokenMillis + 200, false);
+    for (long seed = 1; seed <= 5; seed++) {
+      PacedFleet fleet = new PacedFleet(ROUTERS, slow, Faults.NONE, seed);
+      fleet.runUntil(10_000);
+      int sent = fleet.runUntil(20_000).stream().mapToInt(Sample::sent).sum();
+
+      assertThat(sent).as("sent in 10 s, seed %d", seed).isGreaterThanOrEqualTo(atLeast);
+    }
+  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -137,7 +137,7 @@
   private void onConnectFailed(IOException failure, ErrorResponse fallback) {
     long now = context.nowNanos();
     upstream.markUnreachable(now);
-    upstream.pace().recordBehind(now, now);
+    upstream.pace().recordFailed(now, now);
     if (failure instanceof ConnectException) {
       context.state().recordRefusedConnection(upstream);
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/PaceSample.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/PaceSample.java
@@ -45,26 +45,33 @@
     if (answered) {
       return;
     }
-    answered = true;
     if (isLate(lagMillis, nowNanos)) {
-      onFailure(nowNanos);
-    } else {
+      onLate(nowNanos);
+    } else if (!behind) {
       paced.recordKept(upstream);
     }
+    answered = true;
   }
 
   /** Records that the request was rejected or its response broke. */
   void onFailure(long nowNanos) {
     if (!behind) {
       behind = true;
-      upstream.pace().recordBehind(sentAtNanos, nowNanos);
+      upstream.pace().recordFailed(sentAtNanos, nowNanos);
     }
   }
 
   /** Records that the response is no longer awaited. */
   void onAbandoned(double lagMillis, long nowNanos) {
     if (!answered && isLate(lagMillis, nowNanos)) {
-      onFailure(nowNanos);
+      onLate(nowNanos);
+    }
+  }
+
+  private void onLate(long nowNanos) {
+    if (!behind) {
+      behind = true;
+      upstream.pace().recordLate(sentAtNanos, nowNanos);
     }
   }
 
