--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -94,6 +94,7 @@
   private volatile boolean active;
   private long begunAt;
   private boolean isNewStart;
+  private boolean isShared;
   private boolean doubling;
   private double pace;
   private double roundPace;
@@ -155,6 +156,7 @@
   private void activate(double initial, long now) {
     active = true;
     doubling = true;
+    isShared = isNewStart || areOthersPacing(now);
     pace = initial;
     kept = 0;
     behind = 0;
@@ -262,6 +264,7 @@
   public synchronized void mergeOthers(Evidence sum, int slots, int routers, long nowNanos) {
     adopt(sum, nowNanos);
     hasOthers = true;
+    isShared = true;
     othersAt = nowNanos;
     int addedKept = sum.kept() - othersKept;
     int addedBehind = sum.behind() - othersBehind;
@@ -301,9 +304,7 @@
     for (int i = repaid; i < requests && pace < bound; i++) {
       pace = Math.min(bound, pace + (doubling ? 1 : Math.min(pace, 1 / pace)));
     }
-    int sharing = sharing(routers, now);
-    double part = (double) slots * sharing / Math.max(1, routers);
-    if (repaid < requests && pace >= Math.min(slots, Math.max(INITIAL_PACE, part))) {
+    if (repaid < requests && pace >= endingPace(slots, routers)) {
       active = false;
       hasEnded = true;
       endedAt = now;
@@ -311,6 +312,12 @@
     }
   }
 
+  /** What one router alone has seen is over once it has its part; else all slots have to be. */
+  private double endingPace(int slots, int routers) {
+    double part = Math.max(INITIAL_PACE, (double) slots / Math.max(1, routers));
+    return isShared ? slots : Math.min(slots, part);
+  }
+
   /** A pace at most doubles before its results are known. */
   private double boundOfRound(long now) {
     if (now - roundAt >= ROUND_TRIP_NANOS) {
