--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.protocol.generated.LimitNotice;
 import org.toucansaddle.protocol.generated.LoadNotice;
+import org.toucansaddle.protocol.generated.PaceEvidence;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -29,7 +30,7 @@
 
   /** Adds the time since a report to the age of what it says of the words of upstreams. */
   private static UpstreamWork aged(UpstreamWork work, long nanos) {
-    if (!work.hasLimit() && !work.hasLoad()) {
+    if (!work.hasLimit() && !work.hasLoad() && !work.hasPace()) {
       return work;
     }
     int millis = (int) TimeUnit.NANOSECONDS.toMillis(nanos);
@@ -40,6 +41,10 @@
     if (work.hasLoad()) {
       aged.getLoadBuilder().setAgeMillis(work.getLoad().getAgeMillis() + millis);
     }
+    if (work.hasPace()) {
+      int behindMillis = work.getPace().getFellBehindAgeMillis() + millis;
+      aged.getPaceBuilder().setFellBehindAgeMillis(behindMillis);
+    }
     return aged.build();
   }
 
@@ -59,9 +64,29 @@
     if (b.hasLoad() && (!a.hasLoad() || isNewer(b.getLoad(), a.getLoad()))) {
       sum.setLoad(b.getLoad());
     }
+    if (b.hasPace()) {
+      sum.setPace(a.hasPace() ? add(a.getPace(), b.getPace()) : b.getPace());
+    }
     return sum.build();
   }
 
+  /** Adds up the evidence of one start; of several starts the latest counts. */
+  private static PaceEvidence add(PaceEvidence a, PaceEvidence b) {
+    if (a.getStartedAtMillis() != b.getStartedAtMillis()) {
+      return a.getStartedAtMillis() > b.getStartedAtMillis() ? a : b;
+    }
+    PaceEvidence newer =
+        a.getFellBehind() == 0
+                || (b.getFellBehind() > 0
+                    && b.getFellBehindAgeMillis() < a.getFellBehindAgeMillis())
+            ? b
+            : a;
+    return newer.toBuilder()
+        .setKeptPace(a.getKeptPace() + b.getKeptPace())
+        .setFellBehind(a.getFellBehind() + b.getFellBehind())
+        .build();
+  }
+
   private static boolean isNewer(LimitNotice a, LimitNotice b) {
     return isNewer(
         a.getStartedAtMillis(), a.getAgeMillis(), b.getStartedAtMillis(), b.getAgeMillis());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.toucansaddle.coordination.pacing.UpstreamPace;
 import org.toucansaddle.coordination.pacing.WarmUpState;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.coordination.upstream.UpstreamCondition;
@@ -45,18 +46,20 @@
       new RequestLimit(() -> ThreadLocalRandom.current().nextDouble());
   private final RequestedPause requestedPause = new RequestedPause();
   private final WarmUpState warmUp;
+  private final UpstreamPace pace;
   private final AtomicBoolean malformedNoticed = new AtomicBoolean();
   private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
   private final UpstreamCondition condition = new UpstreamCondition();
   private final AtomicLong localMemoryTokens = new AtomicLong();
 
-  Upstream(UpstreamReport report, long lastReportAtNanos) {
+  Upstream(UpstreamReport report, long lastReportAtNanos, UpstreamPace pace) {
     this.id = report.id();
     this.idHash = Hashing.komihash5_0().hashCharsToLong(id);
     this.startedAtMillis = report.startedAtMillis();
     this.report = report;
     this.lastReportAtNanos = lastReportAtNanos;
+    this.pace = pace;
     this.warmUp = WarmUpState.coldFor(UNREPORTED_WARM_UP_MILLIS, lastReportAtNanos);
     updateWarmUp(report, lastReportAtNanos);
   }
@@ -106,6 +109,11 @@
     return warmUp;
   }
 
+  /** Returns how many requests this incarnation gets after it has started or recovered. */
+  public UpstreamPace pace() {
+    return pace;
+  }
+
   /** Returns whether new requests may be sent to the upstream. */
   public boolean isUsable(long nowNanos) {
     return report.state() == State.READY && !leaving && nowNanos - pausedUntilNanos >= 0;
@@ -161,6 +169,7 @@
   /** Records a connection failure and pauses the upstream for a time that grows with failures. */
   public void markUnreachable(long nowNanos) {
     warmUp.doubt(nowNanos);
+    pace.restart(nowNanos);
     pausedUntilNanos = nowNanos + nextPauseNanos();
   }
 
@@ -170,6 +179,7 @@
    */
   public void markBroken(long nowNanos) {
     warmUp.doubt(nowNanos);
+    pace.restart(nowNanos);
     avoidedUntilNanos = nowNanos + nextPauseNanos();
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -8,8 +8,10 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.toucansaddle.coordination.pacing.UpstreamPace.Evidence;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.coordination.upstream.ToldLoad;
 import org.toucansaddle.coordination.upstream.UpstreamCondition.Told;
@@ -17,6 +19,7 @@
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
 import org.toucansaddle.protocol.generated.LimitNotice;
 import org.toucansaddle.protocol.generated.LoadNotice;
+import org.toucansaddle.protocol.generated.PaceEvidence;
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
@@ -35,9 +38,11 @@
   private static final double MIN_REPORTED_MILLIS = 5;
 
   private final UpstreamTable upstreams;
+  private final IntSupplier routers;
 
-  WorkReports(UpstreamTable upstreams) {
+  WorkReports(UpstreamTable upstreams, IntSupplier routers) {
     this.upstreams = upstreams;
+    this.routers = routers;
   }
 
   /** Returns what this router reports of its requests at each upstream. */
@@ -52,7 +57,8 @@
           || counts.stuck() > MIN_REPORTED_STUCK
           || limit.isPresent()
           || load.isPresent()
-          || speed.nominal() > MIN_REPORTED_MILLIS) {
+          || speed.nominal() > MIN_REPORTED_MILLIS
+          || upstream.pace().isReported(now)) {
         UpstreamWork.Builder work =
             UpstreamWork.newBuilder()
                 .setUpstream(upstream.id())
@@ -65,6 +71,9 @@
                 .setNominalMillis((float) speed.nominal());
         limit.ifPresent(work::setLimit);
         load.ifPresent(work::setLoad);
+        if (upstream.pace().isReported(now)) {
+          work.setPace(encodePace(upstream, now));
+        }
         works.add(work.build());
       }
     }
@@ -100,6 +109,19 @@
     return encoded.build();
   }
 
+  private static PaceEvidence encodePace(Upstream upstream, long now) {
+    Evidence evidence = upstream.pace().evidence();
+    PaceEvidence.Builder encoded =
+        PaceEvidence.newBuilder()
+            .setStartedAtMillis(upstream.startedAtMillis())
+            .setKeptPace(evidence.kept())
+            .setFellBehind(evidence.behind());
+    if (evidence.behind() > 0) {
+      encoded.setFellBehindAgeMillis(ageMillis(evidence.behindAtNanos(), now));
+    }
+    return encoded.build();
+  }
+
   private static int ageMillis(long nanos, long now) {
     return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(now - nanos));
   }
@@ -117,6 +139,9 @@
       if (work.hasLimit()) {
         mergeLimit(upstream, work.getLimit(), now);
       }
+      if (work.hasPace() && work.getPace().getStartedAtMillis() == upstream.startedAtMillis()) {
+        mergePace(upstream, work.getPace(), now);
+      }
       RequestCounts remoteCounts = new RequestCounts(work.getStuck(), work.getAnswered());
       if (upstream.hangDetector().updateRemoteCounts(remoteCounts, now)) {
         LOG.info(
@@ -143,6 +168,12 @@
     }
   }
 
+  private void mergePace(Upstream upstream, PaceEvidence sum, long now) {
+    long behindAt = now - TimeUnit.MILLISECONDS.toNanos(sum.getFellBehindAgeMillis());
+    Evidence evidence = new Evidence(sum.getKeptPace(), sum.getFellBehind(), behindAt);
+    upstream.pace().mergeOthers(evidence, upstream.report().slots(), routers.getAsInt(), now);
+  }
+
   private static void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
     if (notice.getStartedAtMillis() != upstream.startedAtMillis()) {
       return;
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
@@ -30,7 +30,7 @@
     String address = "10.0.0.1:80";
     table.accept(
         new UpstreamReport("u", "s", address, "z", 8, State.READY, STARTED_AT_MILLIS, 1), NOW);
-    reports = new WorkReports(table);
+    reports = new WorkReports(table, () -> 1);
     upstream = table.ready("s").get(0);
   }
 
