Hold the share of an engine of half the speed to half of the mean

The bound of 0.75 passed without learned speeds; 0.5 fails without them. Measured: -Dtest=Uneven*Test: passed; on a scratch copy without learned speeds: two cases of shouldSendLessToASlowEngine failed.

--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UnevenUpstreamsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UnevenUpstreamsTest.java
@@ -34,7 +34,7 @@
 
   @DataProvider
   public Object[][] fleets() {
-    return new Object[][] {{1, 2.0, 0.75}, {8, 2.0, 0.75}, {1, 1.2, 0.97}, {8, 1.2, 0.97}};
+    return new Object[][] {{1, 2.0, 0.5}, {8, 2.0, 0.5}, {1, 1.2, 0.97}, {8, 1.2, 0.97}};
   }
 
   @Test(dataProvider = "fleets")
