--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GroupedChunksUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GroupedChunksUsageTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.RawCaller.RawResponse;
@@ -39,7 +40,6 @@
     gateway = new LocalGateway();
     gateway.awaitServing();
     upstreams = new ScriptedUpstreams(gateway, 2, GroupedChunksUsageTest::answer);
-    LocalGateway.await(() -> isServing());
   }
 
   @AfterClass(alwaysRun = true)
@@ -86,6 +86,12 @@
     return RawCaller.get(gateway.callerAddress(0), path(route, scenario), "1.1");
   }
 
+  /** Waits until the router is no longer behind, as one that is refuses requests. */
+  @BeforeMethod
+  public void awaitServing() throws InterruptedException {
+    LocalGateway.await(this::isServing);
+  }
+
   /** Reads the chunks of a response as they were written, with the last one, which is empty. */
   private List<String> readChunks(String path, List<Long> arrivalNanos) throws IOException {
     String[] hostAndPort = gateway.callerAddress(0).split(":");
