Show that an account gets far less than its share after a flood

Cause: the part that is admitted is the share divided by the demand of the last two seconds, which still holds the flood.

The bound is the rule's half of the best served.

--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -43,9 +43,13 @@
 
   /** Sends requests at the given rates and returns how many of each account were admitted. */
   private int[] run(double... requestsPerSecond) {
+    return runFor(RUN_MILLIS, requestsPerSecond);
+  }
+
+  private int[] runFor(int millis, double... requestsPerSecond) {
     int[] admitted = new int[requestsPerSecond.length];
     double[] pending = new double[requestsPerSecond.length];
-    for (int elapsedMillis = 0; elapsedMillis < RUN_MILLIS; elapsedMillis += STEP_MILLIS) {
+    for (int elapsedMillis = 0; elapsedMillis < millis; elapsedMillis += STEP_MILLIS) {
       for (int i = 0; i < pending.length; i++) {
         for (pending[i] += requestsPerSecond[i] * STEP_MILLIS / 1_000.0;
             pending[i] >= 1;
@@ -196,4 +200,12 @@
             .fairShareTokens();
     assertThat(share).as("share of 40,000 tokens carried").isBetween(39_000.0, 48_000.0);
   }
+
+  /** Burst that ends: guards against an account that gets far less than its share after a flood. */
+  @Test
+  public void shouldAdmitShareOfAccountWhoseRequestsHaveBecomeFewer() {
+    run(900, 300);
+    int[] admitted = runFor(2_000, 120, 300);
+    assertThat(admitted[0]).isGreaterThan(admitted[1] / 2);
+  }
 }
