Count requests of every handler as use of their connection

Cause: since every connection that is read counts as idle until its first request, those whose requests go to another handler than that of callers, like readiness checks at the address of callers, stayed idle from their start. A kept connection was closed at the idle time after it was opened, however often it was used, maybe as a check arrived, and gave way first.

Change: the listener records the start and the end of all requests, not the handler of callers.

Result: shouldCountRequestsOfEveryHandlerAsUseOfTheirConnection failed before (closed after the second check) and passes; PacedHttpListenerTest 8 of 8 and ConnectionUsageTest 9 of 9 passed.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListener.java
@@ -3,6 +3,8 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -117,7 +119,7 @@
                 .set(UndertowOptions.BUFFER_PIPELINED_DATA, false)
                 .addAll(options)
                 .getMap());
-    connectionListener.setRootHandler(handler);
+    connectionListener.setRootHandler(exchange -> handle(exchange, handler));
     for (int index = 0; index < worker.getIoThreadCount(); index++) {
       XnioIoThread thread = worker.getIoThread(index);
       arrivedByThread.put(thread, new ArrivedConnections(thread));
@@ -134,6 +136,18 @@
     server.resumeAccepts();
   }
 
+  /** Calls a handler; the connection is in use until the response is written. */
+  private void handle(HttpServerExchange exchange, HttpHandler handler) throws Exception {
+    ServerConnection connection = exchange.getConnection();
+    connections.onRequestStarted(connection);
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          connections.onRequestEnded(connection);
+          next.proceed();
+        });
+    handler.handleRequest(exchange);
+  }
+
   private static int backlog(int maxOpen) {
     int byBudget = (int) (MAX_BACKLOG_FRACTION * maxOpen);
     return Math.max(MIN_BACKLOG, Math.min(MAX_BACKLOG, byBudget));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
@@ -70,12 +70,12 @@
   }
 
   /** Records that a request arrived on a connection. */
-  void onRequestStarted(ServerConnection connection) {
+  public void onRequestStarted(ServerConnection connection) {
     removeIdle(channelOf(connection));
   }
 
   /** Records that the response to the request of a connection is written completely. */
-  void onRequestEnded(ServerConnection connection) {
+  public void onRequestEnded(ServerConnection connection) {
     if (connection.isOpen()) {
       putIdle(channelOf(connection));
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -2,7 +2,6 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.util.Optional;
@@ -69,12 +68,9 @@
   public void handleRequest(HttpServerExchange exchange) {
     long startNanos = context.nowNanos();
     requestsInFlight.incrementAndGet();
-    ServerConnection connection = exchange.getConnection();
-    connections.onRequestStarted(connection);
     exchange.addExchangeCompleteListener(
         (ended, next) -> {
           requestsInFlight.decrementAndGet();
-          connections.onRequestEnded(connection);
           next.proceed();
         });
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> route(exchange, startNanos));
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/PacedHttpListenerTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -43,6 +44,7 @@
   private static final int FLOOD = 200;
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final int DELIVERY_MILLIS = 100;
+  private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
   private static final long HANDLER_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
   private static final long TIMER_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
   private static final InetSocketAddress ANY_PORT =
@@ -204,6 +206,36 @@
     }
   }
 
+  /** Guards against readiness checks whose kept connection is closed as if it were unused. */
+  @Test
+  public void shouldCountRequestsOfEveryHandlerAsUseOfTheirConnection() throws Exception {
+    Queue<StreamConnection> arrived = connectCallers(1);
+    AtomicLong clock = new AtomicLong();
+    CallerConnections bounds = new CallerConnections(CONNECTIONS, clock::get);
+    Socket caller = callers.get(0);
+    try (PacedHttpListener listener =
+        listen(HttpServerExchange::endExchange, MAX_ARRIVED, bounds, false)) {
+      worker.getIoThread().execute(() -> listener.takeOver(arrived::poll));
+      awaitIoThread();
+      for (int check = 0; check < 4; check++) {
+        clock.addAndGet(IDLE_NANOS - 1);
+        request(caller, "/ready");
+        assertThat(readHead(caller)).as("check %d", check).startsWith("HTTP/1.1 200 ");
+        bounds.closeIdleFor(IDLE_NANOS);
+        awaitIoThread();
+      }
+      clock.addAndGet(IDLE_NANOS);
+      bounds.closeIdleFor(IDLE_NANOS);
+      assertThat(caller.getInputStream().read()).as("end of an unused connection").isEqualTo(-1);
+    }
+  }
+
+  private void awaitIoThread() throws Exception {
+    CompletableFuture<Boolean> done = new CompletableFuture<>();
+    worker.getIoThread().execute(() -> done.complete(true));
+    done.get();
+  }
+
   /** What callers do with their connections, and whether all new ones are refused. */
   @DataProvider
   public Object[][] floods() {
