Leave connections without a request open at a shutdown

Change: the close of idle connections passes over those without a request. They still give way first for new ones once the budget is used up.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerConnections.java
@@ -27,8 +27,11 @@
   private final DescriptorBudget budget;
   private final LongSupplier clock;
 
-  /** Start of the idle time in nanoseconds, least recently used connection first. */
-  private final Map<StreamConnection, Long> idle = new LinkedHashMap<>();
+  /** Idle times, least recently used connection first. */
+  private final Map<StreamConnection, IdleTime> idle = new LinkedHashMap<>();
+
+  /** Start of an idle time, in nanoseconds, and whether a request came before it. Immutable. */
+  private record IdleTime(long startNanos, boolean used) {}
 
   /**
    * Creates an empty set.
@@ -61,7 +64,7 @@
 
   /** Records that a connection is read from now on; {@link #onClosed} has to follow. */
   public void onRead(StreamConnection connection) {
-    putIdle(connection);
+    putIdle(connection, false);
   }
 
   /** Records that a connection is closed. */
@@ -77,7 +80,7 @@
   /** Records that the response to the request of a connection is written completely. */
   public void onRequestEnded(ServerConnection connection) {
     if (connection.isOpen()) {
-      putIdle(channelOf(connection));
+      putIdle(channelOf(connection), true);
     }
   }
 
@@ -85,9 +88,9 @@
     return ((AbstractServerConnection) connection).getChannel();
   }
 
-  private void putIdle(StreamConnection connection) {
+  private void putIdle(StreamConnection connection, boolean used) {
     synchronized (idle) {
-      idle.put(connection, clock.getAsLong());
+      idle.put(connection, new IdleTime(clock.getAsLong(), used));
     }
   }
 
@@ -117,16 +120,21 @@
     return found != null;
   }
 
-  /** Closes connections that have been idle for at least this time. */
+  /**
+   * Closes connections that have been idle for at least this time since a request. The first
+   * request of the others may be on its way; it is answered or refused.
+   */
   public void closeIdleFor(long nanos) {
     long now = clock.getAsLong();
     List<StreamConnection> expired = new ArrayList<>();
     synchronized (idle) {
-      for (Map.Entry<StreamConnection, Long> entry : idle.entrySet()) {
-        if (now - entry.getValue() < nanos) {
+      for (Map.Entry<StreamConnection, IdleTime> entry : idle.entrySet()) {
+        if (now - entry.getValue().startNanos() < nanos) {
           break;
         }
-        expired.add(entry.getKey());
+        if (entry.getValue().used()) {
+          expired.add(entry.getKey());
+        }
       }
     }
     expired.forEach(this::closeLater);
