Draw among plain upstreams without their recent response times

Cause, suspected: routers weighed free capacity by response times of some seconds, which hold the wait in a queue that all routers caused together, so that the upstreams were overloaded in turn.

Change: free capacity and the part of requests taken decide, as before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -267,7 +267,6 @@
         call.replaceSilentAttempt();
       }
       if (!call.route().isStream()) {
-        recordPlainTime();
         releasePrefillLoad();
         stallDetector.onResponseStarted();
       }
@@ -322,18 +321,6 @@
         && (sealed || !(isSuccess(status) || claimsNotRun));
   }
 
-  /** Records the time to the response to a request without a prompt, beside the route's target. */
-  private void recordPlainTime() {
-    if (survivalExpected && call.head().promptTokens() == 0) {
-      long now = context.nowNanos();
-      double millis = (now - sentAtNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
-      double lagMillis = context.ioLag().averageMillis();
-      upstream
-          .condition()
-          .recordTime(millis - lagMillis, Math.max(1, call.route().targetMillis()), now);
-    }
-  }
-
   private void fail(String outcome, String cause) {
     paceSample.onFailure(context.nowNanos());
     cancel();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
-import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -46,9 +45,6 @@
   /** Time by which another engine may take longer than the best one and still be selected. */
   private static final double NEAR_BEST_FACTOR = 1.1;
 
-  /** Nominal time of known responses from which their average speed counts more than 1. */
-  private static final double MIN_KNOWN_MILLIS = 1;
-
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private static final Hasher64 HASHER = Hashing.komihash5_0();
@@ -174,23 +170,18 @@
   }
 
   /**
-   * Draws an upstream in proportion to its free capacity and its speed. All routers see the load of
-   * the others as last reported; if each of them selected the least loaded upstream, they would
-   * overload it until the next report.
+   * Draws an upstream in proportion to its free capacity. All routers see the load of the others as
+   * last reported; if each of them selected the least loaded upstream, they would overload it until
+   * the next report. Recent response times do not count: they hold the wait in a queue that all
+   * routers caused together, so that the upstreams would be overloaded in turn.
    */
   private Optional<Selection> drawByFreeCapacity(List<Upstream> candidates, long nowNanos) {
-    double usual =
-        candidates.stream()
-            .map(upstream -> upstream.condition().speed(nowNanos))
-            .reduce(Sums.NONE, Sums::plus)
-            .multiple(1, MIN_KNOWN_MILLIS);
     double[] free = new double[candidates.size()];
     double sum = 0;
     for (int i = 0; i < free.length; i++) {
       Upstream upstream = candidates.get(i);
-      double slowness = upstream.condition().multiple(usual, nowNanos) / usual;
       double taken = upstream.condition().takenPart(nowNanos);
-      free[i] = freeCapacity(upstream, nowNanos) * taken / slowness;
+      free[i] = freeCapacity(upstream, nowNanos) * taken;
       sum += free[i];
     }
     if (sum <= 0) {
