Let the test of a failed region wait until its upstream is known to be gone

Change: as strict in what it guards: no request of the region reaches another one at any time, and none is served in the end.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RegionUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RegionUsageTest.java
@@ -119,6 +119,14 @@
   @Test
   public void shouldNotMoveRequestsWhenRegionFails() throws Exception {
     upstreams.stop("desk-a");
+    Set<String> reachedByEast = new TreeSet<>();
+    LocalGateway.await(
+        () -> {
+          Set<String> reached = reached("/east/x", LocalGateway.API_KEY);
+          reachedByEast.addAll(reached);
+          return reached.isEmpty();
+        });
+    assertThat(reachedByEast).doesNotContain("desk-b");
     assertThat(reached("/east/x", LocalGateway.API_KEY)).isEmpty();
     assertThat(reached("/repeatable/x", LocalGateway.API_KEY)).containsExactly("desk-b");
   }
