Take the warm-up of an upstream that reports none from its service

Cause: the length that the configuration names (warm_up.millis) was read and never used. A service with a longer one would have been flooded while cold.

Change: WarmUpState gets the length with the question, and ColdStart asks with that of the service in force. WarmUpStateTest asked for one fixed length and now asks for three; its other checks are the same.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
@@ -6,40 +6,35 @@
  * Whether one start of an upstream is cold, from its reports and from reasons to doubt them.
  *
  * <pre>{@code
- * WarmUpState state = WarmUpState.coldFor(3_000, now);
+ * WarmUpState state = WarmUpState.unreported(now);
  * state.report(0, reportedAt);
- * if (!state.isCold(now)) { ... }
+ * if (!state.isCold(warmUpMillis, now)) { ... }
  * }</pre>
  *
  * <p>The newest report decides; an older one changes nothing. After a doubt the upstream counts as
  * cold until a report that was sent after the doubt says otherwise, or, if it has never reported
- * its warm-up, for the time of an unreported one. Times are nanoseconds of one clock. Thread-safe;
- * does no I/O.
+ * its warm-up, for the time that its service names. Times are nanoseconds of one clock.
+ * Thread-safe; does no I/O.
  */
 public final class WarmUpState {
 
   /** Time by which a report may seem later than it was sent, since it passes other daemons. */
   private static final long REPORT_SKEW_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-  private final long unreportedNanos;
+  private final long startedAt;
   private long coldUntil;
   private boolean reported;
   private long reportedAt;
   private boolean doubted;
   private long doubtedAt;
 
-  private WarmUpState(long unreportedNanos, long nowNanos) {
-    this.unreportedNanos = unreportedNanos;
-    this.coldUntil = nowNanos + unreportedNanos;
+  private WarmUpState(long nowNanos) {
+    this.startedAt = nowNanos;
   }
 
-  /**
-   * Returns the state of an upstream that has not reported its warm-up.
-   *
-   * @param millis time for which it counts as cold, now and after a doubt, in milliseconds
-   */
-  public static WarmUpState coldFor(long millis, long nowNanos) {
-    return new WarmUpState(TimeUnit.MILLISECONDS.toNanos(millis), nowNanos);
+  /** Returns the state of an upstream that starts now and has not reported its warm-up. */
+  public static WarmUpState unreported(long nowNanos) {
+    return new WarmUpState(nowNanos);
   }
 
   /**
@@ -65,14 +60,22 @@
     doubtedAt = nowNanos;
   }
 
-  /** Returns whether the upstream has to be treated as cold. */
-  public synchronized boolean isCold(long nowNanos) {
-    boolean inDoubt = doubted && (reported || nowNanos - doubtedAt < unreportedNanos);
-    return inDoubt || nowNanos - coldUntil < 0;
+  /**
+   * Returns whether the upstream has to be treated as cold.
+   *
+   * @param unreportedMillis time for which one that has not reported its warm-up counts as cold,
+   *     after its start and after a doubt, in milliseconds
+   */
+  public synchronized boolean isCold(long unreportedMillis, long nowNanos) {
+    if (reported) {
+      return doubted || nowNanos - coldUntil < 0;
+    }
+    long since = doubted ? doubtedAt : startedAt;
+    return nowNanos - since < TimeUnit.MILLISECONDS.toNanos(unreportedMillis);
   }
 
-  /** Returns the remaining warm-up as reported, in milliseconds; 0 if it is over. */
+  /** Returns the remaining warm-up as reported, in milliseconds; 0 if it is over or unreported. */
   public synchronized long remainingMillis(long nowNanos) {
-    return Math.max(0, TimeUnit.NANOSECONDS.toMillis(coldUntil - nowNanos));
+    return reported ? Math.max(0, TimeUnit.NANOSECONDS.toMillis(coldUntil - nowNanos)) : 0;
   }
 }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/WarmUpStateTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/WarmUpStateTest.java
@@ -9,15 +9,24 @@
 /** Tests when an upstream counts as cold. */
 public class WarmUpStateTest {
 
+  private static final long WARM_UP_MILLIS = 3_000;
+
   private static long nanos(long millis) {
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
-  @Test
-  public void shouldBeColdForGivenTimeWithoutReport() {
-    WarmUpState state = WarmUpState.coldFor(3_000, nanos(10));
-    assertThat(state.isCold(nanos(3_009))).isTrue();
-    assertThat(state.isCold(nanos(3_010))).isFalse();
+  @DataProvider
+  public Object[][] warmUps() {
+    return new Object[][] {{1L}, {WARM_UP_MILLIS}, {20_000L}};
+  }
+
+  // A time that is the same for all services would end the warm-up of a slower one too early.
+  @Test(dataProvider = "warmUps")
+  public void shouldBeColdForTimeOfServiceWithoutReport(long warmUpMillis) {
+    WarmUpState state = WarmUpState.unreported(nanos(10));
+    assertThat(state.isCold(warmUpMillis, nanos(9 + warmUpMillis))).isTrue();
+    assertThat(state.isCold(warmUpMillis, nanos(10 + warmUpMillis))).isFalse();
+    assertThat(state.remainingMillis(nanos(10))).isZero();
   }
 
   @DataProvider
@@ -34,26 +43,26 @@
   @Test(dataProvider = "reports")
   public void shouldBeColdUntilReportedEnd(
       long remaining, long reportedAt, long now, boolean cold) {
-    WarmUpState state = WarmUpState.coldFor(3_000, 0);
+    WarmUpState state = WarmUpState.unreported(0);
     state.report(remaining, nanos(reportedAt));
-    assertThat(state.isCold(nanos(now))).isEqualTo(cold);
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(now))).isEqualTo(cold);
   }
 
   // An older report that arrives late must not make a cold upstream warm.
   @Test
   public void shouldIgnoreOlderReport() {
-    WarmUpState state = WarmUpState.coldFor(0, 0);
+    WarmUpState state = WarmUpState.unreported(0);
     state.report(3_000, nanos(1_000));
     state.report(0, nanos(900));
-    assertThat(state.isCold(nanos(1_100))).isTrue();
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(1_100))).isTrue();
   }
 
   @Test
   public void shouldTurnColdAgain() {
-    WarmUpState state = WarmUpState.coldFor(0, 0);
+    WarmUpState state = WarmUpState.unreported(0);
     state.report(0, nanos(1_000));
     state.report(2_000, nanos(2_000));
-    assertThat(state.isCold(nanos(2_500))).isTrue();
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(2_500))).isTrue();
     assertThat(state.remainingMillis(nanos(2_500))).isEqualTo(1_500);
   }
 
@@ -68,36 +77,36 @@
   // A report that was on its way when the upstream failed must not end the doubt.
   @Test(dataProvider = "reportsAfterDoubt")
   public void shouldCountAsColdUntilReportAfterDoubt(long reportedAt, boolean cold) {
-    WarmUpState state = WarmUpState.coldFor(0, 0);
+    WarmUpState state = WarmUpState.unreported(0);
     state.report(0, nanos(500));
     state.doubt(nanos(1_000));
     state.report(0, nanos(reportedAt));
-    assertThat(state.isCold(nanos(10_000))).isEqualTo(cold);
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(10_000))).isEqualTo(cold);
   }
 
   @Test
   public void shouldStayColdAfterDoubtWhileReportSaysSo() {
-    WarmUpState state = WarmUpState.coldFor(0, 0);
+    WarmUpState state = WarmUpState.unreported(0);
     state.doubt(nanos(1_000));
     state.report(2_000, nanos(2_000));
-    assertThat(state.isCold(nanos(3_999))).isTrue();
-    assertThat(state.isCold(nanos(4_000))).isFalse();
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(3_999))).isTrue();
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(4_000))).isFalse();
   }
 
   // An upstream that never reports a warm-up got nothing any more after one failed connection.
   @Test
   public void shouldEndDoubtOfUpstreamThatReportsNoWarmUp() {
-    WarmUpState state = WarmUpState.coldFor(3_000, 0);
+    WarmUpState state = WarmUpState.unreported(0);
     state.doubt(nanos(10_000));
-    assertThat(state.isCold(nanos(12_999))).isTrue();
-    assertThat(state.isCold(nanos(13_000))).isFalse();
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(12_999))).isTrue();
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(13_000))).isFalse();
   }
 
   @Test
   public void shouldKeepDoubtWhenFirstReportIsOlder() {
-    WarmUpState state = WarmUpState.coldFor(3_000, 0);
+    WarmUpState state = WarmUpState.unreported(0);
     state.doubt(nanos(10_000));
     state.report(0, nanos(9_900));
-    assertThat(state.isCold(nanos(20_000))).isTrue();
+    assertThat(state.isCold(WARM_UP_MILLIS, nanos(20_000))).isTrue();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
@@ -37,14 +37,11 @@
 
   /** Returns whether an upstream has to be spared now. */
   public boolean isCold(Upstream upstream) {
-    return upstream.warmUp().isCold(clock.getAsLong()) && hasWarmUp(upstream.report().service());
-  }
-
-  private boolean hasWarmUp(String service) {
     return view.get()
-        .flatMap(current -> current.service(service))
+        .flatMap(current -> current.service(upstream.report().service()))
         .flatMap(ServiceDefinition::warmUp)
-        .isPresent();
+        .map(named -> upstream.warmUp().isCold(named.millis(), clock.getAsLong()))
+        .orElse(false);
   }
 
   /** Returns whether an upstream may get a request; if not, the next report asks for a permit. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -30,9 +30,6 @@
   /** Time for which an upstream is not used after another one answered at its address. */
   private static final long MISDIRECTED_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-  /** Time after its first report for which an upstream that reports no warm-up counts as cold. */
-  private static final long UNREPORTED_WARM_UP_MILLIS = 3_000;
-
   private final String id;
   private final long idHash;
   private final long startedAtMillis;
@@ -60,7 +57,7 @@
     this.report = report;
     this.lastReportAtNanos = lastReportAtNanos;
     this.pace = pace;
-    this.warmUp = WarmUpState.coldFor(UNREPORTED_WARM_UP_MILLIS, lastReportAtNanos);
+    this.warmUp = WarmUpState.unreported(lastReportAtNanos);
     updateWarmUp(report, lastReportAtNanos);
   }
 
@@ -254,7 +251,7 @@
     return localMemoryTokens.get() + remoteMemoryTokens;
   }
 
-  /** Returns the number of all routers' requests under way, as last reported or told. */
+  /** Returns the number of all routers' requests under way, as last reported by it or them. */
   public int requests(long nowNanos) {
     return condition.requests(nowNanos);
   }
@@ -264,7 +261,7 @@
     return condition;
   }
 
-  /** Returns the unprocessed prompt tokens of all routers, as last reported or told. */
+  /** Returns the unprocessed prompt tokens of all routers, as last reported by it or them. */
   public long pendingTokens(long nowNanos) {
     return condition.pendingTokens(nowNanos);
   }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -127,6 +127,22 @@
     assertThat(sendFor(upstream, 100)).isEqualTo(100);
   }
 
+  @DataProvider
+  public Object[][] warmUpMillis() {
+    return new Object[][] {{500}, {8_000}};
+  }
+
+  // The warm-up that the configuration names had no effect: each took the same time.
+  @Test(dataProvider = "warmUpMillis")
+  public void shouldSpareUpstreamWithoutReportForWarmUpOfItsService(int millis) {
+    start(Optional.of(new WarmUp(millis, REQUESTS_PER_SECOND)));
+    Upstream upstream = heartbeat(report(10, 1));
+    advance(millis - 1);
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    advance(1);
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+  }
+
   // A service without a warm-up must not change when its upstreams fail or report none.
   @Test
   public void shouldNotSpareUpstreamsOfServiceThatIsNeverCold() {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInServiceTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInServiceTest.java
@@ -15,6 +15,7 @@
 /** Tests of {@link ZonesInService}. */
 public class ZonesInServiceTest {
 
+  private static final long WARM_UP_MILLIS = 3_000;
   private static final int UPSTREAMS = 2_000;
   private static final int RETURNS = 200;
 
@@ -27,7 +28,8 @@
   }
 
   private boolean isAnyWarmInService(ZonesInService zones, List<Upstream> upstreams, long now) {
-    return upstreams.stream().anyMatch(u -> zones.isInService(u) && !u.warmUp().isCold(now));
+    return upstreams.stream()
+        .anyMatch(u -> zones.isInService(u) && !u.warmUp().isCold(WARM_UP_MILLIS, now));
   }
 
   // For a moment, upstreams of a zone that came back were in service and not yet in doubt.
