--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/zones/ZoneOrdersTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/zones/ZoneOrdersTest.java
@@ -44,6 +44,21 @@
     assertThat(after(orders)).isEqualTo(new ZoneOrders(revision, outOfService));
   }
 
+  // Names are free, so that a program that makes them up would fill log, memory and messages.
+  @Test
+  public void shouldRefuseZoneBeyondMaximumUntilOneIsBack() {
+    ZoneOrders full = ZoneOrders.none();
+    for (int i = 0; i < ZoneOrders.MAX_OUT_OF_SERVICE; i++) {
+      full = full.apply(out("z" + i));
+    }
+    assertThat(full.apply(out("more"))).isSameAs(full);
+    assertThat(full.includes(out("more"))).isFalse();
+    assertThat(full.includes(out("z7"))).isTrue();
+    ZoneOrders later = full.apply(in("z7")).apply(out("more"));
+    assertThat(later.includes(out("more"))).isTrue();
+    assertThat(later.outOfService()).hasSize(ZoneOrders.MAX_OUT_OF_SERVICE);
+  }
+
   @DataProvider
   public Object[][] zoneNames() {
     return new Object[][] {{"a"}, {"zóna-š"}, {"x".repeat(255)}};
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/ControlGateway.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/ControlGateway.java
@@ -58,8 +58,9 @@
    * Takes an availability zone out of service or back. The order is on the disks of a quorum before
    * the result is there; one that changes nothing succeeds, too.
    *
-   * @return the zones out of service after the order; empty if no quorum acknowledged it within the
-   *     timeout, so that it may or may not take effect
+   * @return the zones out of service after the order, which do not include its zone if too many are
+   *     out of service already ({@link ZoneOrders#includes}); empty if no quorum acknowledged the
+   *     order within the timeout, so that it may or may not take effect
    */
   CompletableFuture<Optional<ZoneOrders>> order(ZoneOrder order, Duration timeout);
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminProblems.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/AdminProblems.java
@@ -1,5 +1,6 @@
 package org.toucansaddle.daemon.internal.admin;
 
+import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.internal.problem.Problem;
 import org.toucansaddle.daemon.internal.problem.RunState;
 import org.toucansaddle.protocol.generated.CommandResult;
@@ -70,6 +71,14 @@
             + " higher version.");
   }
 
+  static Problem tooManyZones() {
+    return notRun(
+        409,
+        "too-many-zones",
+        ZoneOrders.MAX_OUT_OF_SERVICE
+            + " zones are out of service already. Take one back that is no longer used.");
+  }
+
   static Problem zonesUnconfirmed() {
     return controlUnavailable(
         "No quorum of the control daemons responded in time. Send the same order again.");
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/ZoneOperations.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/ZoneOperations.java
@@ -46,7 +46,17 @@
     } catch (IllegalArgumentException e) {
       throw new ProblemException(AdminProblems.badField("zone", e.getMessage()));
     }
-    return control.order(order, CONTROL_TIMEOUT).thenApply(ZoneOperations::toJson);
+    return control
+        .order(order, CONTROL_TIMEOUT)
+        .thenApply(zones -> checkIncluded(order, zones))
+        .thenApply(ZoneOperations::toJson);
+  }
+
+  private static Optional<ZoneOrders> checkIncluded(ZoneOrder order, Optional<ZoneOrders> zones) {
+    if (zones.isPresent() && !zones.get().includes(order)) {
+      throw new ProblemException(AdminProblems.tooManyZones());
+    }
+    return zones;
   }
 
   private static ObjectNode toJson(Optional<ZoneOrders> zones) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -96,7 +96,10 @@
   private final ControlFollower observer;
   private final PlacementServer placement;
   private final PeerServer server;
+
+  /** Written by the thread of the replica only. */
   private volatile FleetState applied = FleetState.none();
+
   private volatile Runnable onApplied = () -> {};
 
   /**
@@ -315,7 +318,9 @@
                   "zone order zone={} out_of_service={} outcome={} revision={} upstreams_there={}",
                   order.zone(),
                   order.outOfService(),
-                  zones.isPresent() ? "accepted" : "unknown",
+                  zones
+                      .map(after -> after.includes(order) ? "accepted" : "refused")
+                      .orElse("unknown"),
                   zones.map(ZoneOrders::revision).orElse(applied.zones().revision()),
                   registry.countInZone(order.zone()));
               return zones;
