Look at all accounts less often, and send callers back when it helps them

Cause, by reading: while a router is behind, each request decayed and sorted the demand of all accounts under one lock. A body whose caller left while it was read could be counted for ever. A body without room was refused with a return after 10 ms even where no other router has room, so that its caller met the same router again.

Change: a share is used again for 20 ms, unless the part to admit or the requests have changed by more than a fiftieth. A closed holding counts nothing. The short return is named only while other routers of the zone have room; otherwise 0.15 to 0.45 of the target, as for full upstreams.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.stream.DoubleStream;
@@ -29,9 +30,17 @@
   /** Requests below which an account is dropped. */
   private static final double FORGOTTEN_REQUESTS = 0.01;
 
+  /** Time for which a share is used again, so that not each request has to look at all accounts. */
+  private static final long SHARE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  /** Change of the part to admit, and new requests per recent one, up to which it is used again. */
+  private static final double SHARE_TOLERANCE = 0.02;
+
   private final LongSupplier clock;
   private final Map<String, Demand> demands = new HashMap<>();
   private long cleanedAt;
+  private Optional<Share> latestShare = Optional.empty();
+  private int requestsSinceShare;
 
   /** Creates an object without accounts; {@code clock} returns nanoseconds. */
   public AccountParts(LongSupplier clock) {
@@ -39,6 +48,23 @@
     this.cleanedAt = clock.getAsLong();
   }
 
+  /**
+   * Requests that each account may have admitted. Immutable.
+   *
+   * @param requests requests of one account
+   * @param admitted part of all requests to admit
+   * @param all recent requests of all accounts
+   * @param computedAt time in nanoseconds
+   */
+  private record Share(double requests, double admitted, double all, long computedAt) {
+
+    boolean isValid(double newAdmitted, int newRequests, long now) {
+      return now - computedAt < SHARE_NANOS
+          && Math.abs(newAdmitted - admitted) <= SHARE_TOLERANCE
+          && newRequests <= SHARE_TOLERANCE * all;
+    }
+  }
+
   /** Recent requests of one account; they decay over time. */
   private static final class Demand {
     private double requests;
@@ -61,6 +87,7 @@
     Demand demand = demands.computeIfAbsent(account, name -> new Demand());
     demand.decay(now);
     demand.requests++;
+    requestsSinceShare++;
   }
 
   /**
@@ -74,9 +101,25 @@
     if (admitted >= 1 || demand == null) {
       return 1;
     }
-    demands.values().forEach(other -> other.decay(now));
-    double[] requests = demands.values().stream().mapToDouble(other -> other.requests).toArray();
-    double share = MaxMinShare.compute(requests, admitted * DoubleStream.of(requests).sum());
+    demand.decay(now);
+    double share = share(admitted, now).requests();
     return demand.requests > share ? share / demand.requests : 1;
   }
+
+  private Share share(double admitted, long now) {
+    Share share =
+        latestShare
+            .filter(latest -> latest.isValid(admitted, requestsSinceShare, now))
+            .orElseGet(() -> computeShare(admitted, now));
+    latestShare = Optional.of(share);
+    return share;
+  }
+
+  private Share computeShare(double admitted, long now) {
+    demands.values().forEach(demand -> demand.decay(now));
+    double[] requests = demands.values().stream().mapToDouble(demand -> demand.requests).toArray();
+    double all = DoubleStream.of(requests).sum();
+    requestsSinceShare = 0;
+    return new Share(MaxMinShare.compute(requests, admitted * all), admitted, all, now);
+  }
 }
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/LoadShedding.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/LoadShedding.java
@@ -41,7 +41,8 @@
    */
   public record Others(int routers, int behind) {
 
-    private boolean haveRoom() {
+    /** Returns whether a caller that is refused here is likely to be served by another one. */
+    public boolean haveRoom() {
       return routers > 0 && behind <= MAX_OTHERS_BEHIND * routers;
     }
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -23,9 +23,6 @@
 public record ErrorResponse(
     int status, String type, RunState runState, String detail, long retryAfterMillis) {
 
-  /** Delay for a retry at another router, which can read the request at once, in milliseconds. */
-  private static final long RETRY_ELSEWHERE_MILLIS = 10;
-
   static ErrorResponse noRoute(String host) {
     return new ErrorResponse(
         404, "no-route", RunState.NOT_RUN, "No route of host '" + host + "' matches this path.", 0);
@@ -40,12 +37,12 @@
     return notRun("no-configuration", "This router has no confirmed configuration yet.", 500);
   }
 
-  /** Refuses a request that another router can read sooner. */
-  static ErrorResponse routerBehind() {
+  /** Refuses a request that this router cannot read in time. */
+  static ErrorResponse routerBehind(long retryAfterMillis) {
     return notRun(
         "router-behind",
         "This router has more requests than it can read in time.",
-        RETRY_ELSEWHERE_MILLIS);
+        retryAfterMillis);
   }
 
   /** Refuses a request that may not be served where the upstreams are that would accept it. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -97,7 +97,7 @@
       return;
     }
     if (context.refusesForLag(account.get(), head.isLikelyRetry(route.get()))) {
-      refuse(exchange, head, ErrorResponse.routerBehind());
+      refuse(exchange, head, ErrorResponse.routerBehind(context.retryAfterMillis(route.get())));
       return;
     }
     int maxHeadBytes = view.get().document().limits().maxHeaderBytes();
@@ -128,12 +128,13 @@
                         startNanos)),
         failure ->
             exchange.dispatch(
-                SameThreadExecutor.INSTANCE, () -> refuse(exchange, head, unread(failure))));
+                SameThreadExecutor.INSTANCE,
+                () -> refuse(exchange, head, unread(route.get(), failure))));
   }
 
-  private static ErrorResponse unread(IOException failure) {
+  private ErrorResponse unread(Route route, IOException failure) {
     return failure instanceof NoRoomException
-        ? ErrorResponse.routerBehind()
+        ? ErrorResponse.routerBehind(context.retryAfterMillis(route))
         : ErrorResponse.unreadableBody();
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import org.toucansaddle.coordination.admission.ReadLag;
 import org.toucansaddle.coordination.zones.ZoneRegions;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
+import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementClient;
 import org.toucansaddle.daemon.internal.gateway.routing.ReportedRouters;
@@ -123,15 +124,24 @@
     return ioLag;
   }
 
+  /** Returns the other routers that callers of this one may go to. */
+  private Others otherRouters() {
+    ReportedRouters others = state.reportedRouters();
+    return new Others(others.zone(), others.zoneOverloaded());
+  }
+
+  /** Returns the delay for the retry of a request that this router cannot read, in milliseconds. */
+  long retryAfterMillis(Route route) {
+    return RetryAfter.unreadDelayMillis(otherRouters(), route.targetMillis());
+  }
+
   /**
    * Records a request that was read and returns whether it is left to another router, since this
    * one is behind.
    */
   boolean refusesForLag(String account, boolean returned) {
     ReadLag lag = new ReadLag(ioLag.averageMillis(), state.shortestTargetMillis());
-    ReportedRouters others = state.reportedRouters();
-    return shedding.refuses(
-        account, returned, lag, new Others(others.zone(), others.zoneOverloaded()));
+    return shedding.refuses(account, returned, lag, otherRouters());
   }
 
   /** Returns the recent outcomes of opening connections to upstreams. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RetryAfter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RetryAfter.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.concurrent.ThreadLocalRandom;
+import org.toucansaddle.coordination.admission.LoadShedding.Others;
 
 /**
  * Computes the delay after which a refused caller should retry.
@@ -17,8 +18,19 @@
   /** Largest fraction of the target; leaves half of the target for the response. */
   private static final double MAX_TARGET_FRACTION = 0.45;
 
+  /** Delay for a retry at another router, which can read the request at once, in milliseconds. */
+  private static final long ELSEWHERE_MILLIS = 10;
+
   private RetryAfter() {}
 
+  /**
+   * Returns the delay for one caller whose request this router cannot read, in milliseconds: short
+   * if others can, otherwise such that this one may have caught up.
+   */
+  static long unreadDelayMillis(Others others, int targetMillis) {
+    return others.haveRoom() ? ELSEWHERE_MILLIS : randomDelayMillis(targetMillis);
+  }
+
   /** Returns a random delay for one caller, in milliseconds. */
   static long randomDelayMillis(int targetMillis) {
     double fraction =
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/RetryAfterTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/RetryAfterTest.java
@@ -4,7 +4,9 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.coordination.admission.LoadShedding.Others;
 
 /**
  * Tests of {@link RetryAfter}. Delays of one to two seconds made every response to a retry miss its
@@ -19,6 +21,22 @@
     }
   }
 
+  @DataProvider
+  public Object[][] others() {
+    // {other routers, smallest and largest delay}
+    return new Object[][] {
+      {new Others(4, 1), 1L, 20L}, {new Others(4, 3), 100L, 400L}, {new Others(0, 0), 100L, 400L},
+    };
+  }
+
+  /** Guards against callers who come back at once to a router that is the only one with room. */
+  @Test(dataProvider = "others")
+  public void shouldReturnSoonOnlyToOtherRouters(Others others, long from, long to) {
+    for (int i = 0; i < 100; i++) {
+      assertThat(RetryAfter.unreadDelayMillis(others, 800)).isBetween(from, to);
+    }
+  }
+
   @Test
   public void shouldSpreadRetriesOfCallersRefusedTogether() {
     Set<Long> delays = new HashSet<>();
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/ByteBudget.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/ByteBudget.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.http;
 
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -23,29 +22,32 @@
     this.maxBytes = maxBytes;
   }
 
-  /** Bytes held for one caller until it is closed. Grown by one thread; closed by any, once. */
+  /** Bytes held for one caller until it is closed; none are counted after that. Thread-safe. */
   public final class Holding implements AutoCloseable {
-    private final AtomicLong own = new AtomicLong();
-    private final AtomicBoolean closed = new AtomicBoolean();
+    private long own;
+    private boolean closed;
 
     private Holding() {}
 
     /** Holds more bytes if there is room; returns whether there was. */
-    boolean grow(long bytes) {
-      long ownBefore = own.get();
+    synchronized boolean grow(long bytes) {
+      if (closed) {
+        return true;
+      }
       long heldByAll = held.addAndGet(bytes);
-      if (heldByAll > maxBytes && heldByAll > ownBefore + bytes) {
+      if (heldByAll > maxBytes && heldByAll > own + bytes) {
         held.addAndGet(-bytes);
         return false;
       }
-      own.addAndGet(bytes);
+      own += bytes;
       return true;
     }
 
     @Override
-    public void close() {
-      if (closed.compareAndSet(false, true)) {
-        held.addAndGet(-own.get());
+    public synchronized void close() {
+      if (!closed) {
+        closed = true;
+        held.addAndGet(-own);
       }
     }
   }
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/ByteBudgetTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/ByteBudgetTest.java
@@ -25,6 +25,16 @@
     assertThat(budget.heldBytes()).isZero();
   }
 
+  /** Guards against bytes of a caller that left, which would be counted for ever. */
+  @Test
+  public void shouldCountNothingForClosedHolding() {
+    ByteBudget.Holding left = budget.open();
+    assertThat(left.grow(60)).isTrue();
+    left.close();
+    left.grow(60);
+    assertThat(budget.heldBytes()).isZero();
+  }
+
   /** Guards against a body within the limit of the document that no router can ever read. */
   @Test
   public void shouldAdmitSingleHoldingAboveMaximum() {
