Keep evidence of a pace that others still see, and name pacing in settings

Cause: a pace that began again soon after its end set the router's counts back, and other routers count only what exceeds the largest sum that they saw, so a second failure was not seen. RouterSettings without a word on pacing switched it on, while the platform has it off.

Change: the counts are kept while they are reported. The constructor without pacing is gone; usage tests go on with pacing on.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -153,13 +153,17 @@
     }
   }
 
+  /** Begins; results that the others still see are kept, as they count only what is added. */
   private void activate(double initial, long now) {
+    boolean isReported = isReported(now);
     active = true;
     doubling = true;
     isShared = isNewStart || areOthersPacing(now);
     pace = initial;
-    kept = 0;
-    behind = 0;
+    if (!isReported) {
+      kept = 0;
+      behind = 0;
+    }
     debt = 0;
     cutAt = now;
     begunAt = now;
@@ -338,7 +342,7 @@
     }
   }
 
-  /** Returns whether other routers are told of this router's evidence. */
+  /** Returns whether this router's evidence is reported to other routers. */
   public synchronized boolean isReported(long nowNanos) {
     return active || (hasEnded && nowNanos - endedAt < LINGER_NANOS);
   }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/UpstreamPaceTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/UpstreamPaceTest.java
@@ -40,6 +40,15 @@
     }
   }
 
+  /** Keeps pace until the upstream is established. */
+  private void establish() {
+    for (int round = 0; round < SLOTS && pace.isActive(); round++) {
+      advance(1_000);
+      keep(SLOTS);
+    }
+    assertThat(pace.isActive()).isFalse();
+  }
+
   private void fallBehind() {
     advance(1);
     pace.recordFailed(nowNanos, nowNanos);
@@ -54,6 +63,28 @@
     assertThat(changes).isEmpty();
   }
 
+  // Other routers count only what exceeds the largest sum that they saw.
+  @Test
+  public void shouldNotReportLessEvidenceAfterSecondFailure() {
+    pace.restart(nowNanos);
+    establish();
+    int kept = pace.evidence().kept();
+    advance(500);
+    pace.restart(nowNanos);
+    fallBehind();
+    assertThat(pace.evidence().kept()).isEqualTo(kept).isPositive();
+    assertThat(pace.evidence().behind()).isEqualTo(1);
+  }
+
+  @Test
+  public void shouldReportNewEvidenceOnceOthersHaveForgottenTheOld() {
+    pace.restart(nowNanos);
+    establish();
+    advance(10_000);
+    pace.restart(nowNanos);
+    assertThat(pace.evidence().kept()).isZero();
+  }
+
   @Test
   public void shouldNeverRestrictIfDisabled() {
     UpstreamPace off = UpstreamPace.disabled();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
@@ -87,38 +87,7 @@
       int retryWindowMillis,
       int graceMillis,
       PlacementMode placement,
-      boolean pacing) {
-
-    /** Creates settings with pacing. */
-    public RouterSettings(
-        String callerAddress,
-        Optional<String> readinessAddress,
-        String readinessPath,
-        Optional<String> metricsAddress,
-        int ioThreads,
-        int maxDescriptors,
-        int reportTimeoutMillis,
-        double retryRatio,
-        int retrySlack,
-        int retryWindowMillis,
-        int graceMillis,
-        PlacementMode placement) {
-      this(
-          callerAddress,
-          readinessAddress,
-          readinessPath,
-          metricsAddress,
-          ioThreads,
-          maxDescriptors,
-          reportTimeoutMillis,
-          retryRatio,
-          retrySlack,
-          retryWindowMillis,
-          graceMillis,
-          placement,
-          true);
-    }
-  }
+      boolean pacing) {}
 
   /**
    * Settings of a control daemon. Immutable.
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/DocumentUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/DocumentUsageTest.java
@@ -14,7 +14,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.cli.CliMain;
-import org.toucansaddle.daemon.gateway.GatewayAdmin;
 import org.toucansaddle.daemon.gateway.TomlDocuments;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
@@ -36,16 +35,7 @@
     Files.writeString(folder.resolve("token"), OPERATOR_TOKEN);
     Files.writeString(folder.resolve("wrong"), "guessed");
     gateway = new LocalGateway(TomlDocuments.format());
-    admin =
-        Undertow.builder()
-            .addHttpListener(0, "127.0.0.1")
-            .setIoThreads(1)
-            .setWorkerThreads(1)
-            .setHandler(
-                GatewayAdmin.handler(
-                    gateway.control(2), TomlDocuments.format(), LocalFleet.digest(OPERATOR_TOKEN)))
-            .build();
-    admin.start();
+    admin = gateway.startAdmin(TomlDocuments.format(), OPERATOR_TOKEN);
     LocalGateway.await(() -> runDocumentCommand("put", createDocument(3, "/old/"), "token") == 0);
   }
 
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -1,5 +1,7 @@
 package org.toucansaddle.usage;
 
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -25,6 +27,7 @@
 import org.toucansaddle.daemon.gateway.DocumentException;
 import org.toucansaddle.daemon.gateway.DocumentFormat;
 import org.toucansaddle.daemon.gateway.FleetDocument;
+import org.toucansaddle.daemon.gateway.GatewayAdmin;
 import org.toucansaddle.daemon.gateway.GatewaySettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.ControlSettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
@@ -148,7 +151,23 @@
         50,
         10_000,
         8_000,
-        PlacementMode.LOCAL);
+        PlacementMode.LOCAL,
+        true);
+  }
+
+  /** Starts the administration API of a control daemon; the caller has to stop it. */
+  Undertow startAdmin(DocumentFormat format, String operatorToken) {
+    HttpHandler handler =
+        GatewayAdmin.handler(control(2), format, LocalFleet.digest(operatorToken));
+    Undertow server =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setIoThreads(1)
+            .setWorkerThreads(1)
+            .setHandler(handler)
+            .build();
+    server.start();
+    return server;
   }
 
   /** Parses a document in the default format. */
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ZoneUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ZoneUsageTest.java
@@ -19,7 +19,6 @@
 import org.toucansaddle.cli.CliMain;
 import org.toucansaddle.coordination.zones.ZoneOrder;
 import org.toucansaddle.coordination.zones.ZoneOrders;
-import org.toucansaddle.daemon.gateway.GatewayAdmin;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
 import org.toucansaddle.http.HttpResponse;
@@ -151,18 +150,7 @@
   @Test
   public void shouldTakeOrdersOfCommandLine() throws Exception {
     Path token = Files.writeString(Files.createTempFile("token", ""), OPERATOR_TOKEN);
-    Undertow admin =
-        Undertow.builder()
-            .addHttpListener(0, "127.0.0.1")
-            .setIoThreads(1)
-            .setWorkerThreads(1)
-            .setHandler(
-                GatewayAdmin.handler(
-                    gateway.control(2),
-                    LocalGateway::parseDocument,
-                    LocalFleet.digest(OPERATOR_TOKEN)))
-            .build();
-    admin.start();
+    Undertow admin = gateway.startAdmin(LocalGateway::parseDocument, OPERATOR_TOKEN);
     try {
       assertThat(run(admin, token, "out", "zone with ü")).isZero();
       assertThat(run(admin, token, "out", "za")).isZero();
