Call a reported load by its name, and trust it only from the upstream

Cause: names and comments spoke of what an upstream "told", of its "word" and of who "heard" it, which docs/GLOSSARY.md maps to report, sent and received, and the log called the multiple of the nominal time "pace", which is another part. The load of a success without a seal, which may come from something else at the address, was recorded before the seal was checked. The router's listener of callers was "the last one".

Change: ReportedLoad, LoadReport, recordLoad; the fields load, load_ms_ago and work_multiple in the line of an ended request, and the gauge toucansaddle_gateway_load_reporting_upstreams. The load of a response is taken over if it refuses this request by name or has passed the check of the seal. A comment that gave an unshown reason for the draw is shorter.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/ReportedLoad.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/ReportedLoad.java
@@ -3,14 +3,14 @@
 import java.util.OptionalInt;
 
 /**
- * What an upstream says of its own load. Immutable.
+ * Load that an upstream reports in a response. Immutable.
  *
  * @param running requests that it works on
  * @param waiting requests that wait there
  * @param slots requests that it works on at the same time
- * @param workPercent time that work takes there, in percent of the usual; empty if not told
+ * @param workPercent time that work takes there, in percent of the usual; empty if not reported
  */
-public record ToldLoad(int running, int waiting, int slots, OptionalInt workPercent) {
+public record ReportedLoad(int running, int waiting, int slots, OptionalInt workPercent) {
 
   /** Running requests per slot above which the figure cannot be right. */
   private static final int MAX_RUNNING_PER_SLOT = 4;
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/UpstreamCondition.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/UpstreamCondition.java
@@ -6,25 +6,25 @@
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 
 /**
- * The condition of one start of an upstream as a router knows it: its load by its own words, by
+ * The condition of one start of an upstream as a router knows it: its load by its own reports, by
  * this router's count and by the other routers', and its speed.
  *
  * <pre>{@code
- * condition.recordTold(load, now);
+ * condition.recordLoad(load, now);
  * int requests = condition.requests(now);
  * double millis = condition.multiple(usual, now) * nominalMillis;
  * }</pre>
  *
- * <p>Of two words of the upstream the newer one counts, wherever it was heard. It replaces the
- * other routers' count where it is newer. Words and counts have no effect from a certain age on.
- * Times are nanoseconds of one clock. Thread-safe; does no I/O.
+ * <p>Of two load reports of the upstream the newer one counts, whichever router received it. It
+ * replaces the other routers' count where it is newer. Reports and counts have no effect from a
+ * certain age on. Times are nanoseconds of one clock. Thread-safe; does no I/O.
  */
 public final class UpstreamCondition {
 
-  /** Age from which the told load has no effect. */
-  private static final long MAX_TOLD_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+  /** Age from which a reported load has no effect. */
+  private static final long MAX_REPORT_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  /** Age from which the told time of work has no effect; it changes many times a second. */
+  /** Age from which a reported time of work has no effect; it changes many times a second. */
   private static final long MAX_WORK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
   /** Age of the counts of the others when their sum arrives, in the mean. */
@@ -52,21 +52,22 @@
   /** Requests that were taken, beside all answered ones. */
   private final SpeedEstimate taken = new SpeedEstimate();
 
-  private Optional<Told> told = Optional.empty();
+  private Optional<LoadReport> newestReport = Optional.empty();
   private Optional<Others> others = Optional.empty();
   private int local;
   private long localPendingTokens;
   private double averagePrompt;
 
   /**
-   * A word of the upstream. Immutable.
+   * A load report of the upstream. Immutable.
    *
-   * @param load what it said
-   * @param atNanos when it said it
-   * @param localThen this router's requests there when it learned of it
+   * @param load the reported load
+   * @param atNanos time of the response
+   * @param localRequestsThen this router's requests there when it received the report
    * @param fromResponse whether this router got the response
    */
-  public record Told(ToldLoad load, long atNanos, int localThen, boolean fromResponse) {}
+  public record LoadReport(
+      ReportedLoad load, long atNanos, int localRequestsThen, boolean fromResponse) {}
 
   /**
    * What the other routers count. Immutable.
@@ -79,25 +80,25 @@
 
   private record Others(OthersWork work, long atNanos) {}
 
-  /** Takes over what the upstream said in a response to this router. */
-  public void recordTold(ToldLoad load, long atNanos) {
+  /** Takes over the load that the upstream reported in a response to this router. */
+  public void recordLoad(ReportedLoad load, long atNanos) {
     record(load, atNanos, true);
   }
 
-  /** Takes over what the upstream said to another router, unless a newer word is known. */
-  public void recordToldToOthers(ToldLoad load, long atNanos) {
+  /** Takes over the load that the upstream reported to another router, unless newer is known. */
+  public void recordLoadFromOthers(ReportedLoad load, long atNanos) {
     record(load, atNanos, false);
   }
 
-  private synchronized void record(ToldLoad load, long atNanos, boolean fromResponse) {
-    if (told.isEmpty() || atNanos - told.get().atNanos() > 0) {
-      told = Optional.of(new Told(load, atNanos, local, fromResponse));
+  private synchronized void record(ReportedLoad load, long atNanos, boolean fromResponse) {
+    if (newestReport.isEmpty() || atNanos - newestReport.get().atNanos() > 0) {
+      newestReport = Optional.of(new LoadReport(load, atNanos, local, fromResponse));
     }
   }
 
-  /** Returns the newest word of the upstream; empty if it is too old to have an effect. */
-  public synchronized Optional<Told> told(long nowNanos) {
-    return told.filter(word -> nowNanos - word.atNanos() < MAX_TOLD_AGE_NANOS);
+  /** Returns the newest load report of the upstream; empty if it is too old to have an effect. */
+  public synchronized Optional<LoadReport> loadReport(long nowNanos) {
+    return newestReport.filter(report -> nowNanos - report.atNanos() < MAX_REPORT_AGE_NANOS);
   }
 
   /**
@@ -141,33 +142,35 @@
 
   /** Returns the requests of all routers there, as far as known. */
   public synchronized int requests(long nowNanos) {
-    return newerTold(nowNanos)
-        .map(word -> Math.max(local, word.load().requests() + local - word.localThen()))
+    return newerReport(nowNanos)
+        .map(
+            report ->
+                Math.max(local, report.load().requests() + local - report.localRequestsThen()))
         .orElse(local + countedOthers(nowNanos).map(OthersWork::requests).orElse(0));
   }
 
   /**
    * Returns the prompt tokens of all routers that the upstream has not read yet, as far as known.
-   * Those of the others shrink with their requests if the upstream tells of fewer; what it says is
-   * waiting is not read yet.
+   * Those of the others shrink with their requests if the upstream reports fewer; what it reports
+   * as waiting is not read yet.
    */
   public synchronized long pendingTokens(long nowNanos) {
     OthersWork counted = countedOthers(nowNanos).orElseGet(() -> new OthersWork(0, 0, Sums.NONE));
-    Optional<Told> newer = newerTold(nowNanos);
+    Optional<LoadReport> newer = newerReport(nowNanos);
     if (newer.isEmpty()) {
       return localPendingTokens + counted.pendingTokens();
     }
-    ToldLoad load = newer.get().load();
-    int toldOthers = Math.max(0, load.requests() - newer.get().localThen());
-    double kept = Math.min(1, toldOthers / (double) Math.max(1, counted.requests()));
+    ReportedLoad load = newer.get().load();
+    int reportedOthers = Math.max(0, load.requests() - newer.get().localRequestsThen());
+    double kept = Math.min(1, reportedOthers / (double) Math.max(1, counted.requests()));
     long byCount = localPendingTokens + Math.round(kept * counted.pendingTokens());
     return Math.max(byCount, Math.round(load.waiting() * averagePrompt));
   }
 
-  /** Returns the word of the upstream if it has an effect and is newer than the others' counts. */
-  private Optional<Told> newerTold(long nowNanos) {
-    return told(nowNanos)
-        .filter(word -> others.isEmpty() || word.atNanos() - others.get().atNanos() >= 0);
+  /** Returns the newest load report if it has an effect and is newer than the others' counts. */
+  private Optional<LoadReport> newerReport(long nowNanos) {
+    return loadReport(nowNanos)
+        .filter(report -> others.isEmpty() || report.atNanos() - others.get().atNanos() >= 0);
   }
 
   private Optional<OthersWork> countedOthers(long nowNanos) {
@@ -209,15 +212,16 @@
    */
   public double multiple(double usual, long nowNanos) {
     double learned = speed(nowNanos).multiple(usual, PRIOR_MILLIS);
-    double now = Math.max(learned, usual * toldWork(nowNanos));
+    double now = Math.max(learned, usual * reportedWork(nowNanos));
     return Math.max(usual / MAX_DEVIATION, Math.min(usual * MAX_DEVIATION, now));
   }
 
-  /** Returns the told time of work as a multiple of the usual one; 0 if none was told lately. */
-  private synchronized double toldWork(long nowNanos) {
+  /** Returns the reported time of work as a multiple of the usual one; 0 if none was lately. */
+  private synchronized double reportedWork(long nowNanos) {
     OptionalInt percent =
-        told.filter(word -> nowNanos - word.atNanos() < MAX_WORK_AGE_NANOS)
-            .map(word -> word.load().workPercent())
+        newestReport
+            .filter(report -> nowNanos - report.atNanos() < MAX_WORK_AGE_NANOS)
+            .map(report -> report.load().workPercent())
             .orElse(OptionalInt.empty());
     return percent.isPresent() ? percent.getAsInt() / PERCENT : 0;
   }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/upstream/UpstreamConditionTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/upstream/UpstreamConditionTest.java
@@ -27,12 +27,12 @@
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
-  private static ToldLoad load(int running, int waiting) {
-    return new ToldLoad(running, waiting, 8, OptionalInt.empty());
+  private static ReportedLoad load(int running, int waiting) {
+    return new ReportedLoad(running, waiting, 8, OptionalInt.empty());
   }
 
-  private static ToldLoad work(int percent) {
-    return new ToldLoad(1, 0, 8, OptionalInt.of(percent));
+  private static ReportedLoad work(int percent) {
+    return new ReportedLoad(1, 0, 8, OptionalInt.of(percent));
   }
 
   private static OthersWork others(int requests, long pendingTokens) {
@@ -46,7 +46,7 @@
   }
 
   @Test
-  public void shouldAddTheCountOfTheOthersIfNothingIsTold() {
+  public void shouldAddTheCountOfTheOthersIfNothingIsReported() {
     start(3, 1_000);
     condition.updateOthers(others(5, 4_000), NOW);
     assertThat(condition.requests(NOW)).isEqualTo(8);
@@ -57,7 +57,7 @@
   public void shouldSeeAFloodThatOnlyTheUpstreamTellsOf() {
     start(1, 1_000);
     condition.updateOthers(others(0, 0), NOW);
-    condition.recordTold(load(8, 24), NOW);
+    condition.recordLoad(load(8, 24), NOW);
     start(2, 1_000);
     assertThat(condition.requests(NOW)).isEqualTo(34);
     assertThat(condition.pendingTokens(NOW)).isEqualTo(24_000);
@@ -68,7 +68,7 @@
   public void shouldNotCountWorkOfOthersThatTheUpstreamHasEnded() {
     start(1, 0);
     condition.updateOthers(others(20, 40_000), NOW);
-    condition.recordTold(load(3, 0), NOW);
+    condition.recordLoad(load(3, 0), NOW);
     assertThat(condition.requests(NOW)).isEqualTo(3);
     assertThat(condition.pendingTokens(NOW)).isEqualTo(4_000);
   }
@@ -76,34 +76,34 @@
   @Test
   public void shouldNotCountFewerThanThisRouterSentItself() {
     start(2, 500);
-    condition.recordTold(load(0, 0), NOW);
+    condition.recordLoad(load(0, 0), NOW);
     assertThat(condition.requests(NOW)).isEqualTo(2);
     assertThat(condition.pendingTokens(NOW)).isEqualTo(1_000);
   }
 
   @Test
   public void shouldPreferACountThatIsNewerThanTheWord() {
-    condition.recordTold(load(8, 24), NOW - millis(400));
+    condition.recordLoad(load(8, 24), NOW - millis(400));
     condition.updateOthers(others(2, 0), NOW);
     assertThat(condition.requests(NOW)).isEqualTo(2);
   }
 
   @Test
   public void shouldKeepTheNewerOfTwoWords() {
-    condition.recordTold(load(2, 0), NOW);
-    condition.recordToldToOthers(load(8, 9), NOW - millis(100));
+    condition.recordLoad(load(2, 0), NOW);
+    condition.recordLoadFromOthers(load(8, 9), NOW - millis(100));
     assertThat(condition.requests(NOW)).isEqualTo(2);
-    condition.recordToldToOthers(load(8, 9), NOW + millis(100));
+    condition.recordLoadFromOthers(load(8, 9), NOW + millis(100));
     assertThat(condition.requests(NOW + millis(100))).isEqualTo(17);
-    assertThat(condition.told(NOW + millis(100)).orElseThrow().fromResponse()).isFalse();
+    assertThat(condition.loadReport(NOW + millis(100)).orElseThrow().fromResponse()).isFalse();
   }
 
   @Test
   public void shouldForgetStaleWordsAndCounts() {
     start(1, 0);
     condition.updateOthers(others(5, 100), NOW);
-    condition.recordTold(load(8, 24), NOW);
-    assertThat(condition.told(NOW + millis(2_100))).isEmpty();
+    condition.recordLoad(load(8, 24), NOW);
+    assertThat(condition.loadReport(NOW + millis(2_100))).isEmpty();
     assertThat(condition.requests(NOW + millis(2_100))).isEqualTo(6);
     assertThat(condition.requests(NOW + millis(4_100))).isEqualTo(1);
     assertThat(condition.pendingTokens(NOW + millis(4_100))).isZero();
@@ -140,8 +140,8 @@
   }
 
   @Test
-  public void shouldUseTheToldTimeOfWorkOnlyWhileItIsFresh() {
-    condition.recordTold(work(250), NOW);
+  public void shouldUseTheReportedTimeOfWorkOnlyWhileItIsFresh() {
+    condition.recordLoad(work(250), NOW);
     assertThat(condition.multiple(1.2, NOW)).isCloseTo(3, within(0.01));
     assertThat(condition.multiple(1.2, NOW + millis(500))).isCloseTo(1.2, within(0.01));
   }
@@ -153,8 +153,8 @@
 
   /** Guards against one false figure that starves an upstream or floods it. */
   @Test(dataProvider = "percents")
-  public void shouldLimitTheEffectOfTheToldTimeOfWork(int percent) {
-    condition.recordTold(work(percent), NOW);
+  public void shouldLimitTheEffectOfTheReportedTimeOfWork(int percent) {
+    condition.recordLoad(work(percent), NOW);
     assertThat(condition.multiple(1, NOW)).isBetween(1.0, 8.0);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -132,10 +132,8 @@
   private final ConnectOutcomes connectOutcomes;
   private final GatewayHandler handler;
   private final XnioWorker worker;
-
-  /** The last one is that of callers. */
   private final List<PacedHttpListener> listeners = new ArrayList<>();
-
+  private final PacedHttpListener callerListener;
   private final ConnectionLoad connectionLoad;
   private final AtomicBoolean draining = new AtomicBoolean();
   private final LoadReadiness loadReadiness = new LoadReadiness();
@@ -197,7 +195,7 @@
             settings.regions());
     this.connectOutcomes = context.connectOutcomes();
     this.handler = new GatewayHandler(context);
-    startServers(buffers);
+    this.callerListener = startServers(buffers);
     this.lagMonitor = new IoLagMonitor(ioLag, System::nanoTime, worker);
     state.quarantine().onStrike(this::reportAtOnce);
     state.onLeaving(this::reportAtOnce);
@@ -319,7 +317,7 @@
     boolean fails = refusesOverdue || upstreamsSilent;
     ReadLag lag = new ReadLag(lagMillis, state.shortestTargetMillis());
     long maxWaitNanos = (long) (lag.limitMillis() * NANOS_PER_MILLI);
-    listeners.get(listeners.size() - 1).refuseAfter(maxWaitNanos);
+    callerListener.refuseAfter(maxWaitNanos);
     boolean changed = loadReadiness.update(now, lag, fails, zone, elsewhere);
     state.setLoad(!loadReadiness.takesCallers(), loadReadiness.isOverloaded());
     if (changed) {
@@ -348,23 +346,27 @@
     }
   }
 
-  private void startServers(ByteBufferPool buffers) throws IOException {
+  /** Starts all listeners and returns that of callers. */
+  private PacedHttpListener startServers(ByteBufferPool buffers) throws IOException {
     HttpHandler readiness =
         Handlers.path().addExactPath(settings.readinessPath(), this::handleReadiness);
     if (settings.metricsAddress().isPresent()) {
       HttpHandler handlesMetrics = exchange -> exchange.getResponseSender().send(metrics());
       listeners.add(listenForService(settings.metricsAddress().get(), handlesMetrics, buffers));
     }
-    if (settings.readinessAddress().isPresent()) {
+    boolean isCombined = settings.readinessAddress().isEmpty();
+    if (!isCombined) {
       listeners.add(listenForService(settings.readinessAddress().get(), readiness, buffers));
-      listeners.add(
-          listen(
-              settings.callerAddress(), handler, buffers, connections, this::refusesConnections));
-    } else {
-      HttpHandler combined =
-          Handlers.path(handler).addExactPath(settings.readinessPath(), this::handleReadiness);
-      listeners.add(listen(settings.callerAddress(), combined, buffers, connections, () -> false));
     }
+    HttpHandler root =
+        isCombined
+            ? Handlers.path(handler).addExactPath(settings.readinessPath(), this::handleReadiness)
+            : handler;
+    BooleanSupplier refusesAll = isCombined ? () -> false : this::refusesConnections;
+    PacedHttpListener ofCallers =
+        listen(settings.callerAddress(), root, buffers, connections, refusesAll);
+    listeners.add(ofCallers);
+    return ofCallers;
   }
 
   /** Before the first configuration and while it stops, a router can serve no new caller. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/StateGauges.java
@@ -25,9 +25,9 @@
         "Upstreams that say how many requests a second they take.",
         state::limitedUpstreams);
     metrics.registerGauge(
-        "toucansaddle_gateway_told_upstreams",
-        "Upstreams that have told their load lately.",
-        state::toldUpstreams);
+        "toucansaddle_gateway_load_reporting_upstreams",
+        "Upstreams that have reported their load in a response lately.",
+        state::loadReportingUpstreams);
     metrics.registerGauge(
         "toucansaddle_gateway_zones_out_of_service",
         "Availability zones whose upstreams get nothing, as operators ordered.",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamRegistry.java
@@ -72,7 +72,7 @@
     return current == null || turnsCold || differs(current.report(), completed);
   }
 
-  /** Returns whether a report tells of a longer warm-up than the one before. */
+  /** Returns whether a report has a longer warm-up than the one before. */
   private boolean turnsCold(Entry current, UpstreamReport report) {
     long elapsedMillis =
         TimeUnit.NANOSECONDS.toMillis(clock.getAsLong() - current.receivedAtNanos());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/WorkSums.java
@@ -11,8 +11,8 @@
 import org.toucansaddle.protocol.generated.UpstreamWork;
 
 /**
- * Sums what several routers report of their requests at each upstream. What an upstream said of
- * itself is taken from the router that heard it last. Not thread-safe.
+ * Sums what several routers report of their requests at each upstream. What an upstream reported in
+ * a response is taken from the router that received the newest one. Not thread-safe.
  */
 final class WorkSums {
 
@@ -28,7 +28,7 @@
     return sums.values();
   }
 
-  /** Adds the time since a report to the age of what it says of the words of upstreams. */
+  /** Adds the time since a report to the ages of the notices in it. */
   private static UpstreamWork aged(UpstreamWork work, long nanos) {
     if (!work.hasLimit() && !work.hasLoad() && !work.hasPace()) {
       return work;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -13,7 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.ReportedLoad;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementGrant;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
@@ -244,7 +244,9 @@
     }
     if (status != HeaderCodec.MISDIRECTED_REQUEST) {
       takeNotice(context.codec().readNotice(status, headers));
-      takeLoad(context.codec().loadText(headers));
+      if (isRefusal || isFromUpstream(status, headers)) {
+        takeLoad(context.codec().loadText(headers));
+      }
     }
     if (isRefusal) {
       upstream.condition().recordAnswer(false, context.nowNanos());
@@ -290,14 +292,14 @@
     }
   }
 
-  /** Takes over what the upstream tells of its load. */
+  /** Takes over the load that the upstream reports. */
   private void takeLoad(String text) {
     if (text == null) {
       return;
     }
-    Optional<ToldLoad> load = LoadField.parse(text);
+    Optional<ReportedLoad> load = LoadField.parse(text);
     if (load.isPresent()) {
-      upstream.condition().recordTold(load.get(), context.nowNanos());
+      upstream.condition().recordLoad(load.get(), context.nowNanos());
     } else {
       context.metrics().recordMalformedLoad();
       if (upstream.isFirstMalformedNotice()) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Dispatch.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Dispatch.java
@@ -1,7 +1,7 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import java.util.concurrent.TimeUnit;
-import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.ReportedLoad;
 import org.toucansaddle.coordination.upstream.UpstreamCondition;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -13,18 +13,19 @@
  * @param softwareVersion version of the upstream's software; empty if unknown
  * @param reason why it was selected
  * @param reportAgeMillis age of its last report at that time, in milliseconds
- * @param told requests that it said were running and waiting; empty if it said nothing lately
- * @param toldAgeMillis age of what it said, in milliseconds
- * @param multiple learned time of its work as a multiple of the nominal time
+ * @param reportedLoad requests that it reported as running and waiting; empty if it reported none
+ *     lately
+ * @param loadAgeMillis age of that report, in milliseconds; -1 if there is none
+ * @param workMultiple learned time of its work as a multiple of the nominal time
  */
 record Dispatch(
     String upstream,
     String softwareVersion,
     String reason,
     long reportAgeMillis,
-    String told,
-    long toldAgeMillis,
-    double multiple) {
+    String reportedLoad,
+    long loadAgeMillis,
+    double workMultiple) {
 
   /** A call that was not sent. */
   static final Dispatch NONE = new Dispatch("", "", "", -1, "", -1, 0);
@@ -37,15 +38,15 @@
         upstream.report().softwareVersion(),
         selected.reason().name(),
         TimeUnit.NANOSECONDS.toMillis(nowNanos - upstream.lastReportAtNanos()),
-        condition.told(nowNanos).map(word -> text(word.load())).orElse(""),
+        condition.loadReport(nowNanos).map(report -> text(report.load())).orElse(""),
         condition
-            .told(nowNanos)
-            .map(word -> TimeUnit.NANOSECONDS.toMillis(nowNanos - word.atNanos()))
+            .loadReport(nowNanos)
+            .map(report -> TimeUnit.NANOSECONDS.toMillis(nowNanos - report.atNanos()))
             .orElse(-1L),
         condition.multiple(1, nowNanos));
   }
 
-  private static String text(ToldLoad load) {
+  private static String text(ReportedLoad load) {
     return load.running() + "+" + load.waiting();
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -229,7 +229,7 @@
         headers.getFirst(requestLimit), headers.getFirst(leaving), retryAfter);
   }
 
-  /** Returns the text in which an upstream tells its load; null if it tells none. */
+  /** Returns the text in which an upstream reports its load; null if it reports none. */
   String loadText(HeaderMap headers) {
     return headers.getFirst(load);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/LoadField.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/LoadField.java
@@ -2,10 +2,10 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
-import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.ReportedLoad;
 
 /**
- * Parser for the field in which an upstream tells its load: running requests, waiting requests,
+ * Parser for the field in which an upstream reports its load: running requests, waiting requests,
  * slots and, in some services, the time of work in percent. Stateless and thread-safe.
  */
 final class LoadField {
@@ -18,7 +18,7 @@
   private LoadField() {}
 
   /** Parses a field; empty if a figure is missing, is no whole number or cannot be right. */
-  static Optional<ToldLoad> parse(String text) {
+  static Optional<ReportedLoad> parse(String text) {
     String[] figures = text.split(",", -1);
     int[] numbers = new int[Math.min(figures.length, MIN_FIGURES + 1)];
     if (numbers.length < MIN_FIGURES) {
@@ -32,8 +32,8 @@
     }
     OptionalInt workPercent =
         numbers.length > MIN_FIGURES ? OptionalInt.of(numbers[MIN_FIGURES]) : OptionalInt.empty();
-    return Optional.of(new ToldLoad(numbers[0], numbers[1], numbers[2], workPercent))
-        .filter(ToldLoad::isPlausible);
+    return Optional.of(new ReportedLoad(numbers[0], numbers[1], numbers[2], workPercent))
+        .filter(ReportedLoad::isPlausible);
   }
 
   /** Returns a whole number; -1 if the text is none. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -14,8 +14,8 @@
   /** Characters of a value from outside that are logged. */
   private static final int MAX_LOGGED_VALUE = 40;
 
-  /** Decimal shift of the logged pace of an upstream. */
-  private static final double PACE_DIGITS = 100;
+  /** Decimal shift of the logged multiple of the nominal time of work. */
+  private static final double WORK_MULTIPLE_DIGITS = 100;
 
   private RelayLog() {}
 
@@ -90,8 +90,8 @@
   static void requestEnded(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} in_force={} status={} outcome={}"
-            + " upstream={} upstream_version={} reason={} heard_ms_ago={} told={} told_ms_ago={}"
-            + " pace={} attempts={} framing={}"
+            + " upstream={} upstream_version={} reason={} heard_ms_ago={} load={} load_ms_ago={}"
+            + " work_multiple={} attempts={} framing={}"
             + " first_ms={} total_ms={} prompt={} wait_ms={} detail=\"{}\"",
         call.head().requestId(),
         call.route() == null ? "" : call.route().name(),
@@ -104,9 +104,10 @@
         call.lastDispatch().softwareVersion(),
         call.lastDispatch().reason(),
         call.lastDispatch().reportAgeMillis(),
-        call.lastDispatch().told(),
-        call.lastDispatch().toldAgeMillis(),
-        Math.round(PACE_DIGITS * call.lastDispatch().multiple()) / PACE_DIGITS,
+        call.lastDispatch().reportedLoad(),
+        call.lastDispatch().loadAgeMillis(),
+        Math.round(WORK_MULTIPLE_DIGITS * call.lastDispatch().workMultiple())
+            / WORK_MULTIPLE_DIGITS,
         call.attempts(),
         call.framing(),
         call.times().firstByteMillis(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -172,8 +172,7 @@
   /**
    * Draws an upstream in proportion to its free capacity. All routers see the load of the others as
    * last reported; if each of them selected the least loaded upstream, they would overload it until
-   * the next report. Recent response times do not count: they hold the wait in a queue that all
-   * routers caused together, so that the upstreams would be overloaded in turn.
+   * the next report. Recent response times do not count, since they include the time in queues.
    */
   private Optional<Selection> drawByFreeCapacity(List<Upstream> candidates, long nowNanos) {
     double[] free = new double[candidates.size()];
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -430,10 +430,11 @@
     return (int) upstreams.all().stream().filter(upstream -> upstream.limit().isNamed()).count();
   }
 
-  /** Returns the number of upstreams that have told their load lately. */
-  public int toldUpstreams() {
+  /** Returns the number of upstreams that have reported their load in a response lately. */
+  public int loadReportingUpstreams() {
     long now = clock.getAsLong();
-    return (int) upstreams.all().stream().filter(u -> u.condition().told(now).isPresent()).count();
+    return (int)
+        upstreams.all().stream().filter(u -> u.condition().loadReport(now).isPresent()).count();
   }
 
   /** Removes a control daemon that this router no longer follows. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -12,9 +12,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.pacing.UpstreamPace.Evidence;
+import org.toucansaddle.coordination.upstream.ReportedLoad;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
-import org.toucansaddle.coordination.upstream.ToldLoad;
-import org.toucansaddle.coordination.upstream.UpstreamCondition.Told;
+import org.toucansaddle.coordination.upstream.UpstreamCondition.LoadReport;
 import org.toucansaddle.daemon.internal.gateway.routing.HangDetector.RequestCounts;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit.Notice;
 import org.toucansaddle.protocol.generated.LimitNotice;
@@ -80,22 +80,22 @@
     return works;
   }
 
-  /** Returns the newest word of an upstream of its load if it was said to this router. */
+  /** Returns the newest load report of an upstream if it was received by this router. */
   private static Optional<LoadNotice> freshLoad(Upstream upstream, long now) {
     return upstream
         .condition()
-        .told(now)
-        .filter(Told::fromResponse)
+        .loadReport(now)
+        .filter(LoadReport::fromResponse)
         .map(
-            told -> {
+            report -> {
               LoadNotice.Builder notice =
                   LoadNotice.newBuilder()
-                      .setRunning(told.load().running())
-                      .setWaiting(told.load().waiting())
-                      .setSlots(told.load().slots())
-                      .setAgeMillis(ageMillis(told.atNanos(), now))
+                      .setRunning(report.load().running())
+                      .setWaiting(report.load().waiting())
+                      .setSlots(report.load().slots())
+                      .setAgeMillis(ageMillis(report.atNanos(), now))
                       .setStartedAtMillis(upstream.startedAtMillis());
-              told.load().workPercent().ifPresent(notice::setWorkPercent);
+              report.load().workPercent().ifPresent(notice::setWorkPercent);
               return notice.build();
             });
   }
@@ -154,17 +154,17 @@
   }
 
   private static void mergeLoad(Upstream upstream, LoadNotice notice, long now) {
-    ToldLoad load =
-        new ToldLoad(
+    ReportedLoad load =
+        new ReportedLoad(
             notice.getRunning(),
             notice.getWaiting(),
             notice.getSlots(),
             notice.hasWorkPercent()
                 ? OptionalInt.of(notice.getWorkPercent())
                 : OptionalInt.empty());
-    long toldAt = now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis());
+    long reportedAt = now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis());
     if (load.isPlausible()) {
-      upstream.condition().recordToldToOthers(load, toldAt);
+      upstream.condition().recordLoadFromOthers(load, reportedAt);
     }
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/LoadFieldTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/LoadFieldTest.java
@@ -5,7 +5,7 @@
 import java.util.OptionalInt;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.ReportedLoad;
 
 /** Tests of {@link LoadField}. */
 public class LoadFieldTest {
@@ -13,16 +13,16 @@
   @DataProvider
   public Object[][] loads() {
     return new Object[][] {
-      {"3,0,8", new ToldLoad(3, 0, 8, OptionalInt.empty())},
-      {" 3, 12 ,8 ", new ToldLoad(3, 12, 8, OptionalInt.empty())},
-      {"8,2,8,140", new ToldLoad(8, 2, 8, OptionalInt.of(140))},
-      {"8,2,8,140,7", new ToldLoad(8, 2, 8, OptionalInt.of(140))},
-      {"8,2,8,140,later", new ToldLoad(8, 2, 8, OptionalInt.of(140))},
+      {"3,0,8", new ReportedLoad(3, 0, 8, OptionalInt.empty())},
+      {" 3, 12 ,8 ", new ReportedLoad(3, 12, 8, OptionalInt.empty())},
+      {"8,2,8,140", new ReportedLoad(8, 2, 8, OptionalInt.of(140))},
+      {"8,2,8,140,7", new ReportedLoad(8, 2, 8, OptionalInt.of(140))},
+      {"8,2,8,140,later", new ReportedLoad(8, 2, 8, OptionalInt.of(140))},
     };
   }
 
   @Test(dataProvider = "loads")
-  public void shouldReadFigures(String text, ToldLoad load) {
+  public void shouldReadFigures(String text, ReportedLoad load) {
     assertThat(LoadField.parse(text)).contains(load);
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottleTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottleTest.java
@@ -14,8 +14,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.coordination.upstream.ReportedLoad;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
-import org.toucansaddle.coordination.upstream.ToldLoad;
 import org.toucansaddle.coordination.upstream.UpstreamCondition;
 import org.toucansaddle.coordination.upstream.UpstreamCondition.OthersWork;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
@@ -71,7 +71,7 @@
    * routers: they report requests that have ended.
    */
   @Test
-  public void shouldAdmitAllRequestsToUpstreamsThatTellOfFew() {
+  public void shouldAdmitAllRequestsToUpstreamsThatReportFew() {
     ServiceThrottle throttle = new ServiceThrottle(() -> clockNanos, () -> 0.999);
     UpstreamTable table = new UpstreamTable();
     table.accept(new UpstreamReport("u", "s", "10.0.0.1:80", "z", SLOTS, State.READY, 1, 1), 0);
@@ -81,7 +81,7 @@
       if (i % 8 == 0) {
         condition.updateOthers(new OthersWork(5 * SLOTS, 0, Sums.NONE), clockNanos);
       }
-      condition.recordTold(new ToldLoad(1, 0, SLOTS, OptionalInt.empty()), clockNanos);
+      condition.recordLoad(new ReportedLoad(1, 0, SLOTS, OptionalInt.empty()), clockNanos);
       assertThat(throttle.admits("", table.ready("s"))).isTrue();
     }
   }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UnevenEnginesSimulation.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/UnevenEnginesSimulation.java
@@ -27,7 +27,7 @@
  * Routers that send prompts to engines of different speed; no network and no threads.
  *
  * <p>An engine reads one prompt after another, runs a number of requests at a time and queues the
- * others. Routers select with the classes of the product and hear of each other by sums that are
+ * others. Routers select with the classes of the product and learn of each other by sums that are
  * 0.4 s old. Arrivals are repeatable for a seed; the selector's own draws are not.
  */
 final class UnevenEnginesSimulation {
@@ -46,9 +46,10 @@
    *
    * @param multiple time of its work at a time in milliseconds, as a multiple of the nominal time
    * @param refuses whether it refuses all requests at once
-   * @param told what it tells, made of the true text
+   * @param reportedLoad the field of its load, made of the true one
    */
-  record Kind(ToDoubleFunction<Double> multiple, boolean refuses, UnaryOperator<String> told) {
+  record Kind(
+      ToDoubleFunction<Double> multiple, boolean refuses, UnaryOperator<String> reportedLoad) {
 
     static Kind ofMultiple(double multiple) {
       return new Kind(now -> multiple, false, text -> text);
@@ -170,8 +171,8 @@
       this.kind = kind;
     }
 
-    String told() {
-      return kind.told().apply(running + "," + queue.size() + "," + SLOTS);
+    String reportedLoad() {
+      return kind.reportedLoad().apply(running + "," + queue.size() + "," + SLOTS);
     }
 
     void accept(Run run) {
@@ -278,8 +279,8 @@
       engine.sessions.add(session);
       Runnable begun =
           () -> {
-            LoadField.parse(engine.told())
-                .ifPresent(load -> upstream.condition().recordTold(load, nanos()));
+            LoadField.parse(engine.reportedLoad())
+                .ifPresent(load -> upstream.condition().recordLoad(load, nanos()));
             upstream.condition().recordAnswer(true, nanos());
             estimator.addSample(pending, TOKENS_PER_MILLI, Math.round(now - sentAt), 0);
             upstream
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
@@ -8,7 +8,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.toucansaddle.coordination.upstream.ToldLoad;
+import org.toucansaddle.coordination.upstream.ReportedLoad;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
 import org.toucansaddle.protocol.generated.LoadNotice;
@@ -20,7 +20,7 @@
   private static final long NOW = TimeUnit.SECONDS.toNanos(1_000);
   private static final long STARTED_AT_MILLIS = 7;
 
-  private final ToldLoad load = new ToldLoad(3, 1, 8, OptionalInt.of(140));
+  private final ReportedLoad load = new ReportedLoad(3, 1, 8, OptionalInt.of(140));
   private WorkReports reports;
   private Upstream upstream;
 
@@ -55,7 +55,7 @@
 
   @Test
   public void shouldReportAFreshWordToThisRouter() {
-    upstream.condition().recordTold(load, NOW - millis(100));
+    upstream.condition().recordLoad(load, NOW - millis(100));
     assertThat(reports.local(NOW))
         .singleElement()
         .extracting(UpstreamWork::getLoad)
@@ -66,7 +66,7 @@
   @Test
   public void shouldNotReportTheWordsToOtherRoutersAgain() {
     reports.mergeRemote(works(notice(STARTED_AT_MILLIS, 8)), NOW);
-    assertThat(upstream.condition().told(NOW).orElseThrow().load()).isEqualTo(load);
+    assertThat(upstream.condition().loadReport(NOW).orElseThrow().load()).isEqualTo(load);
     assertThat(upstream.requests(NOW)).isEqualTo(4);
     assertThat(reports.local(NOW)).isEmpty();
   }
@@ -82,6 +82,6 @@
   @Test(dataProvider = "unusable")
   public void shouldIgnoreWordsOfOtherStartsAndFalseOnes(LoadNotice notice) {
     reports.mergeRemote(works(notice), NOW);
-    assertThat(upstream.condition().told(NOW)).isEmpty();
+    assertThat(upstream.condition().loadReport(NOW)).isEmpty();
   }
 }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GatewayUsageTest.java
@@ -123,6 +123,7 @@
       exchange.setStatusCode(503).endExchange();
     } else if (path.endsWith("/unsealed")) {
       exchange.getResponseHeaders().remove("X-Answer-Seal");
+      exchange.getResponseHeaders().put(new HttpString("X-Upstream-Load"), "1,0,4");
       exchange.getResponseSender().send("unsealed");
     } else {
       exchange
@@ -282,6 +283,14 @@
     assertThat(response.text()).contains("\"run\":\"unknown\"");
   }
 
+  // A response that may come from something else at the address was taken for the upstream's load.
+  @Test
+  public void shouldNotTrustLoadOfUnsealedSuccess() {
+    assertThat(post(0, "/once/unsealed", "").status()).isEqualTo(502);
+    assertThat(gateway.router(0).metrics().lines())
+        .contains("toucansaddle_gateway_load_reporting_upstreams 0.0");
+  }
+
   @DataProvider
   static Object[][] bodies() {
     return new Object[][] {
