Let accounts have their share again as soon as their burst has ended

Cause: the part of an account's requests that is admitted was its share divided by the demand of the last two seconds, decayed.

Change: demand is that of the last two seconds or that at the present rate (0.5 s), whichever is less, over all routers (AccountUse.recently_asked; daemons without it count as asking evenly). The admitted part follows from what the account got: up to three times its share while it got less, nothing at 1.25 times its share, as before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -21,6 +21,7 @@
 import org.toucansaddle.daemon.gateway.StoredDocument;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginTable;
 import org.toucansaddle.daemon.internal.gateway.quarantine.RequestQuarantine;
+import org.toucansaddle.daemon.internal.gateway.routing.AccountShares;
 import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 import org.toucansaddle.protocol.generated.FollowerReport;
@@ -184,6 +185,7 @@
         .setAdmitted(a.getAdmitted() + b.getAdmitted())
         .setWork(a.getWork() + b.getWork())
         .setTurnedAway(a.getTurnedAway() + b.getTurnedAway())
+        .setRecentlyAsked(AccountShares.recentlyAsked(a) + AccountShares.recentlyAsked(b))
         .build();
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -30,8 +30,15 @@
    */
   private static final double DECAY_SECONDS = 2;
 
-  /** Time in which what was turned away decays to 1/e; a pool may be full one moment only. */
-  private static final double TURNED_AWAY_DECAY_SECONDS = 0.5;
+  /**
+   * Time in which what was turned away and what is demanded at present decay to 1/e: a pool may be
+   * full one moment only, and an account that has demanded less since a burst must not wait until
+   * the burst is forgotten.
+   */
+  private static final double RECENT_DECAY_SECONDS = 0.5;
+
+  /** Tokens in the window of the shares per token that is demanded recently, at an even rate. */
+  private static final double WINDOW_PER_RECENT = DECAY_SECONDS / RECENT_DECAY_SECONDS;
 
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -53,6 +60,9 @@
   /** Multiple of its share from which nothing is admitted for an account. */
   private static final double MAX_OVERSHOOT = 1.25;
 
+  /** Rate at which an account that got nothing lately is admitted, as a multiple of its share. */
+  private static final double MAX_CATCH_UP = 3;
+
   private final LongSupplier clock;
   private final DoubleSupplier random;
   private final Map<String, LocalUsage> localUsage = new HashMap<>();
@@ -81,6 +91,7 @@
     private double admitted;
     private double work;
     private double turnedAway;
+    private double recentlyDemanded;
     private double requests;
     private long updatedAt;
 
@@ -89,9 +100,9 @@
       demanded *= factor;
       admitted *= factor;
       work *= factor;
-      if (turnedAway > 0) {
-        turnedAway *= Math.pow(factor, DECAY_SECONDS / TURNED_AWAY_DECAY_SECONDS);
-      }
+      double recentFactor = Math.pow(factor, WINDOW_PER_RECENT);
+      turnedAway *= recentFactor;
+      recentlyDemanded *= recentFactor;
       requests *= factor;
       updatedAt = now;
     }
@@ -113,6 +124,7 @@
   public synchronized void recordDemand(String account, long tokens) {
     LocalUsage usage = usage(account);
     usage.demanded += tokens;
+    usage.recentlyDemanded += tokens;
     usage.requests++;
   }
 
@@ -195,6 +207,21 @@
     return work <= 0 ? 1 : Math.max(1, Math.min(MAX_TOKENS_PER_WORK_TOKEN, admitted / work));
   }
 
+  /**
+   * Returns what an account demands in the window of the shares: the demand of the last window, or
+   * that at its present rate if it is less. A single large request makes the present rate high.
+   */
+  private static double demand(double demanded, double recentlyDemanded) {
+    return Math.min(demanded, WINDOW_PER_RECENT * recentlyDemanded);
+  }
+
+  /** Returns the tokens that a report says were demanded recently; older daemons do not say so. */
+  public static long recentlyAsked(AccountUse use) {
+    return use.hasRecentlyAsked()
+        ? use.getRecentlyAsked()
+        : (long) (use.getAsked() / WINDOW_PER_RECENT);
+  }
+
   /** Replaces the usage reported by the other routers. */
   public synchronized void updateRemoteUsage(List<AccountUse> usages) {
     Map<String, AccountUse> byAccount = new HashMap<>();
@@ -219,6 +246,7 @@
                         .setAdmitted((long) usage.admitted)
                         .setWork((long) usage.work)
                         .setTurnedAway((long) usage.turnedAway)
+                        .setRecentlyAsked((long) usage.recentlyDemanded)
                         .build());
               }
             });
@@ -228,7 +256,7 @@
   /**
    * What a router knows of an account, in recent tokens at all routers. Immutable.
    *
-   * @param demandedTokens tokens of its requests
+   * @param demandedTokens tokens that it demands in the window of the shares
    * @param admittedTokens tokens of those that were admitted
    * @param fairShareTokens its fair share; {@link Double#MAX_VALUE} if all demands fit
    * @param remoteUsageAgeMillis age of the other routers' usage; -1 if none was reported
@@ -261,7 +289,8 @@
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
     return new AccountState(
-        local.demanded + remote.getAsked(),
+        demand(
+            local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote)),
         local.admitted + remote.getAdmitted(),
         share,
         ageMillis);
@@ -279,16 +308,22 @@
   }
 
   /**
-   * Returns the part of an account's requests that is admitted, the same at all routers. If each
-   * router admitted all until the sums that it knows reach the share, all would exceed it together
-   * until the next report, and then admit nothing.
+   * Returns the part of an account's requests that is admitted, the same at all routers: at its
+   * present rate the account gets its share, more while it got less before, and less while it got
+   * more. If each router admitted all until the sums that it knows reach the share, all would
+   * exceed it together until the next report, and then admit nothing.
    */
   private static double admittedPart(AccountState state, long tokens) {
     double share = state.fairShareTokens();
-    double ofDemand = state.demandedTokens() > share ? share / state.demandedTokens() : 1;
-    double admitted = state.admittedTokens() + tokens / 2.0;
-    double leftOfOvershoot = (MAX_OVERSHOOT * share - admitted) / ((MAX_OVERSHOOT - 1) * share);
-    return ofDemand * Math.min(1, leftOfOvershoot);
+    if (share == Double.MAX_VALUE) {
+      return 1;
+    }
+    double admitted = (state.admittedTokens() + tokens / 2.0) / share;
+    double multipleOfShare =
+        admitted <= 1
+            ? MAX_CATCH_UP - (MAX_CATCH_UP - 1) * admitted
+            : (MAX_OVERSHOOT - admitted) / (MAX_OVERSHOOT - 1);
+    return multipleOfShare * share / Math.max(1, state.demandedTokens());
   }
 
   /**
@@ -312,9 +347,12 @@
       localUsage.values().forEach(usage -> usage.decay(now));
       localUsage.values().removeIf(LocalUsage::isForgotten);
       Map<String, Double> demands = new HashMap<>();
-      localUsage.forEach((account, usage) -> demands.put(account, usage.demanded));
+      localUsage.forEach(
+          (account, usage) -> demands.put(account, demand(usage.demanded, usage.recentlyDemanded)));
       remoteUsage.forEach(
-          (account, usage) -> demands.merge(account, (double) usage.getAsked(), Double::sum));
+          (account, usage) ->
+              demands.merge(
+                  account, demand(usage.getAsked(), recentlyAsked(usage)), Double::sum));
       double[] amounts = demands.values().stream().mapToDouble(d -> d).toArray();
       fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
@@ -338,7 +376,7 @@
       work += use.work;
       turnedAway += use.turnedAway;
     }
-    double turnedAwayAtThisRate = turnedAway * DECAY_SECONDS / TURNED_AWAY_DECAY_SECONDS;
+    double turnedAwayAtThisRate = WINDOW_PER_RECENT * turnedAway;
     return new Load(capacity, admitted, work, turnedAwayAtThisRate);
   }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AccountFairnessTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/AccountFairnessTest.java
@@ -49,6 +49,25 @@
     assertThat(unfairWindows(simulation)).as("seed %d", seed).isEmpty();
   }
 
+  /**
+   * Bursts of five accounts in turn, each of which goes on asking for more than its share after its
+   * burst. Guards against an account that gets far less than its share until its burst is
+   * forgotten.
+   */
+  @Test(dataProvider = "seeds")
+  public void shouldGiveShareToAccountsWhoseBurstsHaveEnded(long seed) {
+    SharedPoolSimulation simulation = new SharedPoolSimulation(FEW_SLOTS, MIX, seed);
+    addSmallAccounts(simulation, 12, 2.4);
+    for (int index = 0; index < 5; index++) {
+      List<Integer> routers = range(3 * index, 3 * index + 3);
+      double burstAt = HOT_FROM_SECOND + 2.5 * index;
+      simulation.addTraffic(new Traffic("bursty" + index, 25, routers, 0));
+      simulation.addTraffic(new Traffic("bursty" + index, 250, routers, burstAt, burstAt + 2.5));
+    }
+    simulation.run(SECONDS);
+    assertThat(unfairWindows(simulation)).as("seed %d", seed).isEmpty();
+  }
+
   private static void addSmallAccounts(
       SharedPoolSimulation simulation, int accounts, double perSecond) {
     for (int index = 0; index < accounts; index++) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/SharedPoolSimulation.java
@@ -56,7 +56,17 @@
   record Work(double part, int targetMillis, int sharedTokens, int ownTokens, int outputTokens) {}
 
   /** Requests of one account, which come to some routers; the rate is in requests a second. */
-  record Traffic(String account, double perSecond, List<Integer> routers, double fromSeconds) {}
+  record Traffic(
+      String account,
+      double perSecond,
+      List<Integer> routers,
+      double fromSeconds,
+      double untilSeconds) {
+
+    Traffic(String account, double perSecond, List<Integer> routers, double fromSeconds) {
+      this(account, perSecond, routers, fromSeconds, Double.MAX_VALUE);
+    }
+  }
 
   /** Tokens of one account in one second. */
   static final class Second {
@@ -263,7 +273,8 @@
         .setAsked(sum.getAsked() + use.getAsked())
         .setAdmitted(sum.getAdmitted() + use.getAdmitted())
         .setWork(sum.getWork() + use.getWork())
-        .setTurnedAway(sum.getTurnedAway() + use.getTurnedAway());
+        .setTurnedAway(sum.getTurnedAway() + use.getTurnedAway())
+        .setRecentlyAsked(sum.getRecentlyAsked() + use.getRecentlyAsked());
   }
 
   private static void add(Map<String, UpstreamWork.Builder> sums, UpstreamWork work) {
@@ -280,6 +291,9 @@
   }
 
   private void arrive(Traffic traffic) {
+    if (now - startedAt >= traffic.untilSeconds() * 1_000 * MILLI) {
+      return;
+    }
     Call call = createCall(traffic.account());
     Second second = second(call.account());
     second.asked += call.head().totalWorkTokens();
