Divide admitted requests by the present rate of accounts

Cause: AccountParts, which LoadShedding and ServiceThrottle use, divided the share of an account by its requests of the last two seconds, decayed. An account whose burst has ended got far less than one that asked for as much.

Change: the requests at the present rate (0.25 s) count instead, as far as they are fewer by one to two standard deviations of requests at random times, so that the few requests of an account are not taken for a rate.

LoadSheddingTest, ServiceThrottleTest, AccountFairnessTest, AccountSharesTest and AdmissionControlTest pass.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
@@ -10,7 +10,8 @@
 
 /**
  * Divides what is admitted of all requests among the accounts that send them: each gets its max-min
- * share by its recent requests.
+ * share by its recent requests, and by those at its present rate once they have clearly become
+ * fewer.
  *
  * <pre>{@code
  * parts.record(account);
@@ -24,6 +25,12 @@
   /** Time in which the requests of an account decay to 1/e. */
   private static final double DECAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** Time in which the requests that tell the present rate decay to 1/e. */
+  private static final double RATE_DECAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Recent requests of an account per request that tells its present rate, at an even rate. */
+  private static final double WINDOW_PER_RATE = DECAY_NANOS / RATE_DECAY_NANOS;
+
   /** Interval in which accounts without requests are dropped. */
   private static final long CLEANUP_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -68,12 +75,30 @@
   /** Recent requests of one account; they decay over time. */
   private static final class Demand {
     private double requests;
+    private double rateRequests;
     private long updatedAt;
 
     void decay(long now) {
-      requests *= Math.exp(-(now - updatedAt) / DECAY_NANOS);
+      double factor = Math.exp(-(now - updatedAt) / DECAY_NANOS);
+      requests *= factor;
+      rateRequests *= Math.pow(factor, WINDOW_PER_RATE);
       updatedAt = now;
     }
+
+    void add() {
+      requests++;
+      rateRequests++;
+    }
+
+    /**
+     * Returns the recent requests, or those at the present rate if they are fewer by more than they
+     * vary at random: the rate of an account with few requests says nothing.
+     */
+    double atPresent() {
+      double fewer = requests - WINDOW_PER_RATE * rateRequests;
+      double standardDeviation = Math.sqrt(WINDOW_PER_RATE / 2 * requests);
+      return requests - fewer * Math.max(0, Math.min(1, fewer / standardDeviation - 1));
+    }
   }
 
   /** Records a request of an account, whether or not it is admitted. */
@@ -86,7 +111,7 @@
     }
     Demand demand = demands.computeIfAbsent(account, name -> new Demand());
     demand.decay(now);
-    demand.requests++;
+    demand.add();
     requestsSinceShare++;
   }
 
@@ -103,7 +128,8 @@
     }
     demand.decay(now);
     double share = share(admitted, now).requests();
-    return demand.requests > share ? share / demand.requests : 1;
+    double requests = demand.atPresent();
+    return requests > share ? share / requests : 1;
   }
 
   private Share share(double admitted, long now) {
@@ -117,7 +143,7 @@
 
   private Share computeShare(double admitted, long now) {
     demands.values().forEach(demand -> demand.decay(now));
-    double[] requests = demands.values().stream().mapToDouble(demand -> demand.requests).toArray();
+    double[] requests = demands.values().stream().mapToDouble(Demand::atPresent).toArray();
     double all = DoubleStream.of(requests).sum();
     requestsSinceShare = 0;
     return new Share(MaxMinShare.compute(requests, admitted * all), admitted, all, now);
