End a doubt of warmth only by reports that were sent after it

Cause: a router took the age in an update as exact to 200 ms, so an update that came later ended a doubt with a report from before it; a report whose own call was late did so, too. A newer report that had overtaken an older one was dropped, since times were compared and not sequences.

Change: an update names the newest report of the router that the daemon had (optional field; without it as before), from which the router knows the earliest time of receipt. Two reports after the doubt end it, since an upstream sends the second once the first was acknowledged. Reports are ordered by sequence.

ZonesInServiceTest sends two reports.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/ColdPermits.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/ColdPermits.java
@@ -72,6 +72,12 @@
     return lastReport;
   }
 
+  /** Returns when a report was sent; empty if its number is unknown or was forgotten. */
+  public synchronized OptionalLong sentAt(long report) {
+    Long at = sentAtByReport.get(report);
+    return at == null ? OptionalLong.empty() : OptionalLong.of(at);
+  }
+
   /** Takes over a permit; one for an unknown report, or received before, is ignored. */
   public synchronized void receive(ColdPermit permit, long nowNanos) {
     Long sentAt = sentAtByReport.get(permit.report());
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
@@ -7,25 +7,40 @@
  *
  * <pre>{@code
  * WarmUpState state = WarmUpState.unreported(now);
- * state.report(0, reportedAt);
+ * state.report(new Report(sequence, 0, reportedAt, notBefore));
  * if (!state.isCold(warmUpMillis, now)) { ... }
  * }</pre>
  *
- * <p>The newest report decides; an older one changes nothing. After a doubt the upstream counts as
- * cold until a report that was sent after the doubt says otherwise, or, if it has never reported
- * its warm-up, for the time that its service names. Times are nanoseconds of one clock.
- * Thread-safe; does no I/O.
+ * <p>The report with the highest sequence decides; an older one changes nothing. After a doubt the
+ * upstream counts as cold until a report that was sent after the doubt says otherwise, or, if it
+ * has never reported its warm-up, for the time that its service names. An upstream sends a report
+ * once the one before was acknowledged, so the second report that was received after the doubt was
+ * also sent after it, however long each was on its way to its receiver. Times are nanoseconds of
+ * one clock. Thread-safe; does no I/O.
  */
 public final class WarmUpState {
 
-  /** Time by which a report may seem later than it was sent, since it passes other daemons. */
-  private static final long REPORT_SKEW_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  /**
+   * What an upstream has reported, and when its first receiver had it.
+   *
+   * @param sequence sequence number, increasing within one start
+   * @param remainingMillis remaining warm-up when the report was sent, in milliseconds; 0 if warm
+   * @param receivedAtNanos latest time at which it was received
+   * @param notBeforeNanos earliest time at which it was received
+   */
+  public record Report(
+      long sequence, long remainingMillis, long receivedAtNanos, long notBeforeNanos) {}
 
   private final long startedAt;
   private long coldUntil;
   private boolean reported;
   private long reportedAt;
+  private long sequence;
   private boolean doubted;
+
+  /** Whether a report was received after the doubt; it may have been sent before. */
+  private boolean receivedSinceDoubt;
+
   private long doubtedAt;
 
   private WarmUpState(long nowNanos) {
@@ -37,20 +52,18 @@
     return new WarmUpState(nowNanos);
   }
 
-  /**
-   * Takes over a report.
-   *
-   * @param remainingMillis remaining warm-up when the report was sent, in milliseconds; 0 if warm
-   */
-  public synchronized void report(long remainingMillis, long reportedAtNanos) {
-    if (reported && reportedAtNanos - reportedAt < 0) {
+  /** Takes over a report, unless one of its sequence or a higher one is known. */
+  public synchronized void report(Report report) {
+    if (reported && report.sequence() <= sequence) {
       return;
     }
     reported = true;
-    reportedAt = reportedAtNanos;
-    coldUntil = reportedAtNanos + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
-    if (doubted && reportedAtNanos - doubtedAt > REPORT_SKEW_NANOS) {
-      doubted = false;
+    sequence = report.sequence();
+    reportedAt = report.receivedAtNanos();
+    coldUntil = reportedAt + TimeUnit.MILLISECONDS.toNanos(report.remainingMillis());
+    if (doubted && report.notBeforeNanos() - doubtedAt > 0) {
+      doubted = !receivedSinceDoubt;
+      receivedSinceDoubt = true;
     }
   }
 
@@ -58,6 +71,7 @@
   public synchronized void doubt(long nowNanos) {
     doubted = true;
     doubtedAt = nowNanos;
+    receivedSinceDoubt = false;
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -212,6 +212,7 @@
     private volatile boolean observer;
     private volatile boolean wantsSums;
     private volatile boolean wantsDocument;
+    private volatile long reportNumber;
     private long lastSentChange;
     private long lastSentStrike;
 
@@ -240,6 +241,7 @@
       observer = report.getObserver();
       wantsSums = report.getWantsSums();
       wantsDocument = report.getWantsDocument();
+      reportNumber = report.getNumber();
       synchronized (this) {
         routerVersion = Math.max(routerVersion, report.getDocumentVersion());
         routerZones = Math.max(routerZones, report.getZonesRevision());
@@ -371,6 +373,9 @@
         update.setDocument(encodeOnce(current));
         routerVersion = current.version();
       }
+      if (reportNumber > 0) {
+        update.setAnsweredReport(reportNumber);
+      }
       addZones(update);
       if (!initialUpdateSent) {
         update.addAllControlAddresses(sources.controlAddresses().get()).setZone(zone);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -289,8 +289,7 @@
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
     return new AccountState(
-        demand(
-            local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote)),
+        demand(local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote)),
         local.admitted + remote.getAdmitted(),
         share,
         ageMillis);
@@ -351,8 +350,7 @@
           (account, usage) -> demands.put(account, demand(usage.demanded, usage.recentlyDemanded)));
       remoteUsage.forEach(
           (account, usage) ->
-              demands.merge(
-                  account, demand(usage.getAsked(), recentlyAsked(usage)), Double::sum));
+              demands.merge(account, demand(usage.getAsked(), recentlyAsked(usage)), Double::sum));
       double[] amounts = demands.values().stream().mapToDouble(d -> d).toArray();
       fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -23,6 +24,12 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(ColdStart.class);
 
+  /** Time by which a report may seem later than it is if the update names no report of ours. */
+  private static final long UPDATE_SKEW_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Time since which a report of ours that is forgotten was sent at least. */
+  private static final long FORGOTTEN_NANOS = TimeUnit.MINUTES.toNanos(1);
+
   private final Supplier<Optional<RoutingView>> view;
   private final LongSupplier clock;
   private final ColdPermits permits = new ColdPermits();
@@ -44,6 +51,21 @@
         .orElse(false);
   }
 
+  /**
+   * Returns the earliest time at which a control daemon can have received the report of an
+   * upstream. An update is sent after the report of this router that it names, however late it
+   * arrives.
+   *
+   * @param ageMillis age of the report when the update was sent, in milliseconds
+   */
+  long notBefore(FleetUpdate update, long ageMillis, long nowNanos) {
+    long sentAt =
+        update.hasAnsweredReport()
+            ? permits.sentAt(update.getAnsweredReport()).orElse(nowNanos - FORGOTTEN_NANOS)
+            : nowNanos - UPDATE_SKEW_NANOS;
+    return sentAt - TimeUnit.MILLISECONDS.toNanos(ageMillis + 1);
+  }
+
   /** Returns whether an upstream may get a request; if not, the next report asks for a permit. */
   public boolean mayGetRequest(Upstream upstream) {
     if (!isCold(upstream)
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -345,7 +345,8 @@
     for (UpstreamMessage message : update.getUpstreamsList()) {
       long reportedAt = now - TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis());
       UpstreamReport report = UpstreamMessageCodec.decode(message);
-      if (upstreams.accept(report, reportedAt)) {
+      long notBefore = coldStart.notBefore(update, message.getAgeMillis(), now);
+      if (upstreams.accept(report, reportedAt, notBefore)) {
         LOG.info(
             "upstream {} of service {} at {} is {}, version {}, sequence {}, reported {} ms ago to"
                 + " {}",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -50,7 +50,7 @@
   private final UpstreamCondition condition = new UpstreamCondition();
   private final AtomicLong localMemoryTokens = new AtomicLong();
 
-  Upstream(UpstreamReport report, long lastReportAtNanos, UpstreamPace pace) {
+  Upstream(UpstreamReport report, long lastReportAtNanos, long notBeforeNanos, UpstreamPace pace) {
     this.id = report.id();
     this.idHash = Hashing.komihash5_0().hashCharsToLong(id);
     this.startedAtMillis = report.startedAtMillis();
@@ -58,7 +58,7 @@
     this.lastReportAtNanos = lastReportAtNanos;
     this.pace = pace;
     this.warmUp = WarmUpState.unreported(lastReportAtNanos);
-    updateWarmUp(report, lastReportAtNanos);
+    updateWarmUp(report, lastReportAtNanos, notBeforeNanos);
   }
 
   /** Returns the identity that requests expect of the upstream. */
@@ -91,14 +91,20 @@
     return lastReportAtNanos;
   }
 
-  void updateReport(UpstreamReport newReport, long reportedAtNanos) {
+  void updateReport(UpstreamReport newReport, long reportedAtNanos, long notBeforeNanos) {
     report = newReport;
     lastReportAtNanos = Math.max(lastReportAtNanos, reportedAtNanos);
-    updateWarmUp(newReport, reportedAtNanos);
+    updateWarmUp(newReport, reportedAtNanos, notBeforeNanos);
   }
 
-  private void updateWarmUp(UpstreamReport newReport, long reportedAtNanos) {
-    newReport.warmUpMillis().ifPresent(millis -> warmUp.report(millis, reportedAtNanos));
+  private void updateWarmUp(UpstreamReport newReport, long reportedAtNanos, long notBeforeNanos) {
+    newReport
+        .warmUpMillis()
+        .ifPresent(
+            millis ->
+                warmUp.report(
+                    new WarmUpState.Report(
+                        newReport.sequence(), millis, reportedAtNanos, notBeforeNanos)));
   }
 
   /** Returns whether this incarnation is cold, as far as this router knows. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -71,24 +71,31 @@
     return pace;
   }
 
+  /** Merges a report that was received at a time which is known. */
+  public boolean accept(UpstreamReport report, long reportedAtNanos) {
+    return accept(report, reportedAtNanos, reportedAtNanos);
+  }
+
   /**
    * Merges a report.
    *
-   * @param reportedAtNanos when the upstream sent it, on this router's clock
+   * @param reportedAtNanos latest time at which a control daemon received it, on this router's
+   *     clock
+   * @param notBeforeNanos earliest time at which a control daemon received it
    * @return whether the report was a new incarnation, changed the state of the upstream, or was the
    *     first of its start with a software version
    */
-  public synchronized boolean accept(UpstreamReport report, long reportedAtNanos) {
+  synchronized boolean accept(UpstreamReport report, long reportedAtNanos, long notBeforeNanos) {
     Upstream current = byId.get(report.id());
     if (current == null || report.startedAtMillis() > current.startedAtMillis()) {
-      return replace(current, report, reportedAtNanos);
+      return replace(current, report, reportedAtNanos, notBeforeNanos);
     }
     UpstreamReport previous = current.report();
     UpstreamReport merged = merge(previous, report);
     if (merged == previous) {
       return false;
     }
-    current.updateReport(merged, reportedAtNanos);
+    current.updateReport(merged, reportedAtNanos, notBeforeNanos);
     if (previous.state() == merged.state()
         && previous.softwareVersion().equals(merged.softwareVersion())) {
       return false;
@@ -109,14 +116,17 @@
   }
 
   /** Replaces an upstream by a new incarnation, or marks it as gone if no service is named. */
-  private boolean replace(Upstream current, UpstreamReport report, long reportedAtNanos) {
+  private boolean replace(
+      Upstream current, UpstreamReport report, long reportedAtNanos, long notBeforeNanos) {
     // A departure without a service comes from a control daemon that had no report of the upstream.
     boolean isBareDeparture = report.service().isEmpty();
     if (isBareDeparture && current != null) {
-      current.updateReport(current.report().withState(State.GONE), reportedAtNanos);
+      current.updateReport(current.report().withState(State.GONE), reportedAtNanos, notBeforeNanos);
     } else {
       byId.put(
-          report.id(), new Upstream(report, reportedAtNanos, createPace(report, reportedAtNanos)));
+          report.id(),
+          new Upstream(
+              report, reportedAtNanos, notBeforeNanos, createPace(report, reportedAtNanos)));
       if (current != null) {
         long lastReportAt = current.lastReportAtNanos();
         replacedVersions.merge(
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -41,9 +41,13 @@
   private StreamObserver<FollowerReport> reports;
   private final List<FleetUpdate> updates = new ArrayList<>();
 
+  /** Updates that the router has not received yet; null if all reach it at once. */
+  private List<FleetUpdate> inTransit;
+
   private void start(Optional<WarmUp> warmUp) {
     nowNanos = 1_000;
     updates.clear();
+    inTransit = null;
     registry = new UpstreamRegistry(() -> nowNanos);
     server =
         new FollowServer(
@@ -61,7 +65,11 @@
             new UpdateObserver(
                 update -> {
                   updates.add(update);
-                  router.update("control", update);
+                  if (inTransit == null) {
+                    router.update("control", update);
+                  } else {
+                    inTransit.add(update);
+                  }
                 }));
     reports.onNext(router.createReport().setFirst(true).setRouter("r").build());
     advance(2_000);
@@ -170,10 +178,33 @@
     }
     assertThat(router.coldStart().isCold(upstream)).isTrue();
     advance(1_000);
+    reports.onNext(router.createReport().build());
     heartbeat(report(10, 2).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    heartbeat(report(10, 3).withWarmUpMillis(0));
     assertThat(router.coldStart().isCold(upstream)).isFalse();
   }
 
+  @DataProvider
+  public Object[][] delaysOfUpdate() {
+    return new Object[][] {{0}, {201}, {1_400}};
+  }
+
+  // A report that an update brought late ended a doubt although it was sent before it.
+  @Test(dataProvider = "delaysOfUpdate")
+  public void shouldKeepDoubtWhenUpdatesWithEarlierReportsComeLate(int delayMillis) {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    advance(1_200);
+    reports.onNext(router.createReport().build());
+    inTransit = new ArrayList<>();
+    heartbeat(report(10, 2).withWarmUpMillis(0));
+    heartbeat(report(10, 3).withWarmUpMillis(0));
+    upstream.markBroken(nowNanos);
+    advance(delayMillis);
+    inTransit.forEach(update -> router.update("control", update));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+  }
+
   @Test
   public void shouldSpareUpstreamThatReportsNoWarmUpAtFirst() {
     Upstream upstream = heartbeat(report(10, 1));
@@ -245,7 +276,10 @@
     order(new ZoneOrder("z1", false));
     assertThat(router.coldStart().isCold(upstream)).isTrue();
     advance(1_200);
+    reports.onNext(router.createReport().build());
     heartbeat(report(10, 3).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    heartbeat(report(10, 4).withWarmUpMillis(0));
     assertThat(router.coldStart().isCold(upstream)).isFalse();
   }
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInServiceTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInServiceTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.Test;
+import org.toucansaddle.coordination.pacing.WarmUpState;
 import org.toucansaddle.coordination.zones.ZoneOrders;
 import org.toucansaddle.daemon.gateway.UpstreamReport;
 import org.toucansaddle.daemon.gateway.UpstreamReport.State;
@@ -41,7 +42,10 @@
     List<Upstream> upstreams = table.all();
     for (int i = 0; i < RETURNS; i++) {
       long second = 1_000_000_000L * i;
-      upstreams.forEach(u -> u.warmUp().report(0, second));
+      for (int sequence = 2 * i + 2; sequence < 2 * i + 4; sequence++) {
+        WarmUpState.Report report = new WarmUpState.Report(sequence, 0, second, second);
+        upstreams.forEach(u -> u.warmUp().report(report));
+      }
       ZonesInService zones = new ZonesInService(table, () -> second);
       zones.apply(new ZoneOrders(1, Set.of("za")));
       AtomicBoolean done = new AtomicBoolean();
