Count an upstream that has fallen silent as possibly cold

Cause: an upstream that had last reported to be warm got all requests until its reports were too old for any use, although it could not say any more that it had turned cold.

Result: the new test failed 1 of 4 cases before (4000 ms of silence). Now ColdUpstreamTest and eight other classes of routing 67 of 67, WarmUpStateTest and TestSuite of coordination green.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
@@ -88,6 +88,11 @@
     return nowNanos - since < TimeUnit.MILLISECONDS.toNanos(unreportedMillis);
   }
 
+  /** Returns whether the upstream has reported its warm-up, but not after a time. */
+  public synchronized boolean isSilentSince(long nanos) {
+    return reported && reportedAt - nanos <= 0;
+  }
+
   /** Returns the remaining warm-up as reported, in milliseconds; 0 if it is over or unreported. */
   public synchronized long remainingMillis(long nowNanos) {
     return reported ? Math.max(0, TimeUnit.NANOSECONDS.toMillis(coldUntil - nowNanos)) : 0;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,14 +33,21 @@
 
   private final Supplier<Optional<RoutingView>> view;
   private final LongSupplier clock;
+  private final Predicate<Upstream> silent;
   private final ColdPermits permits = new ColdPermits();
   private final AtomicLong used = new AtomicLong();
   private final AtomicLong withheld = new AtomicLong();
 
-  /** Creates an object without permits; {@code clock} returns nanoseconds. */
-  ColdStart(Supplier<Optional<RoutingView>> view, LongSupplier clock) {
+  /**
+   * Creates an object without permits.
+   *
+   * @param clock returns nanoseconds
+   * @param silent whether an upstream may have turned cold without this router knowing it
+   */
+  ColdStart(Supplier<Optional<RoutingView>> view, LongSupplier clock, Predicate<Upstream> silent) {
     this.view = view;
     this.clock = clock;
+    this.silent = silent;
   }
 
   /** Returns whether an upstream has to be spared now. */
@@ -48,6 +56,7 @@
         .flatMap(current -> current.service(upstream.report().service()))
         .flatMap(ServiceDefinition::warmUp)
         .map(named -> upstream.warmUp().isCold(named.millis(), clock.getAsLong()))
+        .map(cold -> cold || silent.test(upstream))
         .orElse(false);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -49,7 +49,6 @@
 
   private final DocumentFormat format;
   private final LongSupplier clock;
-  private final long reportTimeoutNanos;
   private final UpstreamTable upstreams;
   private final WorkReports work;
   private final PacedUpstreams paced;
@@ -69,7 +68,7 @@
   private volatile Runnable leavingListener = () -> {};
   private final AtomicReference<Optional<RoutingView>> view =
       new AtomicReference<>(Optional.empty());
-  private final Map<String, Long> lastUpdateBySource = new ConcurrentHashMap<>();
+  private final UpdateTimes updateTimes;
   private volatile boolean confirmed;
   private volatile int routers = 1;
   private volatile ReportedRouters reportedRouters = ReportedRouters.NONE;
@@ -94,13 +93,15 @@
     this.paced = new PacedUpstreams(upstreams, this::routers, clock);
     this.work = new WorkReports(upstreams, this::routers);
     this.format = format;
-    this.reportTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(reportTimeoutMillis);
     this.clock = clock;
     this.shares = new AccountShares(clock);
     this.quarantine = new RequestQuarantine(clock);
     this.origins = new OriginTable(clock);
     this.arrivals = new ArrivalRates(clock);
-    this.coldStart = new ColdStart(this::view, clock);
+    this.updateTimes = new UpdateTimes(reportTimeoutMillis);
+    this.coldStart =
+        new ColdStart(
+            this::view, clock, upstream -> updateTimes.isSilent(upstream, clock.getAsLong()));
     this.zones = new ZonesInService(upstreams, clock);
   }
 
@@ -252,7 +253,7 @@
   public List<Upstream> usableUpstreams(
       String service, boolean repeatable, Predicate<Upstream> condition) {
     long now = clock.getAsLong();
-    long reportedAfter = reportDeadline(now);
+    long reportedAfter = updateTimes.reportDeadline(now);
     List<Upstream> reached = new ArrayList<>();
     for (Upstream upstream : upstreams.ready(service)) {
       if (upstream.isUsable(now)
@@ -265,18 +266,6 @@
     return UpstreamHealth.preferred(reached, repeatable, now);
   }
 
-  /**
-   * Returns the time after which an upstream must have reported: the time limit before the latest
-   * update of a followed control daemon, or before now if none is followed.
-   */
-  private long reportDeadline(long now) {
-    long latestUpdateAt = 0;
-    for (long at : lastUpdateBySource.values()) {
-      latestUpdateAt = latestUpdateAt == 0 ? at : Math.max(latestUpdateAt, at);
-    }
-    return (latestUpdateAt == 0 ? now : latestUpdateAt) - reportTimeoutNanos;
-  }
-
   /** Records that an upstream refused a connection: unless it announced its end, it crashed. */
   public void recordRefusedConnection(Upstream upstream) {
     if (!upstream.announcesEnd()) {
@@ -289,7 +278,7 @@
    * have fallen silent or been replaced without announcing their end.
    */
   private void findCrashes() {
-    long reportedAfter = reportDeadline(clock.getAsLong());
+    long reportedAfter = updateTimes.reportDeadline(clock.getAsLong());
     for (String incarnation : quarantine.upstreamsOfAbandoned()) {
       upstreams
           .find(incarnation)
@@ -329,7 +318,7 @@
   /** Applies an update of a control daemon. */
   public void update(String source, FleetUpdate update) {
     long now = clock.getAsLong();
-    lastUpdateBySource.put(source, now);
+    updateTimes.record(source, now);
     if (update.hasZones()) {
       zones.apply(ZoneOrdersCodec.decode(update.getZones()));
     }
@@ -440,7 +429,7 @@
 
   /** Removes a control daemon that this router no longer follows. */
   public void removeControlDaemon(String source) {
-    lastUpdateBySource.remove(source);
+    updateTimes.forget(source);
   }
 
   /** Creates the report of this router to the control daemons. */
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -205,6 +205,28 @@
     assertThat(router.coldStart().isCold(upstream)).isTrue();
   }
 
+  @DataProvider
+  public Object[][] silences() {
+    return new Object[][] {
+      // {silence, whether the router still follows a control daemon, possibly cold}
+      {1_200, true, false}, {3_999, true, false}, {4_000, true, true}, {4_000, false, false},
+    };
+  }
+
+  // An upstream that is silent got all requests although it could not say that it turned cold.
+  @Test(dataProvider = "silences")
+  public void shouldSpareUpstreamThatIsSilentWhileControlDaemonIsNot(
+      int millis, boolean follows, boolean cold) {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    advance(millis);
+    if (follows) {
+      router.update("control", FleetUpdate.getDefaultInstance());
+    }
+    assertThat(router.coldStart().isCold(upstream)).isEqualTo(cold);
+    heartbeat(report(10, 2).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+  }
+
   @Test
   public void shouldSpareUpstreamThatReportsNoWarmUpAtFirst() {
     Upstream upstream = heartbeat(report(10, 1));
