Let only two control daemons of a fleet permit requests to cold upstreams

Cause: each control daemon that routers took for the lowest live one issued permits. On three sides of a cut three did, and permits that were held until a burst of requests exceeded the bound.

Change: of the members of the replica set, dead or alive, only the two with the lowest addresses issue; one that becomes one of the two waits for 1.8 s. FollowSources names the own address.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/ColdPermitIssuer.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/ColdPermitIssuer.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.coordination.pacing;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +19,8 @@
  * <p>Invariant: for each start of an upstream at most half of its rate is permitted, and one
  * request more. A permit lasts {@link #VALID_MILLIS} from a moment before it was issued, so the
  * requests of any second were permitted within that time and a second. Two issuers that do not know
- * of each other therefore stay below 1.8 of the rate and two requests. Thread-safe; does no I/O.
+ * of each other therefore stay below 1.8 of the rate and two requests. A third one never issues: of
+ * all control daemons, in touch or not, only two may. Thread-safe; does no I/O.
  */
 public final class ColdPermitIssuer {
 
@@ -33,8 +35,11 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** Control daemons that may issue; the bound of a cold upstream holds for this number. */
+  private static final int MAX_ISSUERS = 2;
+
   private final LongSupplier clock;
-  private final long issuesFrom;
+  private long issuesFrom;
   private final Map<Start, Allowance> allowances = new HashMap<>();
   private long issued;
 
@@ -45,10 +50,26 @@
    */
   public ColdPermitIssuer(LongSupplier clock) {
     this.clock = clock;
-    this.issuesFrom =
+    deferIssuing();
+  }
+
+  private void deferIssuing() {
+    issuesFrom =
         clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(VALID_MILLIS) + (long) NANOS_PER_SECOND;
   }
 
+  /**
+   * Takes over the control daemons of the fleet, whether they are alive or not. Unless this daemon
+   * has one of the two lowest addresses, it issues nothing until it has, and until the permits of
+   * the daemon that it replaces have expired.
+   */
+  public synchronized void updateDaemons(String self, Collection<String> addresses) {
+    long lower = addresses.stream().filter(address -> address.compareTo(self) < 0).count();
+    if (lower >= MAX_ISSUERS) {
+      deferIssuing();
+    }
+  }
+
   private record Start(String upstream, long startedAtMillis) {}
 
   /** Requests that may be permitted at one start. */
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/ColdPermitIssuerTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/ColdPermitIssuerTest.java
@@ -35,6 +35,36 @@
     assertThat(issue(restarted, "u", 1, 1)).isEqualTo(1);
   }
 
+  @DataProvider
+  public Object[][] daemons() {
+    return new Object[][] {
+      // {own address, permits issued}
+      {"a", 1}, {"b", 1}, {"c", 0}, {"d", 0},
+    };
+  }
+
+  // On three sides of a cut, three daemons issued permits for one cold upstream.
+  @Test(dataProvider = "daemons")
+  public void shouldIssueOnlyAtTwoDaemonsOfFleet(String self, int permits) {
+    ColdPermitIssuer fresh = new ColdPermitIssuer(() -> now);
+    advance(2_000);
+    fresh.updateDaemons(self, List.of("d", "c", "b", "a"));
+    assertThat(issue(fresh, "u", 1, 1)).isEqualTo(permits);
+  }
+
+  // A daemon that takes the place of another one must wait for the permits of that one to expire.
+  @Test
+  public void shouldWaitAfterTakingPlaceOfAnother() {
+    ColdPermitIssuer fresh = new ColdPermitIssuer(() -> now);
+    advance(10_000);
+    fresh.updateDaemons("c", List.of("a", "b", "c"));
+    fresh.updateDaemons("c", List.of("b", "c"));
+    advance(1_799);
+    assertThat(issue(fresh, "u", 1, 1)).isZero();
+    advance(1);
+    assertThat(issue(fresh, "u", 1, 1)).isEqualTo(1);
+  }
+
   @Test
   public void shouldIssueHalfOfRate() {
     ColdPermitIssuer fresh = new ColdPermitIssuer(() -> now);
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/ColdUpstreamPatternsTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/ColdUpstreamPatternsTest.java
@@ -1,6 +1,7 @@
 package org.toucansaddle.coordination.pacing;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.toucansaddle.coordination.pacing.ColdPermitIssuer.VALID_MILLIS;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -19,6 +20,7 @@
   private static final int STEP_MILLIS = 5;
   private static final int DAY_MILLIS = 20_000;
   private static final int REPORT_MILLIS = 400;
+  private static final List<String> ADDRESSES = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1");
 
   /** What a cold upstream bears in any second, as operators state it for a rate. */
   private static double bound(double rate) {
@@ -41,7 +43,7 @@
     private final PriorityQueue<Delivery> deliveries =
         new PriorityQueue<>((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
     private long millis;
-    private final ColdPermitIssuer[] issuers = {createIssuer(), createIssuer()};
+    private final ColdPermitIssuer[] issuers = {createIssuer(), createIssuer(), createIssuer()};
 
     Fleet(double rate, Faults faults, long seed) {
       this.rate = rate;
@@ -71,6 +73,9 @@
     }
 
     private void happen() {
+      for (int i = 0; i < issuers.length; i++) {
+        issuers[i].updateDaemons(ADDRESSES.get(i), ADDRESSES);
+      }
       boolean isSecond = millis % 1_000 == 0;
       if (faults.event().equals("issuer restarts") && millis % 5_000 == 0) {
         issuers[0] = createIssuer();
@@ -90,7 +95,7 @@
 
     private void step(int router) {
       ColdPermits permits = routers.get(router);
-      if (permits.take("u", 1, nanos())) {
+      if (isWanted() && permits.take("u", 1, nanos())) {
         sentAt.add(millis);
       } else {
         permits.recordPassedOver("s", "u", 1);
@@ -101,6 +106,12 @@
       }
     }
 
+    /** Returns whether requests come that use the permits for which earlier ones have asked. */
+    private boolean isWanted() {
+      return !faults.event().endsWith("permits held")
+          || millis % (VALID_MILLIS + 1_000) >= VALID_MILLIS;
+    }
+
     private void report(int router, ColdPermits permits) {
       long number = permits.recordReport(nanos());
       List<ColdAsk> asks = permits.takeAsks();
@@ -121,7 +132,10 @@
 
     /** Routers on the two sides of a cut ask different daemons. */
     private ColdPermitIssuer issuerOf(int router) {
-      boolean isCut = faults.event().equals("cut in two") && millis % 8_000 > 3_000;
+      if (faults.event().startsWith("cut in three")) {
+        return issuers[millis % 8_000 > 3_000 ? router % 3 : 0];
+      }
+      boolean isCut = faults.event().startsWith("cut in two") && millis % 8_000 > 3_000;
       boolean changes = faults.event().equals("issuer changes") && millis % 4_000 > 2_000;
       return issuers[changes || (isCut && router % 2 == 1) ? 1 : 0];
     }
@@ -151,6 +165,9 @@
         cases.add(new Object[] {rate, new Faults(300, 0, 0.3, "routers restart"), seed});
         cases.add(new Object[] {rate, new Faults(300, 0, 0.3, "cut in two"), seed});
         cases.add(new Object[] {rate, new Faults(700, 0, 0.3, "issuer changes"), seed});
+        cases.add(new Object[] {rate, new Faults(300, 0, 0.3, "cut in three"), seed});
+        cases.add(new Object[] {rate, new Faults(3, 0, 0, "cut in two, permits held"), seed});
+        cases.add(new Object[] {rate, new Faults(3, 0, 0, "cut in three, permits held"), seed});
       }
     }
     return cases.toArray(new Object[0][]);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -145,7 +145,7 @@
             control.dataFolder().resolve("quarantine"), quarantine, System::nanoTime);
     this.followers =
         new FollowServer(
-            followSources(), registry, quarantine, origins, System::nanoTime, settings.zone());
+            followSources(self), registry, quarantine, origins, System::nanoTime, settings.zone());
     RouterState observed = new RouterState(format, UPSTREAM_TIMEOUT_MILLIS, System::nanoTime);
     this.observer = createObserver(settings, observed);
     this.placement = new PlacementServer(observed, System::nanoTime);
@@ -209,9 +209,12 @@
         "toucansaddle_gateway_origins", "Origins of streams in memory.", origins::size);
   }
 
-  private FollowSources followSources() {
+  private FollowSources followSources(String self) {
     return new FollowSources(
-        () -> applied, replicaSet::addresses, new ColdRates(format, () -> applied.document()));
+        () -> applied,
+        self,
+        replicaSet::addresses,
+        new ColdRates(format, () -> applied.document()));
   }
 
   /** Follows the fleet once a router has asked for slots. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -138,6 +138,7 @@
    */
   public void sendHeartbeats() {
     recordDocumentTime(document().version());
+    permitIssuer.updateDaemons(sources.self(), sources.controlAddresses().get());
     long now = clock.getAsLong();
     for (Follower follower : followers) {
       if (now - follower.lastReportNanos > REPORT_TIMEOUT_NANOS) {
@@ -276,6 +277,7 @@
       if (report.getColdAsksCount() == 0) {
         return;
       }
+      permitIssuer.updateDaemons(sources.self(), sources.controlAddresses().get());
       List<ColdPermit> permits =
           permitIssuer.issue(
               report.getNumber(),
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -51,7 +51,7 @@
     registry = new UpstreamRegistry(() -> nowNanos);
     server =
         new FollowServer(
-            new FollowSources(() -> fleetState, List::of, service -> rate(warmUp)),
+            new FollowSources(() -> fleetState, "", List::of, service -> rate(warmUp)),
             registry,
             new RequestQuarantine(() -> nowNanos),
             new OriginTable(() -> nowNanos),
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/DocumentFallbackTest.java
@@ -40,7 +40,7 @@
     server =
         new FollowServer(
             new FollowSources(
-                () -> FleetState.none().withDocument(document), List::of, service -> 0),
+                () -> FleetState.none().withDocument(document), "", List::of, service -> 0),
             new UpstreamRegistry(this::nowNanos),
             new RequestQuarantine(this::nowNanos),
             new OriginTable(this::nowNanos),
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/UpstreamVersionTest.java
@@ -29,7 +29,7 @@
     registry = new UpstreamRegistry(() -> nowNanos);
     server =
         new FollowServer(
-            new FollowSources(FleetState::none, List::of, service -> 0),
+            new FollowSources(FleetState::none, "", List::of, service -> 0),
             registry,
             new RequestQuarantine(() -> nowNanos),
             new OriginTable(() -> nowNanos),
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/origin/OriginReportTest.java
@@ -261,7 +261,7 @@
     Control(String address, boolean findsOrigins) throws IOException {
       FollowServer followers =
           new FollowServer(
-              new FollowSources(FleetState::none, () -> addresses, service -> 0),
+              new FollowSources(FleetState::none, "", () -> addresses, service -> 0),
               new UpstreamRegistry(System::nanoTime),
               new RequestQuarantine(System::nanoTime),
               origins,
