Pass on a query that begins with a question mark as it was received

Cause: the HTTP library drops the first character of a query if it is a question mark, so /x??a=1 reached the upstream as /x?a=1.

Change: ReceivedQuery tells from the names of the parsed parameters whether one was dropped.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -97,7 +97,7 @@
         exchange.getRequestMethod().toString(),
         hostOf(firstValue(headers, Headers.HOST)),
         pathOf(exchange.getRequestURI()),
-        exchange.getQueryString(),
+        ReceivedQuery.of(exchange),
         parseNumber(firstValue(headers, deadline), MAX_DEADLINE_MILLIS),
         FieldText.decode(firstValue(headers, credential)),
         comma < 0 ? 0 : parseNumber(counts.substring(0, comma), MAX_TOKENS),
--- /dev/null
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ReceivedQuery.java
@@ -0,0 +1,36 @@
+package org.toucansaddle.daemon.internal.gateway.relay;
+
+import io.undertow.server.HttpServerExchange;
+import java.util.Arrays;
+import java.util.Deque;
+
+/**
+ * The query of a request as the caller sent it.
+ *
+ * <p>The server drops a question mark with which a query begins, but keeps it in the name of the
+ * first parameter. Names are not decoded. Stateless and thread-safe.
+ */
+final class ReceivedQuery {
+
+  private static final String MARK = "?";
+
+  private ReceivedQuery() {}
+
+  /** Returns the query without the question mark before it; empty if there is none. */
+  static String of(HttpServerExchange exchange) {
+    String query = exchange.getQueryString();
+    String[] parameters = query.split("&", -1);
+    String marked = MARK + nameOf(parameters[0]);
+    Deque<String> received = exchange.getQueryParameters().get(marked);
+    if (received == null) {
+      return query;
+    }
+    long kept = Arrays.stream(parameters).filter(p -> nameOf(p).equals(marked)).count();
+    return received.size() > kept ? MARK + query : query;
+  }
+
+  private static String nameOf(String parameter) {
+    int end = parameter.indexOf('=');
+    return end < 0 ? parameter : parameter.substring(0, end);
+  }
+}
