Wait until a router has read a head before changing the configuration

Cause: ConfigurationChangeUsageTest.shouldAnswerRequestWhoseBodyStillArrives changed the configuration without waiting until the router had read the head, so a router that was late served the request by the later document, as it may.

Change: the head asks for an interim response, and the test changes the configuration once it has come; the checks, the pauses and the expected status are as before. GatewayHandler takes the view once, from the head; the product is not changed.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConfigurationChangeUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ConfigurationChangeUsageTest.java
@@ -230,7 +230,9 @@
     putAndAwait(VariedDocument.initial());
     String id = nextId();
     try (KeptConnection connection = connect(0)) {
-      connection.send(KeptConnection.postHead("/once/whole/0", id, BODY.length()));
+      connection.send(KeptConnection.expectingPostHead("/once/whole/0", id, BODY.length()));
+      // The router has read the head, with the configuration of before, once it asks for the body.
+      assertThat(connection.receiveUntil("\r\n\r\n")).startsWith("HTTP/1.1 100 ");
       connection.send(BODY.substring(0, 4));
       putAndAwait(changed);
       Thread.sleep(300);
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
@@ -38,6 +38,14 @@
     return head("POST", path, id) + "Content-Length: " + length + "\r\n\r\n";
   }
 
+  /** Returns the head of a request whose body is sent after an interim response asks for it. */
+  static String expectingPostHead(String path, String id, int length) {
+    return head("POST", path, id)
+        + "Expect: 100-continue\r\nContent-Length: "
+        + length
+        + "\r\n\r\n";
+  }
+
   /** Returns the head of a request whose body comes in chunks. */
   static String chunkedPostHead(String path, String id) {
     return head("POST", path, id) + "Transfer-Encoding: chunked\r\n\r\n";
