--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -138,6 +138,7 @@
    */
   public void sendHeartbeats() {
     recordDocumentTime(document().version());
+    permitIssuer.updateDaemons(sources.self(), sources.controlAddresses().get());
     long now = clock.getAsLong();
     for (Follower follower : followers) {
       if (now - follower.lastReportNanos > REPORT_TIMEOUT_NANOS) {
@@ -212,6 +213,7 @@
     private volatile boolean observer;
     private volatile boolean wantsSums;
     private volatile boolean wantsDocument;
+    private volatile long reportNumber;
     private long lastSentChange;
     private long lastSentStrike;
 
@@ -240,6 +242,7 @@
       observer = report.getObserver();
       wantsSums = report.getWantsSums();
       wantsDocument = report.getWantsDocument();
+      reportNumber = report.getNumber();
       synchronized (this) {
         routerVersion = Math.max(routerVersion, report.getDocumentVersion());
         routerZones = Math.max(routerZones, report.getZonesRevision());
@@ -274,6 +277,7 @@
       if (report.getColdAsksCount() == 0) {
         return;
       }
+      permitIssuer.updateDaemons(sources.self(), sources.controlAddresses().get());
       List<ColdPermit> permits =
           permitIssuer.issue(
               report.getNumber(),
@@ -371,6 +375,9 @@
         update.setDocument(encodeOnce(current));
         routerVersion = current.version();
       }
+      if (reportNumber > 0) {
+        update.setAnsweredReport(reportNumber);
+      }
       addZones(update);
       if (!initialUpdateSent) {
         update.addAllControlAddresses(sources.controlAddresses().get()).setZone(zone);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
@@ -2,8 +2,10 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,16 +25,29 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(ColdStart.class);
 
+  /** Time by which a report may seem later than it is if the update names no report of ours. */
+  private static final long UPDATE_SKEW_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Time since which a report of ours that is forgotten was sent at least. */
+  private static final long FORGOTTEN_NANOS = TimeUnit.MINUTES.toNanos(1);
+
   private final Supplier<Optional<RoutingView>> view;
   private final LongSupplier clock;
+  private final Predicate<Upstream> silent;
   private final ColdPermits permits = new ColdPermits();
   private final AtomicLong used = new AtomicLong();
   private final AtomicLong withheld = new AtomicLong();
 
-  /** Creates an object without permits; {@code clock} returns nanoseconds. */
-  ColdStart(Supplier<Optional<RoutingView>> view, LongSupplier clock) {
+  /**
+   * Creates an object without permits.
+   *
+   * @param clock returns nanoseconds
+   * @param silent whether an upstream may have turned cold without this router knowing it
+   */
+  ColdStart(Supplier<Optional<RoutingView>> view, LongSupplier clock, Predicate<Upstream> silent) {
     this.view = view;
     this.clock = clock;
+    this.silent = silent;
   }
 
   /** Returns whether an upstream has to be spared now. */
@@ -41,9 +56,25 @@
         .flatMap(current -> current.service(upstream.report().service()))
         .flatMap(ServiceDefinition::warmUp)
         .map(named -> upstream.warmUp().isCold(named.millis(), clock.getAsLong()))
+        .map(cold -> cold || silent.test(upstream))
         .orElse(false);
   }
 
+  /**
+   * Returns the earliest time at which a control daemon can have received the report of an
+   * upstream. An update is sent after the report of this router that it names, however late it
+   * arrives.
+   *
+   * @param ageMillis age of the report when the update was sent, in milliseconds
+   */
+  long notBefore(FleetUpdate update, long ageMillis, long nowNanos) {
+    long sentAt =
+        update.hasAnsweredReport()
+            ? permits.sentAt(update.getAnsweredReport()).orElse(nowNanos - FORGOTTEN_NANOS)
+            : nowNanos - UPDATE_SKEW_NANOS;
+    return sentAt - TimeUnit.MILLISECONDS.toNanos(ageMillis + 1);
+  }
+
   /** Returns whether an upstream may get a request; if not, the next report asks for a permit. */
   public boolean mayGetRequest(Upstream upstream) {
     if (!isCold(upstream)
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -41,13 +41,17 @@
   private StreamObserver<FollowerReport> reports;
   private final List<FleetUpdate> updates = new ArrayList<>();
 
+  /** Updates that the router has not received yet; null if all reach it at once. */
+  private List<FleetUpdate> inTransit;
+
   private void start(Optional<WarmUp> warmUp) {
     nowNanos = 1_000;
     updates.clear();
+    inTransit = null;
     registry = new UpstreamRegistry(() -> nowNanos);
     server =
         new FollowServer(
-            new FollowSources(() -> fleetState, List::of, service -> rate(warmUp)),
+            new FollowSources(() -> fleetState, "", List::of, service -> rate(warmUp)),
             registry,
             new RequestQuarantine(() -> nowNanos),
             new OriginTable(() -> nowNanos),
@@ -61,7 +65,11 @@
             new UpdateObserver(
                 update -> {
                   updates.add(update);
-                  router.update("control", update);
+                  if (inTransit == null) {
+                    router.update("control", update);
+                  } else {
+                    inTransit.add(update);
+                  }
                 }));
     reports.onNext(router.createReport().setFirst(true).setRouter("r").build());
     advance(2_000);
@@ -170,6 +178,51 @@
     }
     assertThat(router.coldStart().isCold(upstream)).isTrue();
     advance(1_000);
+    reports.onNext(router.createReport().build());
+    heartbeat(report(10, 2).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    heartbeat(report(10, 3).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+  }
+
+  @DataProvider
+  public Object[][] delaysOfUpdate() {
+    return new Object[][] {{0}, {201}, {1_400}};
+  }
+
+  // A report that an update brought late ended a doubt although it was sent before it.
+  @Test(dataProvider = "delaysOfUpdate")
+  public void shouldKeepDoubtWhenUpdatesWithEarlierReportsComeLate(int delayMillis) {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    advance(1_200);
+    reports.onNext(router.createReport().build());
+    inTransit = new ArrayList<>();
+    heartbeat(report(10, 2).withWarmUpMillis(0));
+    heartbeat(report(10, 3).withWarmUpMillis(0));
+    upstream.markBroken(nowNanos);
+    advance(delayMillis);
+    inTransit.forEach(update -> router.update("control", update));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+  }
+
+  @DataProvider
+  public Object[][] silences() {
+    return new Object[][] {
+      // {silence, whether the router still follows a control daemon, possibly cold}
+      {1_200, true, false}, {3_999, true, false}, {4_000, true, true}, {4_000, false, false},
+    };
+  }
+
+  // An upstream that is silent got all requests although it could not say that it turned cold.
+  @Test(dataProvider = "silences")
+  public void shouldSpareUpstreamThatIsSilentWhileControlDaemonIsNot(
+      int millis, boolean follows, boolean cold) {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    advance(millis);
+    if (follows) {
+      router.update("control", FleetUpdate.getDefaultInstance());
+    }
+    assertThat(router.coldStart().isCold(upstream)).isEqualTo(cold);
     heartbeat(report(10, 2).withWarmUpMillis(0));
     assertThat(router.coldStart().isCold(upstream)).isFalse();
   }
@@ -245,7 +298,10 @@
     order(new ZoneOrder("z1", false));
     assertThat(router.coldStart().isCold(upstream)).isTrue();
     advance(1_200);
+    reports.onNext(router.createReport().build());
     heartbeat(report(10, 3).withWarmUpMillis(0));
+    assertThat(router.coldStart().isCold(upstream)).isTrue();
+    heartbeat(report(10, 4).withWarmUpMillis(0));
     assertThat(router.coldStart().isCold(upstream)).isFalse();
   }
 
