Share one path between deciding on an upstream and telling why

Cause: why an upstream does not get a request was known only inside the loops that select one, some of which count or draw while they ask. Change: obstacles of an upstream are found by one method each, which the decision uses and after which it records; what is drawn from is a Shortlist; shares, throttle, limits and return schedules can be copied. UsableUpstreams takes over the upstreams in general from RouterState.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
@@ -70,12 +70,29 @@
     private double requests;
     private long updatedAt;
 
+    Demand copy() {
+      Demand copy = new Demand();
+      copy.requests = requests;
+      copy.updatedAt = updatedAt;
+      return copy;
+    }
+
     void decay(long now) {
       requests *= Math.exp(-(now - updatedAt) / DECAY_NANOS);
       updatedAt = now;
     }
   }
 
+  /** Returns a copy that changes independently. */
+  public synchronized AccountParts copy() {
+    AccountParts copy = new AccountParts(clock);
+    demands.forEach((account, demand) -> copy.demands.put(account, demand.copy()));
+    copy.cleanedAt = cleanedAt;
+    copy.latestShare = latestShare;
+    copy.requestsSinceShare = requestsSinceShare;
+    return copy;
+  }
+
   /** Records a request of an account, whether or not it is admitted. */
   public synchronized void record(String account) {
     long now = clock.getAsLong();
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharedThroughput.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/SharedThroughput.java
@@ -73,6 +73,15 @@
     }
   }
 
+  /** Returns a copy that changes independently. */
+  public SharedThroughput copy() {
+    SharedThroughput copy = new SharedThroughput();
+    copy.factor = factor;
+    copy.capacity = capacity;
+    copy.steppedAt = steppedAt;
+    return copy;
+  }
+
   /** Returns the tokens that the accounts share in the time of the load. */
   public double update(Load load, long nowNanos) {
     double ratedTokens = load.rated() * load.tokensPerWorkToken();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import org.toucansaddle.coordination.admission.ReadLag;
 import org.toucansaddle.coordination.zones.ZoneRegions;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
+import org.toucansaddle.daemon.gateway.PlacementMode;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.origin.OriginLookup;
 import org.toucansaddle.daemon.internal.gateway.placement.PlacementClient;
@@ -202,6 +203,23 @@
     return returnSchedules.computeIfAbsent(service, name -> new ReturnSchedule());
   }
 
+  /** Returns a copy of the throttle of a service. */
+  ServiceThrottle throttleCopy(String service) {
+    ServiceThrottle current = throttles.get(service);
+    return current == null ? new ServiceThrottle(nanoClock) : current.copy();
+  }
+
+  /** Returns a copy of the return schedule of a service. */
+  ReturnSchedule returnScheduleCopy(String service) {
+    ReturnSchedule current = returnSchedules.get(service);
+    return current == null ? new ReturnSchedule() : current.copy();
+  }
+
+  /** Returns whether a control daemon is asked first where requests for engines go. */
+  boolean asksForPlacement() {
+    return settings.placement() == PlacementMode.GRANTED;
+  }
+
   UpstreamConnectionPool connectionPool(XnioIoThread ioThread) {
     return connectionPools.computeIfAbsent(
         ioThread, t -> new UpstreamConnectionPool(t, bufferPool, connectOutcomes));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ReturnSchedule.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ReturnSchedule.java
@@ -32,6 +32,16 @@
   private boolean hasPlaces;
   private double takenFraction;
 
+  /** Returns a copy that changes independently. */
+  synchronized ReturnSchedule copy() {
+    ReturnSchedule copy = new ReturnSchedule();
+    copy.places.addAll(places);
+    copy.lastPlaceAt = lastPlaceAt;
+    copy.hasPlaces = hasPlaces;
+    copy.takenFraction = takenFraction;
+    return copy;
+  }
+
   /**
    * Returns the delay after which a refused caller is asked to return, in milliseconds.
    *
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -37,7 +37,7 @@
 
   private final LongSupplier clock;
   private final DoubleSupplier random;
-  private final AccountParts parts;
+  private AccountParts parts;
   private double admitted = 1;
   private long lastStepAt;
 
@@ -53,16 +53,35 @@
     this.lastStepAt = clock.getAsLong();
   }
 
+  /** Returns a copy that changes independently. */
+  synchronized ServiceThrottle copy() {
+    ServiceThrottle copy = new ServiceThrottle(clock, random);
+    copy.parts = parts.copy();
+    copy.admitted = admitted;
+    copy.lastStepAt = lastStepAt;
+    return copy;
+  }
+
   /**
    * Returns whether a request to one of these upstreams is admitted.
    *
    * @param account client account; empty if the request has none
    */
-  boolean admits(String account, Collection<Upstream> upstreams) {
+  synchronized boolean admits(String account, Collection<Upstream> upstreams) {
+    double part = partOf(account, upstreams);
+    return isOpen() || random.getAsDouble() < part;
+  }
+
+  /** Records a request and returns the part of such requests that is admitted. */
+  synchronized double partOf(String account, Collection<Upstream> upstreams) {
     long now = clock.getAsLong();
     int requests = upstreams.stream().mapToInt(upstream -> upstream.requests(now)).sum();
     int slots = upstreams.stream().mapToInt(upstream -> upstream.report().slots()).sum();
-    return admits(account, requests, slots);
+    return partOf(account, requests, slots);
+  }
+
+  private boolean isOpen() {
+    return admitted >= 1;
   }
 
   /**
@@ -73,6 +92,11 @@
    * @param slots requests that these upstreams run at the same time
    */
   synchronized boolean admits(String account, int requests, int slots) {
+    double part = partOf(account, requests, slots);
+    return isOpen() || random.getAsDouble() < part;
+  }
+
+  private double partOf(String account, int requests, int slots) {
     long now = clock.getAsLong();
     double steps = (now - lastStepAt) / (double) STEP_NANOS;
     if (steps >= 1) {
@@ -80,7 +104,7 @@
       adjust(requests / Math.max(1, slots * TARGET_REQUESTS_PER_SLOT), steps);
     }
     parts.record(account);
-    return admitted >= 1 || random.getAsDouble() < parts.partOf(account, admitted);
+    return parts.partOf(account, admitted);
   }
 
   /** Adjusts the admitted part to a load, as a fraction of the target. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -14,6 +14,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.EngineProfile;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Reason;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
+import org.toucansaddle.daemon.internal.gateway.routing.Obstacle;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestLimit;
 import org.toucansaddle.daemon.internal.gateway.routing.RequestedPause;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
@@ -48,16 +49,27 @@
 
   /** Takes the service of an earlier part of the stream, or else draws one of the route's. */
   UpstreamChoice(RelayContext context, CallRequest request, Optional<StreamOrigin> origin) {
+    this(
+        context,
+        request,
+        origin,
+        origin
+            .map(StreamOrigin::service)
+            .orElseGet(
+                () ->
+                    WeightedService.draw(request.route().services(), ThreadLocalRandom.current())));
+  }
+
+  /** Takes a service that was drawn. */
+  UpstreamChoice(
+      RelayContext context, CallRequest request, Optional<StreamOrigin> origin, String service) {
     this.context = context;
     this.head = request.head();
     this.route = request.route();
     this.view = request.view();
     this.origin = origin;
     this.regions = view.regions(route, request.account());
-    this.service =
-        origin
-            .map(StreamOrigin::service)
-            .orElseGet(() -> WeightedService.draw(route.services(), ThreadLocalRandom.current()));
+    this.service = service;
   }
 
   String service() {
@@ -87,7 +99,7 @@
   }
 
   /** Returns whether a request of this account on this route may be served by an upstream. */
-  private boolean isAllowed(Upstream upstream) {
+  boolean isAllowed(Upstream upstream) {
     return regions.include(context.regions().regionOf(upstream.report().zone()));
   }
 
@@ -130,6 +142,38 @@
 
   /** Selects one of the usable upstreams that was not tried; empty if all are busy. */
   Optional<Selection> select(List<Upstream> usable) {
+    EngineProfile profile = profile(usable);
+    nominalTokensPerMilli = profile.nominalTokensPerMilli();
+    if (isFirst() && !isTurn(usable, context.returnSchedule(service))) {
+      return Optional.empty();
+    }
+    return shortlist(usable, profile, this::takesRequest).draw(ThreadLocalRandom.current());
+  }
+
+  /** Returns the upstreams among which {@link #select} would draw one; changes nothing. */
+  Shortlist preview(List<Upstream> usable) {
+    return shortlist(usable, profile(usable), upstream -> heldBack(upstream).isEmpty());
+  }
+
+  /** Returns whether {@link #select} would leave the first place to others; changes nothing. */
+  boolean leavesPlace(List<Upstream> usable) {
+    return isFirst() && !isTurn(usable, context.returnScheduleCopy(service));
+  }
+
+  /** Returns why a usable upstream does not get the request now; changes nothing. */
+  Optional<Obstacle> obstacle(Upstream upstream, List<Upstream> usable) {
+    return heldBack(upstream)
+        .or(() -> context.selector().obstacle(upstream, head, profile(usable)));
+  }
+
+  private Shortlist shortlist(
+      List<Upstream> usable, EngineProfile profile, Predicate<Upstream> takesRequest) {
+    List<Upstream> allowed = usable.stream().filter(this::mayBeSentTo).toList();
+    Predicate<Upstream> takesMore = upstream -> !isTried(upstream) && takesRequest.test(upstream);
+    return context.selector().shortlist(allowed, head, route.targetMillis(), profile, takesMore);
+  }
+
+  private EngineProfile profile(List<Upstream> usable) {
     int count =
         origin.isEmpty()
             ? usable.size()
@@ -137,21 +181,12 @@
                 .state()
                 .usableUpstreams(service, route.isRepeatable(), this::isAllowed)
                 .size();
-    EngineProfile profile =
-        EngineProfile.of(view, service, count, context.estimator(service), context.nowNanos());
-    nominalTokensPerMilli = profile.nominalTokensPerMilli();
-    List<Upstream> allowed = usable.stream().filter(this::mayBeSentTo).toList();
-    if (isFirst() && !isTurn(usable)) {
-      return Optional.empty();
-    }
-    Predicate<Upstream> takesMore = upstream -> !isTried(upstream) && takesRequest(upstream);
-    return context.selector().select(allowed, head, route.targetMillis(), profile, takesMore);
+    return EngineProfile.of(view, service, count, context.estimator(service), context.nowNanos());
   }
 
   /** Returns whether no caller that was asked to return is due before this one. */
-  private boolean isTurn(List<Upstream> usable) {
-    return !areScarce(usable)
-        || context.returnSchedule(service).admits(context.nowNanos(), head.isLikelyRetry(route));
+  private boolean isTurn(List<Upstream> usable, ReturnSchedule schedule) {
+    return !areScarce(usable) || schedule.admits(context.nowNanos(), head.isLikelyRetry(route));
   }
 
   private boolean isTried(Upstream upstream) {
@@ -160,15 +195,44 @@
 
   /** Returns whether an upstream takes a request of this router now, as far as it has said. */
   boolean takesRequest(Upstream upstream) {
+    Optional<Obstacle> obstacle = heldBack(upstream, upstream.limit());
+    if (obstacle.isPresent()) {
+      recordHeldBack(upstream, obstacle.get());
+    }
+    return obstacle.isEmpty();
+  }
+
+  private Optional<Obstacle> heldBack(Upstream upstream) {
+    return heldBack(upstream, upstream.limit().copy());
+  }
+
+  /** Returns why an upstream takes no request of this router; changes at most the limit. */
+  private Optional<Obstacle> heldBack(Upstream upstream, RequestLimit limit) {
     long now = context.nowNanos();
-    return upstream.requestedPause().permits(now, upstream.localRequests())
-        && upstream.limit().permits(now, context.state().limitPart(service))
-        && context.state().coldStart().mayGetRequest(upstream)
-        && context.state().paced().mayGetRequest(upstream, route.isRepeatable());
+    if (!upstream.requestedPause().permits(now, upstream.localRequests())) {
+      return Optional.of(Obstacle.PAUSED);
+    }
+    if (!limit.permits(now, context.state().limitPart(service))) {
+      return Optional.of(Obstacle.LIMITED);
+    }
+    if (!context.state().coldStart().isPermitted(upstream)) {
+      return Optional.of(Obstacle.COLD);
+    }
+    return context.state().paced().isAdmitted(upstream, route.isRepeatable())
+        ? Optional.empty()
+        : Optional.of(Obstacle.PACED);
+  }
+
+  private void recordHeldBack(Upstream upstream, Obstacle obstacle) {
+    if (obstacle == Obstacle.COLD) {
+      context.state().coldStart().recordPassedOver(upstream);
+    } else if (obstacle == Obstacle.PACED) {
+      context.state().paced().recordPassedOver();
+    }
   }
 
   /** Returns whether all upstreams have said that they take few requests or none. */
-  private boolean areScarce(List<Upstream> usable) {
+  boolean areScarce(List<Upstream> usable) {
     long now = context.nowNanos();
     return !usable.isEmpty()
         && usable.stream().allMatch(u -> u.limit().isNamed() || u.requestedPause().isInEffect(now));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
+import org.toucansaddle.daemon.internal.gateway.routing.Obstacle;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 
@@ -164,35 +165,52 @@
       int targetMillis,
       EngineProfile profile,
       Predicate<Upstream> takesMore) {
+    return shortlist(upstreams, head, targetMillis, profile, takesMore)
+        .draw(ThreadLocalRandom.current());
+  }
+
+  /** Returns the upstreams among which {@link #select} draws one. */
+  Shortlist shortlist(
+      Collection<Upstream> upstreams,
+      RequestHead head,
+      int targetMillis,
+      EngineProfile profile,
+      Predicate<Upstream> takesMore) {
     return head.promptTokens() > 0
-        ? selectEngine(upstreams, head, targetMillis, profile, takesMore)
-        : drawByFreeCapacity(upstreams.stream().filter(takesMore).toList(), profile.nowNanos());
+        ? listEngines(upstreams, head, targetMillis, profile, takesMore)
+        : listByFreeCapacity(upstreams.stream().filter(takesMore).toList(), profile.nowNanos());
+  }
+
+  /** Returns why an upstream has no room for a request; empty if it has. */
+  Optional<Obstacle> obstacle(Upstream upstream, RequestHead head, EngineProfile profile) {
+    boolean isFull =
+        head.promptTokens() > 0
+            ? loadPerSlot(upstream, profile.nowNanos()) > MAX_ENGINE_LOAD
+            : freeCapacity(upstream, profile.nowNanos()) <= 0;
+    if (isFull) {
+      return Optional.of(Obstacle.FULL);
+    }
+    return head.promptTokens() == 0 || hasMemory(upstream, head, profile)
+        ? Optional.empty()
+        : Optional.of(Obstacle.NO_MEMORY);
   }
 
   /**
-   * Draws an upstream in proportion to its free capacity. All routers see the load of the others as
-   * last reported; if each of them selected the least loaded upstream, they would overload it until
-   * the next report. Recent response times do not count, since they include the time in queues.
+   * Has an upstream drawn in proportion to its free capacity. All routers see the load of the
+   * others as last reported; if each of them selected the least loaded upstream, they would
+   * overload it until the next report. Recent response times do not count, since they include the
+   * time in queues.
    */
-  private Optional<Selection> drawByFreeCapacity(List<Upstream> candidates, long nowNanos) {
+  private Shortlist listByFreeCapacity(List<Upstream> candidates, long nowNanos) {
     double[] free = new double[candidates.size()];
-    double sum = 0;
+    List<Selection> selections = new ArrayList<>();
     for (int i = 0; i < free.length; i++) {
       Upstream upstream = candidates.get(i);
       double taken = upstream.condition().takenPart(nowNanos);
       free[i] = freeCapacity(upstream, nowNanos) * taken;
-      sum += free[i];
+      selections.add(new Selection(upstream, 0, 0, 0, Reason.FREE_CAPACITY));
     }
-    if (sum <= 0) {
-      return Optional.empty();
-    }
-    double drawn = ThreadLocalRandom.current().nextDouble(sum);
-    int index = 0;
-    while (drawn >= free[index] && index < free.length - 1) {
-      drawn -= free[index];
-      index++;
-    }
-    return Optional.of(new Selection(candidates.get(index), 0, 0, 0, Reason.FREE_CAPACITY));
+    return Shortlist.byWeight(selections, free);
   }
 
   /** Returns the requests per slot that an upstream can accept; 0 if it is full. */
@@ -201,7 +219,7 @@
     return Math.max(0, 1 + MAX_QUEUED_PER_SLOT - loadPerSlot(upstream, nowNanos) - penalty);
   }
 
-  private Optional<Selection> selectEngine(
+  private Shortlist listEngines(
       Collection<Upstream> candidates,
       RequestHead head,
       int targetMillis,
@@ -211,9 +229,7 @@
     List<Selection> selections = new ArrayList<>();
     boolean first = true;
     for (Upstream upstream : rankForPrefix(candidates, prefix)) {
-      if (loadPerSlot(upstream, profile.nowNanos()) > MAX_ENGINE_LOAD
-          || !hasMemory(upstream, head, profile)
-          || !takesMore.test(upstream)) {
+      if (obstacle(upstream, head, profile).isPresent() || !takesMore.test(upstream)) {
         first = false;
         continue;
       }
@@ -222,20 +238,20 @@
       Selection selection = profile.selection(upstream, prefillTokens, reason);
       if (!prefix.isEmpty()
           && selection.expectedFirstTokenMillis() < PREFIX_WAIT_TARGET_FRACTION * targetMillis) {
-        return Optional.of(selection);
+        return Shortlist.bestOfTwo(List.of(selection), new double[1]);
       }
       first = false;
       selections.add(selection.asLeastWait(zonePenaltyMillis(upstream)));
     }
-    return drawNearBest(selections, targetMillis, profile.nowNanos());
+    return listNearBest(selections, targetMillis, profile.nowNanos());
   }
 
   /**
-   * Returns the better of two drawn ones that are about as good as the best. If routers with the
-   * same reports all selected the best engine, they would overload it until the next report. One
-   * that cannot meet the target is not drawn if the best can.
+   * Has the better of two taken that are drawn among those that are about as good as the best. If
+   * routers with the same reports all selected the best engine, they would overload it until the
+   * next report. One that cannot meet the target is not drawn if the best can.
    */
-  private static Optional<Selection> drawNearBest(
+  private static Shortlist listNearBest(
       List<Selection> selections, int targetMillis, long nowNanos) {
     double[] costs =
         selections.stream().mapToDouble(selection -> costMillis(selection, nowNanos)).toArray();
@@ -244,12 +260,9 @@
     double near = best * NEAR_BEST_FACTOR;
     double limit = best <= admitted ? Math.min(near, admitted) : near;
     int[] drawable = IntStream.range(0, costs.length).filter(i -> costs[i] <= limit).toArray();
-    if (drawable.length == 0) {
-      return Optional.empty();
-    }
-    int one = drawable[ThreadLocalRandom.current().nextInt(drawable.length)];
-    int other = drawable[ThreadLocalRandom.current().nextInt(drawable.length)];
-    return Optional.of(selections.get(costs[one] <= costs[other] ? one : other));
+    return Shortlist.bestOfTwo(
+        IntStream.of(drawable).mapToObj(selections::get).toList(),
+        IntStream.of(drawable).mapToDouble(i -> costs[i]).toArray());
   }
 
   /** Returns the expected time to the first token, longer at an engine that refuses requests. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -68,7 +68,7 @@
   private final Map<String, LocalUsage> localUsage = new HashMap<>();
   private Map<String, AccountUse> remoteUsage = Map.of();
   private long remoteUsageAt;
-  private final SharedThroughput throughput = new SharedThroughput();
+  private SharedThroughput throughput = new SharedThroughput();
   private double fairShare = Double.MAX_VALUE;
   private double fairShareCapacity;
   private long fairShareAt;
@@ -85,6 +85,24 @@
     this.random = random;
   }
 
+  /**
+   * Returns a copy that changes independently.
+   *
+   * @param otherRandom returns numbers in [0, 1) for the copy
+   */
+  public synchronized AccountShares copy(DoubleSupplier otherRandom) {
+    AccountShares copy = new AccountShares(clock, otherRandom);
+    localUsage.forEach((account, usage) -> copy.localUsage.put(account, usage.copy()));
+    copy.remoteUsage = remoteUsage;
+    copy.remoteUsageAt = remoteUsageAt;
+    copy.throughput = throughput.copy();
+    copy.fairShare = fairShare;
+    copy.fairShareCapacity = fairShareCapacity;
+    copy.fairShareAt = fairShareAt;
+    copy.fairShareKnown = fairShareKnown;
+    return copy;
+  }
+
   /** Tokens and requests of one account at this router; they decay over time. */
   private static final class LocalUsage {
     private double demanded;
@@ -95,6 +113,18 @@
     private double requests;
     private long updatedAt;
 
+    LocalUsage copy() {
+      LocalUsage copy = new LocalUsage();
+      copy.demanded = demanded;
+      copy.admitted = admitted;
+      copy.work = work;
+      copy.turnedAway = turnedAway;
+      copy.recentlyDemanded = recentlyDemanded;
+      copy.requests = requests;
+      copy.updatedAt = updatedAt;
+      return copy;
+    }
+
     void decay(long now) {
       double factor = Math.exp(-(now - updatedAt) / (NANOS_PER_SECOND * DECAY_SECONDS));
       demanded *= factor;
@@ -289,8 +319,7 @@
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
     return new AccountState(
-        demand(
-            local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote)),
+        demand(local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote)),
         local.admitted + remote.getAdmitted(),
         share,
         ageMillis);
@@ -313,7 +342,7 @@
    * more. If each router admitted all until the sums that it knows reach the share, all would
    * exceed it together until the next report, and then admit nothing.
    */
-  private static double admittedPart(AccountState state, long tokens) {
+  public static double admittedPart(AccountState state, long tokens) {
     double share = state.fairShareTokens();
     if (share == Double.MAX_VALUE) {
       return 1;
@@ -351,8 +380,7 @@
           (account, usage) -> demands.put(account, demand(usage.demanded, usage.recentlyDemanded)));
       remoteUsage.forEach(
           (account, usage) ->
-              demands.merge(
-                  account, demand(usage.getAsked(), recentlyAsked(usage)), Double::sum));
+              demands.merge(account, demand(usage.getAsked(), recentlyAsked(usage)), Double::sum));
       double[] amounts = demands.values().stream().mapToDouble(d -> d).toArray();
       fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ColdStart.java
@@ -46,13 +46,23 @@
 
   /** Returns whether an upstream may get a request; if not, the next report asks for a permit. */
   public boolean mayGetRequest(Upstream upstream) {
-    if (!isCold(upstream)
-        || permits.holds(upstream.id(), upstream.startedAtMillis(), clock.getAsLong())) {
-      return true;
+    boolean permitted = isPermitted(upstream);
+    if (!permitted) {
+      recordPassedOver(upstream);
     }
+    return permitted;
+  }
+
+  /** Returns whether an upstream is warm or there is a permit for it; asks for none. */
+  public boolean isPermitted(Upstream upstream) {
+    return !isCold(upstream)
+        || permits.holds(upstream.id(), upstream.startedAtMillis(), clock.getAsLong());
+  }
+
+  /** Has the next report ask for a permit. */
+  public void recordPassedOver(Upstream upstream) {
     permits.recordPassedOver(
         upstream.report().service(), upstream.id(), upstream.startedAtMillis());
-    return false;
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
@@ -29,17 +29,27 @@
 
   /** Returns whether an upstream may get a request of this router now, as far as its pace goes. */
   public boolean mayGetRequest(Upstream upstream, boolean repeatable) {
+    boolean admitted = isAdmitted(upstream, repeatable);
+    if (!admitted) {
+      recordPassedOver();
+    }
+    return admitted;
+  }
+
+  /** Returns the same as {@link #mayGetRequest} and counts nothing. */
+  public boolean isAdmitted(Upstream upstream, boolean repeatable) {
     UpstreamPace pace = upstream.pace();
     if (!pace.isActive() || !isRestricted(upstream.report().service())) {
       return true;
     }
     long now = clock.getAsLong();
     Load load = new Load(upstream.localRequests(), upstream.requests(now), routers.getAsInt());
-    boolean admitted = pace.admits(load, repeatable, now);
-    if (!admitted) {
-      passedOver.incrementAndGet();
-    }
-    return admitted;
+    return pace.admits(load, repeatable, now);
+  }
+
+  /** Counts an upstream that was passed over for its pace. */
+  public void recordPassedOver() {
+    passedOver.incrementAndGet();
   }
 
   private boolean isRestricted(String service) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RequestLimit.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RequestLimit.java
@@ -46,6 +46,17 @@
     this.random = random;
   }
 
+  /** Returns a copy that changes independently. */
+  public synchronized RequestLimit copy() {
+    RequestLimit copy = new RequestLimit(random);
+    copy.everNamed = everNamed;
+    copy.named = named;
+    copy.noticedAt = noticedAt;
+    copy.saved = saved;
+    copy.savedAt = savedAt;
+    return copy;
+  }
+
   /**
    * What the newest response said. Immutable.
    *
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,12 +48,12 @@
 
   private final DocumentFormat format;
   private final LongSupplier clock;
-  private final long reportTimeoutNanos;
   private final UpstreamTable upstreams;
   private final WorkReports work;
   private final PacedUpstreams paced;
   private final ColdStart coldStart;
   private final ZonesInService zones;
+  private final UsableUpstreams usable;
   private final AccountShares shares;
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
@@ -69,7 +68,6 @@
   private volatile Runnable leavingListener = () -> {};
   private final AtomicReference<Optional<RoutingView>> view =
       new AtomicReference<>(Optional.empty());
-  private final Map<String, Long> lastUpdateBySource = new ConcurrentHashMap<>();
   private volatile boolean confirmed;
   private volatile int routers = 1;
   private volatile ReportedRouters reportedRouters = ReportedRouters.NONE;
@@ -94,7 +92,6 @@
     this.paced = new PacedUpstreams(upstreams, this::routers, clock);
     this.work = new WorkReports(upstreams, this::routers);
     this.format = format;
-    this.reportTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(reportTimeoutMillis);
     this.clock = clock;
     this.shares = new AccountShares(clock);
     this.quarantine = new RequestQuarantine(clock);
@@ -102,6 +99,8 @@
     this.arrivals = new ArrivalRates(clock);
     this.coldStart = new ColdStart(this::view, clock);
     this.zones = new ZonesInService(upstreams, clock);
+    long reportTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(reportTimeoutMillis);
+    this.usable = new UsableUpstreams(upstreams, zones, clock, reportTimeoutNanos);
   }
 
   /** Returns the configuration in force; empty until a quorum has confirmed one. */
@@ -178,6 +177,11 @@
    * @param nominal what they process without limits
    */
   public double tokensPerSecond(String service, double nominal) {
+    return tokensPerSecond(service, nominal, shares);
+  }
+
+  /** Returns the same with the mean size of requests by a copy of the shares. */
+  public double tokensPerSecond(String service, double nominal, AccountShares shares) {
     List<Upstream> ready = upstreams.ready(service);
     if (ready.stream().noneMatch(upstream -> upstream.limit().isNamed())) {
       return nominal;
@@ -251,30 +255,12 @@
    */
   public List<Upstream> usableUpstreams(
       String service, boolean repeatable, Predicate<Upstream> condition) {
-    long now = clock.getAsLong();
-    long reportedAfter = reportDeadline(now);
-    List<Upstream> reached = new ArrayList<>();
-    for (Upstream upstream : upstreams.ready(service)) {
-      if (upstream.isUsable(now)
-          && upstream.hasReportedAfter(reportedAfter)
-          && zones.isInService(upstream)
-          && condition.test(upstream)) {
-        reached.add(upstream);
-      }
-    }
-    return UpstreamHealth.preferred(reached, repeatable, now);
+    return usable.find(service, repeatable, condition);
   }
 
-  /**
-   * Returns the time after which an upstream must have reported: the time limit before the latest
-   * update of a followed control daemon, or before now if none is followed.
-   */
-  private long reportDeadline(long now) {
-    long latestUpdateAt = 0;
-    for (long at : lastUpdateBySource.values()) {
-      latestUpdateAt = latestUpdateAt == 0 ? at : Math.max(latestUpdateAt, at);
-    }
-    return (latestUpdateAt == 0 ? now : latestUpdateAt) - reportTimeoutNanos;
+  /** Returns which upstreams may be used, and why the others may not. */
+  public UsableUpstreams usable() {
+    return usable;
   }
 
   /** Records that an upstream refused a connection: unless it announced its end, it crashed. */
@@ -289,7 +275,7 @@
    * have fallen silent or been replaced without announcing their end.
    */
   private void findCrashes() {
-    long reportedAfter = reportDeadline(clock.getAsLong());
+    long reportedAfter = usable.reportDeadline(clock.getAsLong());
     for (String incarnation : quarantine.upstreamsOfAbandoned()) {
       upstreams
           .find(incarnation)
@@ -329,7 +315,7 @@
   /** Applies an update of a control daemon. */
   public void update(String source, FleetUpdate update) {
     long now = clock.getAsLong();
-    lastUpdateBySource.put(source, now);
+    usable.recordUpdate(source, now);
     if (update.hasZones()) {
       zones.apply(ZoneOrdersCodec.decode(update.getZones()));
     }
@@ -439,7 +425,7 @@
 
   /** Removes a control daemon that this router no longer follows. */
   public void removeControlDaemon(String source) {
-    lastUpdateBySource.remove(source);
+    usable.removeSource(source);
   }
 
   /** Creates the report of this router to the control daemons. */
