Explain where a request would go without sending it

Change: RouteExplainer asks the classes that decide, copies of those that change when asked; a router answers at an operators' listener with the token check of the control daemons, off unset; 'toucansaddle explain route' prints it, with exit codes 6, 7 and 8. SpeedEstimate no longer writes when it is read, since that changed state in an explanation. RouterListeners takes over the listeners from GatewayRouter. Result: ExplainUsageTest 14 tests, no failures. RouteExplainerTest with nine other classes: 117 tests in the daemon, 23 in coordination, no failures; before the change of SpeedEstimate 4 of 40 failed (state before and after differed in SpeedEstimate.decayedAt only).

--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/CliMain.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/CliMain.java
@@ -5,6 +5,7 @@
 import org.toucansaddle.cli.internal.CliErrors;
 import org.toucansaddle.cli.internal.DocumentCommands;
 import org.toucansaddle.cli.internal.DrainCommand;
+import org.toucansaddle.cli.internal.ExplainCommands;
 import org.toucansaddle.cli.internal.StatusCommand;
 import org.toucansaddle.cli.internal.UpstreamsCommand;
 import org.toucansaddle.cli.internal.ZoneCommands;
@@ -24,6 +25,7 @@
       UpstreamsCommand.class,
       DocumentCommands.class,
       ZoneCommands.class,
+      ExplainCommands.class,
       StatusCommand.class,
       DrainCommand.class,
       AutoComplete.GenerateCompletion.class
@@ -31,7 +33,8 @@
     footer = {
       "",
       "Exit codes: 0 success, 1 failure or unavailable, 2 invalid usage, 3 conflicting change,",
-      "4 not found, 5 accepted but not yet in force at every live router.",
+      "4 not found, 5 accepted but not yet in force at every live router,",
+      "6 no route of the host and path, 7 unknown client account, 8 no router answered.",
       "",
       "Examples:",
       "  toucansaddle --admin 127.0.0.1:7201 --token-file token class list",
--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/AdminClient.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/AdminClient.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletionException;
+import java.util.function.BiFunction;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
 import org.toucansaddle.http.HttpRequest;
@@ -54,6 +55,11 @@
     return sendWithRetry(method, path, JSON.createObjectNode().put(field, text));
   }
 
+  /** Asks a router, which changes nothing. */
+  JsonNode askRouter(String path, ObjectNode body) {
+    return sendWithRetry("POST", path, body, CliErrors::noRouterResponded);
+  }
+
   JsonNode post(String path) {
     return send("POST", path);
   }
@@ -64,6 +70,14 @@
   }
 
   private JsonNode sendWithRetry(String method, String path, ObjectNode body) {
+    return sendWithRetry(method, path, body, CliErrors::noDaemonResponded);
+  }
+
+  private JsonNode sendWithRetry(
+      String method,
+      String path,
+      ObjectNode body,
+      BiFunction<String, String, CliException> unanswered) {
     String lastError = "";
     for (int round = 0; round < MAX_ROUNDS; round++) {
       for (String address : addresses) {
@@ -79,7 +93,7 @@
       }
       sleep();
     }
-    throw CliErrors.noDaemonResponded(String.join(",", addresses), lastError);
+    throw unanswered.apply(String.join(",", addresses), lastError);
   }
 
   private HttpResponse sendOnce(String address, String method, String path, ObjectNode body) {
@@ -92,7 +106,8 @@
 
   private static JsonNode parseSuccess(HttpResponse response) {
     if (response.status() >= 400) {
-      throw CliErrors.requestFailed(response.status(), errorDetail(response));
+      String type = parse(response).path("title").asText("");
+      throw CliErrors.requestFailed(response.status(), type, errorDetail(response));
     }
     return parse(response);
   }
--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/CliErrors.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/CliErrors.java
@@ -10,6 +10,9 @@
   static final int EXIT_CONFLICT = 3;
   static final int EXIT_NOT_FOUND = 4;
   static final int EXIT_NOT_IN_FORCE = 5;
+  static final int EXIT_NO_ROUTE = 6;
+  static final int EXIT_UNKNOWN_ACCOUNT = 7;
+  static final int EXIT_NO_ROUTER = 8;
 
   private CliErrors() {}
 
@@ -29,6 +32,29 @@
             + "). Specify other addresses with --admin HOST:PORT.");
   }
 
+  static CliException noRouterResponded(String addresses, String reason) {
+    return new CliException(
+        EXIT_NO_ROUTER,
+        ("No router answered at %s (%s). Specify the operators' address of a router with"
+                + " --admin HOST:PORT; its settings name it, and routers have none by default.")
+            .formatted(addresses, reason));
+  }
+
+  static CliException invalidPrefix(String text) {
+    return new CliException(
+        EXIT_USAGE,
+        "'" + text + "' is not a part of a prompt. Use ID:TOKENS, such as session-7:1200.");
+  }
+
+  /** Returns the error of a request that was answered; {@code type} is its short name. */
+  static CliException requestFailed(int httpStatus, String type, String detail) {
+    return switch (type) {
+      case "no-route" -> new CliException(EXIT_NO_ROUTE, detail);
+      case "unknown-account" -> new CliException(EXIT_UNKNOWN_ACCOUNT, detail);
+      default -> requestFailed(httpStatus, detail);
+    };
+  }
+
   static CliException requestFailed(int httpStatus, String detail) {
     int exitCode =
         switch (httpStatus) {
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/SpeedEstimate.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/SpeedEstimate.java
@@ -60,20 +60,18 @@
 
   /** Returns the sums of recent times. */
   public synchronized Sums sums(long nowNanos) {
-    decay(nowNanos);
-    return new Sums(observed, nominal);
+    double kept = keptPart(nowNanos);
+    return new Sums(kept * observed, kept * nominal);
   }
 
   private void decay(long nowNanos) {
-    long nanos = nowNanos - decayedAt;
-    if (nominal > 0 && nanos <= 0) {
-      return;
-    }
-    if (nominal > 0) {
-      double kept = Math.exp(-nanos / DECAY_NANOS);
-      observed *= kept;
-      nominal *= kept;
-    }
-    decayedAt = nowNanos;
+    double kept = keptPart(nowNanos);
+    observed *= kept;
+    nominal *= kept;
+    decayedAt = nominal > 0 && nowNanos - decayedAt < 0 ? decayedAt : nowNanos;
+  }
+
+  private double keptPart(long nowNanos) {
+    return nominal > 0 ? Math.exp(-Math.max(0, nowNanos - decayedAt) / DECAY_NANOS) : 1;
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/gateway/GatewaySettings.java
@@ -73,6 +73,7 @@
    * @param placement who decides which engine a request goes to
    * @param pacing whether upstreams that have started or recovered get requests at a pace that
    *     follows from how they answer
+   * @param operators listener where operators ask where requests would go; empty to disable
    */
   public record RouterSettings(
       String callerAddress,
@@ -87,7 +88,68 @@
       int retryWindowMillis,
       int graceMillis,
       PlacementMode placement,
-      boolean pacing) {}
+      boolean pacing,
+      Optional<OperatorAccess> operators) {
+
+    /** Creates settings of a router that operators cannot ask. */
+    public RouterSettings(
+        String callerAddress,
+        Optional<String> readinessAddress,
+        String readinessPath,
+        Optional<String> metricsAddress,
+        int ioThreads,
+        int maxDescriptors,
+        int reportTimeoutMillis,
+        double retryRatio,
+        int retrySlack,
+        int retryWindowMillis,
+        int graceMillis,
+        PlacementMode placement,
+        boolean pacing) {
+      this(
+          callerAddress,
+          readinessAddress,
+          readinessPath,
+          metricsAddress,
+          ioThreads,
+          maxDescriptors,
+          reportTimeoutMillis,
+          retryRatio,
+          retrySlack,
+          retryWindowMillis,
+          graceMillis,
+          placement,
+          pacing,
+          Optional.empty());
+    }
+
+    /** Returns a copy of these settings with a listener for operators. */
+    public RouterSettings withOperators(OperatorAccess access) {
+      return new RouterSettings(
+          callerAddress,
+          readinessAddress,
+          readinessPath,
+          metricsAddress,
+          ioThreads,
+          maxDescriptors,
+          reportTimeoutMillis,
+          retryRatio,
+          retrySlack,
+          retryWindowMillis,
+          graceMillis,
+          placement,
+          pacing,
+          Optional.of(access));
+    }
+  }
+
+  /**
+   * Listener of a daemon for operators. Immutable.
+   *
+   * @param address host and port
+   * @param tokenDigest SHA-256 digest of the operators' token, in hexadecimal
+   */
+  public record OperatorAccess(String address, String tokenDigest) {}
 
   /**
    * Settings of a control daemon. Immutable.
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ConnectionLoad.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/ConnectionLoad.java
@@ -81,7 +81,7 @@
           "{} new connections closed, since {} waited at an I/O thread or {} were open;"
               + " add routers",
           rejected - loggedRejections,
-          GatewayRouter.MAX_ARRIVED_CONNECTIONS,
+          RouterListeners.MAX_ARRIVED_CONNECTIONS,
           budget.maxOpen());
       loggedRejections = rejected;
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -1,13 +1,10 @@
 package org.toucansaddle.daemon.internal.gateway;
 
 import io.undertow.Handlers;
-import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,15 +34,14 @@
 import org.toucansaddle.daemon.internal.gateway.relay.IoLag;
 import org.toucansaddle.daemon.internal.gateway.relay.RelayContext;
 import org.toucansaddle.daemon.internal.gateway.relay.RelayMetrics;
+import org.toucansaddle.daemon.internal.gateway.relay.RouteExplainer;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector;
 import org.toucansaddle.daemon.internal.gateway.routing.ControlFollower;
 import org.toucansaddle.daemon.internal.gateway.routing.ReportedRouters;
 import org.toucansaddle.daemon.internal.gateway.routing.RouterState;
-import org.toucansaddle.http.RequestBody;
 import org.toucansaddle.protocol.GatewayMethods;
 import org.toucansaddle.protocol.generated.FindOriginReply;
 import org.toucansaddle.protocol.generated.FindOriginRequest;
-import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
 /**
@@ -84,12 +80,6 @@
    */
   private static final double MAX_CALLER_DESCRIPTOR_FRACTION = 0.4;
 
-  /** Connections for readiness and metrics at each of their addresses. */
-  private static final int MAX_SERVICE_CONNECTIONS = 64;
-
-  /** New connections that may wait at an I/O thread. */
-  static final int MAX_ARRIVED_CONNECTIONS = 1_000;
-
   private static final int LOAD_LOG_MILLIS = 1_000;
   private static final int READINESS_MILLIS = 250;
 
@@ -102,23 +92,6 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private static final int BUFFER_BYTES = 16 * 1024;
-  private static final int MAX_HEADER_BYTES = 64 * 1024;
-  private static final int MAX_HEADERS = 200;
-  private static final int NO_REQUEST_TIMEOUT_MILLIS = 60_000;
-
-  private static final OptionMap HTTP_OPTIONS =
-      OptionMap.builder()
-          .set(UndertowOptions.DECODE_URL, false)
-          .set(UndertowOptions.ALWAYS_SET_DATE, false)
-          .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-          .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-          .set(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
-          .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-          .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-          .set(UndertowOptions.MAX_ENTITY_SIZE, RequestBody.SERVER_MAX_BYTES)
-          .getMap();
-
   private final RouterSettings settings;
   private final GatewayPeers peers;
   private final RouterState state;
@@ -174,7 +147,7 @@
             follower::addresses,
             peers.controlExecutor());
     this.worker = IoThreads.start(router.ioThreads());
-    ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
+    ByteBufferPool buffers = RouterListeners.buffers();
     this.connections =
         new CallerConnections(maxCallerConnections(router.maxDescriptors()), System::nanoTime);
     this.connectionLoad = new ConnectionLoad(listeners, connections.budget());
@@ -195,7 +168,8 @@
             settings.regions());
     this.connectOutcomes = context.connectOutcomes();
     this.handler = new GatewayHandler(context);
-    this.callerListener = startServers(buffers);
+    RouteExplainer explainer = new RouteExplainer(context, settings.name());
+    this.callerListener = startServers(new RouterListeners(worker, buffers), explainer);
     this.lagMonitor = new IoLagMonitor(ioLag, System::nanoTime, worker);
     state.quarantine().onStrike(this::reportAtOnce);
     state.onLeaving(this::reportAtOnce);
@@ -347,16 +321,20 @@
   }
 
   /** Starts all listeners and returns that of callers. */
-  private PacedHttpListener startServers(ByteBufferPool buffers) throws IOException {
+  private PacedHttpListener startServers(RouterListeners starter, RouteExplainer explainer)
+      throws IOException {
     HttpHandler readiness =
         Handlers.path().addExactPath(settings.readinessPath(), this::handleReadiness);
     if (settings.metricsAddress().isPresent()) {
       HttpHandler handlesMetrics = exchange -> exchange.getResponseSender().send(metrics());
-      listeners.add(listenForService(settings.metricsAddress().get(), handlesMetrics, buffers));
+      listeners.add(starter.listen(settings.metricsAddress().get(), handlesMetrics));
     }
     boolean isCombined = settings.readinessAddress().isEmpty();
     if (!isCombined) {
-      listeners.add(listenForService(settings.readinessAddress().get(), readiness, buffers));
+      listeners.add(starter.listen(settings.readinessAddress().get(), readiness));
+    }
+    if (settings.operators().isPresent()) {
+      listeners.add(starter.listenForOperators(settings.operators().get(), explainer::explain));
     }
     HttpHandler root =
         isCombined
@@ -364,7 +342,7 @@
             : handler;
     BooleanSupplier refusesAll = isCombined ? () -> false : this::refusesConnections;
     PacedHttpListener ofCallers =
-        listen(settings.callerAddress(), root, buffers, connections, refusesAll);
+        starter.listen(settings.callerAddress(), root, connections, refusesAll);
     listeners.add(ofCallers);
     return ofCallers;
   }
@@ -374,35 +352,6 @@
     return refusingConnections || !state.isInitialized();
   }
 
-  /** Listens with a budget of its own, so that checks are answered whatever callers do. */
-  private PacedHttpListener listenForService(
-      String address, HttpHandler rootHandler, ByteBufferPool buffers) throws IOException {
-    CallerConnections own = new CallerConnections(MAX_SERVICE_CONNECTIONS, System::nanoTime);
-    return listen(address, rootHandler, buffers, own, () -> false);
-  }
-
-  private PacedHttpListener listen(
-      String address,
-      HttpHandler rootHandler,
-      ByteBufferPool buffers,
-      CallerConnections bounds,
-      BooleanSupplier refusesAll)
-      throws IOException {
-    int colon = address.lastIndexOf(':');
-    InetSocketAddress bound =
-        new InetSocketAddress(
-            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    return new PacedHttpListener(
-        bound,
-        rootHandler,
-        worker,
-        buffers,
-        HTTP_OPTIONS,
-        MAX_ARRIVED_CONNECTIONS,
-        bounds,
-        refusesAll);
-  }
-
   private void handleReadiness(HttpServerExchange exchange) {
     exchange.setStatusCode(isReady() ? 200 : 503);
     exchange.endExchange();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -4,6 +4,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.toucansaddle.coordination.zones.AllowedRegions;
+import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.origin.StreamOrigin;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.AccountState;
@@ -138,6 +139,15 @@
     return notRun("origin-gone", detail, 0);
   }
 
+  static ErrorResponse noUpstream() {
+    return notRun("no-upstream", "No upstream of the service is ready.", 500);
+  }
+
+  static ErrorResponse upstreamsBusy(Route route) {
+    long retryAfterMillis = RetryAfter.randomDelayMillis(route.targetMillis());
+    return notRun("upstreams-busy", "All upstreams are busy.", retryAfterMillis);
+  }
+
   static ErrorResponse upstreamsTakeNoMore(long retryAfterMillis) {
     String detail = "The upstreams get as many requests as they say that they take, or pause.";
     return notRun("upstreams-limited", detail, retryAfterMillis);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -113,7 +113,7 @@
     return value == null ? "" : value.trim();
   }
 
-  private static String hostOf(String header) {
+  static String hostOf(String header) {
     int colon = header.lastIndexOf(':');
     String host = colon > header.lastIndexOf(']') ? header.substring(0, colon) : header;
     return host.toLowerCase(Locale.ROOT);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -195,6 +195,12 @@
     return estimators.computeIfAbsent(service, name -> new FirstTokenEstimator());
   }
 
+  /** Returns the estimator of a service, or one without samples that nobody else uses. */
+  FirstTokenEstimator currentEstimator(String service) {
+    FirstTokenEstimator current = estimators.get(service);
+    return current == null ? new FirstTokenEstimator() : current;
+  }
+
   ServiceThrottle throttle(String service) {
     return throttles.computeIfAbsent(service, name -> new ServiceThrottle(nanoClock));
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -31,8 +31,7 @@
 
   private static final String CALLER_GONE = "caller-gone";
 
-  private static final ErrorResponse NO_UPSTREAM =
-      ErrorResponse.notRun("no-upstream", "No upstream of the service is ready.", 500);
+  private static final ErrorResponse NO_UPSTREAM = ErrorResponse.noUpstream();
 
   private enum Phase {
     NOT_SENT,
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -181,7 +181,8 @@
                 .state()
                 .usableUpstreams(service, route.isRepeatable(), this::isAllowed)
                 .size();
-    return EngineProfile.of(view, service, count, context.estimator(service), context.nowNanos());
+    return EngineProfile.of(
+        view, service, count, context.currentEstimator(service), context.nowNanos());
   }
 
   /** Returns whether no caller that was asked to return is due before this one. */
@@ -241,8 +242,7 @@
   /** Returns the response to a call that none of the usable upstreams takes now. */
   ErrorResponse refuseForLoad(List<Upstream> usable) {
     if (!areScarce(usable)) {
-      long delayMillis = RetryAfter.randomDelayMillis(route.targetMillis());
-      return ErrorResponse.notRun("upstreams-busy", "All upstreams are busy.", delayMillis);
+      return ErrorResponse.upstreamsBusy(route);
     }
     long delayMillis =
         context
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/LocalGateway.java
@@ -30,6 +30,7 @@
 import org.toucansaddle.daemon.gateway.GatewayAdmin;
 import org.toucansaddle.daemon.gateway.GatewaySettings;
 import org.toucansaddle.daemon.gateway.GatewaySettings.ControlSettings;
+import org.toucansaddle.daemon.gateway.GatewaySettings.OperatorAccess;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
 import org.toucansaddle.daemon.gateway.HeaderNames;
 import org.toucansaddle.daemon.gateway.PlacementMode;
@@ -54,6 +55,7 @@
 
   static final String HOST = "h.example";
   static final String API_KEY = "key-of-captain";
+  static final String OPERATOR_TOKEN = "token-of-operators";
 
   /** Target of all routes. */
   static final int TARGET_MILLIS = 1_000;
@@ -76,6 +78,7 @@
   private final List<ControlGateway> controls = new CopyOnWriteArrayList<>();
   private final List<RouterGateway> routers = new ArrayList<>();
   private final List<String> callerAddresses = new ArrayList<>();
+  private final List<String> operatorAddresses = new ArrayList<>();
   private final AtomicInteger requests = new AtomicInteger();
   private boolean controlsOpen = true;
 
@@ -98,6 +101,7 @@
     }
     for (int index = 0; index < routerCount; index++) {
       callerAddresses.add(allocateAddress());
+      operatorAddresses.add(allocateAddress());
       routers.add(startRouter(index));
     }
   }
@@ -124,7 +128,10 @@
   private RouterGateway startRouter(int index) throws IOException {
     return RouterGateway.start(
         settings("router" + index, allocateAddress()),
-        routerSettings(callerAddresses.get(index), MAX_DESCRIPTORS));
+        routerSettings(callerAddresses.get(index), MAX_DESCRIPTORS)
+            .withOperators(
+                new OperatorAccess(
+                    operatorAddresses.get(index), LocalFleet.digest(OPERATOR_TOKEN))));
   }
 
   /** Returns an unused address on loopback. */
@@ -321,6 +328,10 @@
         .withHeader("X-Api-Key", API_KEY);
   }
 
+  String operatorAddress(int router) {
+    return operatorAddresses.get(router);
+  }
+
   String callerAddress(int router) {
     return callerAddresses.get(router);
   }
