--- a/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/ExplanationText.java
+++ b/toucansaddle-cli/src/main/java/org/toucansaddle/cli/internal/ExplanationText.java
@@ -66,8 +66,8 @@
         refusal.isEmpty() ? "" : ": " + refusal + ", " + text(admission, "detail"));
     JsonNode usage = admission.path("usage");
     add(
-        "  engines %s used%s; account demands %.0f tokens, got %.0f of a share of %s; others told"
-            + " %s ago",
+        "  engines %s used%s; account demands %.0f tokens, got %.0f, share %s; age of others'"
+            + " use %s",
         percent(usage, "utilisation"),
         usage.path("pool_full").asBoolean() ? " and full" : "",
         usage.path("demanded_tokens").asDouble(),
@@ -96,8 +96,8 @@
     JsonNode ages = upstream.path("ages");
     String obstacle = text(upstream, "obstacle");
     add(
-        "  upstream %s in %s: %s; %s requests of %s slots, pace %s, pause %s, warm-up %s,"
-            + " limit %s/s; report %s, load %s, limit %s old",
+        "  upstream %s in zone %s: %s; %s requests of %s slots, pace %s, pause %s, warm-up %s,"
+            + " limit per second %s; ages: report %s, load %s, limit %s",
         text(upstream, "id"),
         orNone(text(upstream, "zone")),
         obstacle.isEmpty() ? "may be drawn" : "no, " + obstacle + ": " + text(upstream, "detail"),
@@ -141,6 +141,6 @@
 
   private static String bound(JsonNode node, String field) {
     double value = node.path(field).asDouble(-1);
-    return value < 0 ? "without bound" : String.format(Locale.ROOT, "%.1f", value);
+    return value < 0 ? "unbounded" : String.format(Locale.ROOT, "%.1f", value);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -68,8 +68,7 @@
    * @param account client account; empty if the request has none
    */
   synchronized boolean admits(String account, Collection<Upstream> upstreams) {
-    double part = partOf(account, upstreams);
-    return isOpen() || random.getAsDouble() < part;
+    return draws(partOf(account, upstreams));
   }
 
   /** Records a request and returns the part of such requests that is admitted. */
@@ -80,8 +79,8 @@
     return partOf(account, requests, slots);
   }
 
-  private boolean isOpen() {
-    return admitted >= 1;
+  private boolean draws(double part) {
+    return admitted >= 1 || random.getAsDouble() < part;
   }
 
   /**
@@ -92,8 +91,7 @@
    * @param slots requests that these upstreams run at the same time
    */
   synchronized boolean admits(String account, int requests, int slots) {
-    double part = partOf(account, requests, slots);
-    return isOpen() || random.getAsDouble() < part;
+    return draws(partOf(account, requests, slots));
   }
 
   private double partOf(String account, int requests, int slots) {
