--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -1,7 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway;
 
 import io.undertow.Handlers;
-import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
@@ -147,7 +146,7 @@
             follower::addresses,
             peers.controlExecutor());
     this.worker = IoThreads.start(router.ioThreads());
-    ByteBufferPool buffers = RouterListeners.buffers();
+    RouterListeners starter = new RouterListeners(worker);
     this.connections =
         new CallerConnections(maxCallerConnections(router.maxDescriptors()), System::nanoTime);
     this.connectionLoad = new ConnectionLoad(listeners, connections.budget());
@@ -159,7 +158,7 @@
             metrics,
             router,
             System::nanoTime,
-            buffers,
+            starter.buffers(),
             draining::get,
             connections,
             ioLag,
@@ -168,8 +167,7 @@
             settings.regions());
     this.connectOutcomes = context.connectOutcomes();
     this.handler = new GatewayHandler(context);
-    RouteExplainer explainer = new RouteExplainer(context, settings.name());
-    this.callerListener = startServers(new RouterListeners(worker, buffers), explainer);
+    this.callerListener = startServers(starter, new RouteExplainer(context, settings.name()));
     this.lagMonitor = new IoLagMonitor(ioLag, System::nanoTime, worker);
     state.quarantine().onStrike(this::reportAtOnce);
     state.onLeaving(this::reportAtOnce);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/RouterListeners.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/RouterListeners.java
@@ -18,7 +18,7 @@
 import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
-/** Starts the HTTP listeners of a router. Immutable and thread-safe. */
+/** Starts the HTTP listeners of a router, which share a pool of buffers. Thread-safe. */
 final class RouterListeners {
 
   /** Connections for readiness, metrics and operators at each of their addresses. */
@@ -45,17 +45,16 @@
           .getMap();
 
   private final XnioWorker worker;
-  private final ByteBufferPool buffers;
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
 
-  /** Creates an object whose listeners share a worker and a pool. */
-  RouterListeners(XnioWorker worker, ByteBufferPool buffers) {
+  /** Creates an object whose listeners share a worker and a pool of buffers. */
+  RouterListeners(XnioWorker worker) {
     this.worker = worker;
-    this.buffers = buffers;
   }
 
-  /** Returns a pool of buffers for the connections of a router. */
-  static ByteBufferPool buffers() {
-    return new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
+  /** Returns the buffers for the connections of the router. */
+  ByteBufferPool buffers() {
+    return buffers;
   }
 
   /**
