--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -54,6 +53,7 @@
   private final PacedUpstreams paced;
   private final ColdStart coldStart;
   private final ZonesInService zones;
+  private final UsableUpstreams usable;
   private final AccountShares shares;
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
@@ -103,6 +103,7 @@
         new ColdStart(
             this::view, clock, upstream -> updateTimes.isSilent(upstream, clock.getAsLong()));
     this.zones = new ZonesInService(upstreams, clock);
+    this.usable = new UsableUpstreams(upstreams, zones, clock, updateTimes);
   }
 
   /** Returns the configuration in force; empty until a quorum has confirmed one. */
@@ -179,6 +180,11 @@
    * @param nominal what they process without limits
    */
   public double tokensPerSecond(String service, double nominal) {
+    return tokensPerSecond(service, nominal, shares);
+  }
+
+  /** Returns the same with the mean size of requests by a copy of the shares. */
+  public double tokensPerSecond(String service, double nominal, AccountShares shares) {
     List<Upstream> ready = upstreams.ready(service);
     if (ready.stream().noneMatch(upstream -> upstream.limit().isNamed())) {
       return nominal;
@@ -252,18 +258,12 @@
    */
   public List<Upstream> usableUpstreams(
       String service, boolean repeatable, Predicate<Upstream> condition) {
-    long now = clock.getAsLong();
-    long reportedAfter = updateTimes.reportDeadline(now);
-    List<Upstream> reached = new ArrayList<>();
-    for (Upstream upstream : upstreams.ready(service)) {
-      if (upstream.isUsable(now)
-          && upstream.hasReportedAfter(reportedAfter)
-          && zones.isInService(upstream)
-          && condition.test(upstream)) {
-        reached.add(upstream);
-      }
-    }
-    return UpstreamHealth.preferred(reached, repeatable, now);
+    return usable.find(service, repeatable, condition);
+  }
+
+  /** Returns which upstreams may be used, and why the others may not. */
+  public UsableUpstreams usable() {
+    return usable;
   }
 
   /** Records that an upstream refused a connection: unless it announced its end, it crashed. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpdateTimes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpdateTimes.java
@@ -36,6 +36,14 @@
     lastBySource.remove(source);
   }
 
+  /** Returns the time since the latest update, in milliseconds; -1 without one. */
+  long ageMillis(long nowNanos) {
+    return lastBySource.values().stream()
+        .reduce(Math::max)
+        .map(latest -> TimeUnit.NANOSECONDS.toMillis(nowNanos - latest))
+        .orElse(-1L);
+  }
+
   /**
    * Returns the time after which an upstream must have reported: the time limit before the latest
    * update of a followed control daemon, or before now if none is followed.
