Divide the pace of an upstream by callers, and begin it at part of its slots

Cause: a pace was divided equally among all routers. Where few of them have callers for a service, most of the pace of a new upstream lay idle, and a fixed beginning of 4 needed rounds for a large one.

Change: a router's part is its part of the requests under way at the service (Load.byTraffic), at most eight times an equal one, and an equal one where nothing is known of the others. A pace begins at a quarter of the slots, at least 4; it goes beyond three quarters only after two rounds without a halving, and ends there after three.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -23,9 +23,15 @@
  */
 public final class UpstreamPace {
 
-  /** Requests under way at an upstream that has just started. */
+  /** Requests under way at an upstream that has just started, at least. */
   public static final double INITIAL_PACE = 4;
 
+  /** Part of the slots of an upstream that has just started which are used at once. */
+  private static final double INITIAL_PART = 0.25;
+
+  /** Part of the slots from which an upstream is established. */
+  private static final double ENDING_PART = 0.75;
+
   /** Requests under way at an upstream after a failure. */
   public static final double RECOVERY_PACE = 1;
 
@@ -35,6 +41,9 @@
   /** Time in which the results of a pace are known to all routers. */
   public static final long ROUND_TRIP_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** Time without a halving after which a pace near the slots ends. */
+  private static final long EARLY_END_NANOS = 3 * ROUND_TRIP_NANOS;
+
   /** Time for which the same routers may send; the counts of the others are no older. */
   public static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -74,9 +83,32 @@
    *
    * @param own requests of this router
    * @param all requests of all routers, as far as known
-   * @param routers number of routers
+   * @param routers number of routers that send as much to the service as this one, if they sent all
+   *     that it gets; the number of routers if nothing is known of that
    */
-  public record Load(int own, int all, int routers) {}
+  public record Load(int own, int all, double routers) {
+
+    /** Weight of a router without requests, in requests; it may get one at any time. */
+    private static final double IDLE_WEIGHT = 0.25;
+
+    /** Largest part of a pace, as a multiple of an equal part; counts may be out of date. */
+    private static final double MAX_MULTIPLE = 8;
+
+    /**
+     * Returns a load at which each router has the part of a pace that it has of the requests under
+     * way at the service. The parts of all routers add up to one if they see the same counts.
+     *
+     * @param serviceOwn requests of this router at all upstreams of the service
+     * @param serviceAll requests of all routers there, as far as known
+     */
+    public static Load byTraffic(int own, int all, int serviceOwn, int serviceAll, int routers) {
+      if (serviceAll <= serviceOwn) {
+        return new Load(own, all, routers);
+      }
+      double like = (serviceAll + IDLE_WEIGHT * routers) / (serviceOwn + IDLE_WEIGHT);
+      return new Load(own, all, Math.max(1, Math.max(routers / MAX_MULTIPLE, like)));
+    }
+  }
 
   /**
    * Results of requests since the pace began. Immutable.
@@ -138,13 +170,18 @@
   }
 
   /** Begins the pace of an upstream that has just started. */
-  public synchronized void begin(long nowNanos) {
+  public synchronized void begin(int slots, long nowNanos) {
     if (enabled && !active) {
       isNewStart = true;
-      activate(INITIAL_PACE, nowNanos);
+      activate(Math.max(INITIAL_PACE, INITIAL_PART * slots), nowNanos);
     }
   }
 
+  /** Begins the pace of an upstream that has just started, at the least pace of such a one. */
+  public synchronized void begin(long nowNanos) {
+    begin(0, nowNanos);
+  }
+
   /** Records a failure of the upstream: begins a pace unless there is one. */
   public synchronized void restart(long nowNanos) {
     if (enabled && !active) {
@@ -209,7 +246,7 @@
   }
 
   /** A failure that only this router has seen restricts only this router. */
-  private int sharing(int routers, long now) {
+  private double sharing(double routers, long now) {
     boolean isRecentStart = isNewStart && now - begunAt < OTHERS_VALID_NANOS;
     return isRecentStart || areOthersPacing(now) ? Math.max(1, routers) : 1;
   }
@@ -304,11 +341,11 @@
     }
     int repaid = Math.min(debt, requests);
     debt -= repaid;
-    double bound = Math.min(slots, boundOfRound(now));
+    double bound = Math.min(growthEnd(slots, now), boundOfRound(now));
     for (int i = repaid; i < requests && pace < bound; i++) {
       pace = Math.min(bound, pace + (doubling ? 1 : Math.min(pace, 1 / pace)));
     }
-    if (repaid < requests && pace >= endingPace(slots, routers)) {
+    if (repaid < requests && pace >= endingPace(slots, routers, now)) {
       active = false;
       hasEnded = true;
       endedAt = now;
@@ -316,10 +353,18 @@
     }
   }
 
-  /** What one router alone has seen is over once it has its part; else all slots have to be. */
-  private double endingPace(int slots, int routers) {
+  /** What one router alone has seen is over once it has its part; else most slots have to be. */
+  private double endingPace(int slots, int routers, long now) {
     double part = Math.max(INITIAL_PACE, (double) slots / Math.max(1, routers));
-    return isShared ? slots : Math.min(slots, part);
+    double shared = now - cutAt >= EARLY_END_NANOS ? ENDING_PART * slots : slots;
+    return isShared ? shared : Math.min(slots, part);
+  }
+
+  /** The last step to all slots waits for the answers at most of them. */
+  private double growthEnd(int slots, long now) {
+    boolean hasAnswers = !isShared || now - cutAt >= 2 * ROUND_TRIP_NANOS;
+    double part = Math.max(INITIAL_PACE, ENDING_PART * slots);
+    return hasAnswers ? slots : Math.min(slots, part);
   }
 
   /** A pace at most doubles before its results are known. */
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedUpstreamPatternsTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedUpstreamPatternsTest.java
@@ -151,4 +151,28 @@
       assertThat(sent).as("sent in 10 s, seed %d", seed).isGreaterThanOrEqualTo(atLeast);
     }
   }
+
+  /** Routers with callers, of 60. */
+  @DataProvider
+  public Object[][] senders() {
+    return new Object[][] {{ROUTERS}, {20}, {6}, {2}};
+  }
+
+  /** Guards against a good upstream that is left idle, as routers without callers have its pace. */
+  @Test(dataProvider = "senders")
+  public void shouldUseGoodUpstreamWithinThreeSecondsWithoutFlood(int senders) {
+    for (long seed = 1; seed <= 5; seed++) {
+      PacedFleet fleet = new PacedFleet(ROUTERS, senders, capable(10_000), Faults.NONE, seed);
+      List<Sample> first = List.copyOf(fleet.runUntil(1_000));
+      fleet.runUntil(3_000);
+      List<Sample> samples = fleet.runUntil(5_000);
+
+      assertThat(first.stream().mapToInt(Sample::underWay).max().orElseThrow())
+          .as("most under way in the first second, seed %d", seed)
+          .isLessThanOrEqualTo(PacedFleet.SLOTS);
+      assertThat(samples.stream().mapToInt(Sample::underWay).average().orElseThrow())
+          .as("mean under way from 3 to 5 s, seed %d", seed)
+          .isGreaterThan(PacedFleet.SLOTS / 2.0);
+    }
+  }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
@@ -1,6 +1,9 @@
 package org.toucansaddle.daemon.internal.gateway.routing;
 
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -15,6 +18,13 @@
  */
 public final class PacedUpstreams {
 
+  /** Age from which the counts of a service are taken anew; counts of others are older. */
+  private static final long MAX_TRAFFIC_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  /** Requests under way at a service, of this router and of all. Immutable. */
+  private record Traffic(int own, int all, long atNanos) {}
+
+  private final Map<String, Traffic> traffics = new ConcurrentHashMap<>();
   private final UpstreamTable upstreams;
   private final IntSupplier routers;
   private final LongSupplier clock;
@@ -34,7 +44,14 @@
       return true;
     }
     long now = clock.getAsLong();
-    Load load = new Load(upstream.localRequests(), upstream.requests(now), routers.getAsInt());
+    Traffic traffic = traffic(upstream.report().service(), now);
+    Load load =
+        Load.byTraffic(
+            upstream.localRequests(),
+            upstream.requests(now),
+            traffic.own(),
+            traffic.all(),
+            routers.getAsInt());
     boolean admitted = pace.admits(load, repeatable, now);
     if (!admitted) {
       passedOver.incrementAndGet();
@@ -42,6 +59,21 @@
     return admitted;
   }
 
+  private Traffic traffic(String service, long now) {
+    return traffics.compute(
+        service,
+        (name, known) ->
+            known != null && now - known.atNanos() < MAX_TRAFFIC_AGE_NANOS
+                ? known
+                : countTraffic(upstreams.ready(name), now));
+  }
+
+  private static Traffic countTraffic(List<Upstream> ready, long now) {
+    int own = ready.stream().mapToInt(Upstream::localRequests).sum();
+    int all = ready.stream().mapToInt(upstream -> upstream.requests(now)).sum();
+    return new Traffic(own, all, now);
+  }
+
   private boolean isRestricted(String service) {
     List<Upstream> ready = upstreams.ready(service);
     long paced = ready.stream().filter(upstream -> upstream.pace().isActive()).count();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpstreamTable.java
@@ -66,7 +66,7 @@
         UpstreamPace.established(
             ThreadLocalRandom.current().nextLong(), new PaceLog(report.id()), nowNanos);
     if (pacesNewStarts) {
-      pace.begin(nowNanos);
+      pace.begin(report.slots(), nowNanos);
     }
     return pace;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInService.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ZonesInService.java
@@ -36,7 +36,7 @@
         .forEach(
             upstream -> {
               upstream.warmUp().doubt(now);
-              upstream.pace().begin(now);
+              upstream.pace().begin(upstream.report().slots(), now);
             });
     orders = newer;
     LOG.info("zones out of service: {}, revision {}", newer.outOfService(), newer.revision());
