Keep the traffic of a service as it is in explanations

Cause: an explanation asked the pace of an upstream by the path of requests, which renews the counts of the service once they are old, so RouteExplainerTest.shouldChangeNothing failed (2 of 14). The counts were also taken under the lock of the map.

Change: explanations ask wouldAdmit, which counts anew and keeps nothing. The counts are read without a lock; two threads may count at once.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -196,7 +196,11 @@
 
   /** Returns whether an upstream takes a request of this router now, as far as it has said. */
   boolean takesRequest(Upstream upstream) {
-    Optional<Obstacle> obstacle = heldBack(upstream, upstream.limit());
+    Optional<Obstacle> obstacle =
+        heldBack(
+            upstream,
+            upstream.limit(),
+            u -> context.state().paced().isAdmitted(u, route.isRepeatable()));
     if (obstacle.isPresent()) {
       recordHeldBack(upstream, obstacle.get());
     }
@@ -204,11 +208,15 @@
   }
 
   private Optional<Obstacle> heldBack(Upstream upstream) {
-    return heldBack(upstream, upstream.limit().copy());
+    return heldBack(
+        upstream,
+        upstream.limit().copy(),
+        u -> context.state().paced().wouldAdmit(u, route.isRepeatable()));
   }
 
-  /** Returns why an upstream takes no request of this router; changes at most the limit. */
-  private Optional<Obstacle> heldBack(Upstream upstream, RequestLimit limit) {
+  /** Returns why an upstream takes no request of this router; changes at most its arguments. */
+  private Optional<Obstacle> heldBack(
+      Upstream upstream, RequestLimit limit, Predicate<Upstream> hasPace) {
     long now = context.nowNanos();
     if (!upstream.requestedPause().permits(now, upstream.localRequests())) {
       return Optional.of(Obstacle.PAUSED);
@@ -219,9 +227,7 @@
     if (!context.state().coldStart().isPermitted(upstream)) {
       return Optional.of(Obstacle.COLD);
     }
-    return context.state().paced().isAdmitted(upstream, route.isRepeatable())
-        ? Optional.empty()
-        : Optional.of(Obstacle.PACED);
+    return hasPace.test(upstream) ? Optional.empty() : Optional.of(Obstacle.PACED);
   }
 
   private void recordHeldBack(Upstream upstream, Obstacle obstacle) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
@@ -24,6 +24,11 @@
   /** Requests under way at a service, of this router and of all. Immutable. */
   private record Traffic(int own, int all, long atNanos) {}
 
+  /** Returns the traffic of a service at a time. */
+  private interface TrafficSource {
+    Traffic at(String service, long nowNanos);
+  }
+
   private final Map<String, Traffic> traffics = new ConcurrentHashMap<>();
   private final UpstreamTable upstreams;
   private final IntSupplier routers;
@@ -46,14 +51,23 @@
     return admitted;
   }
 
-  /** Returns the same as {@link #mayGetRequest} and counts nothing. */
+  /** Returns the same as {@link #mayGetRequest} without recording that it was passed over. */
   public boolean isAdmitted(Upstream upstream, boolean repeatable) {
+    return isAdmitted(upstream, repeatable, this::traffic);
+  }
+
+  /** Returns the same as {@link #isAdmitted} and changes nothing. */
+  public boolean wouldAdmit(Upstream upstream, boolean repeatable) {
+    return isAdmitted(upstream, repeatable, this::currentTraffic);
+  }
+
+  private boolean isAdmitted(Upstream upstream, boolean repeatable, TrafficSource source) {
     UpstreamPace pace = upstream.pace();
     if (!pace.isActive() || !isRestricted(upstream.report().service())) {
       return true;
     }
     long now = clock.getAsLong();
-    Traffic traffic = traffic(upstream.report().service(), now);
+    Traffic traffic = source.at(upstream.report().service(), now);
     Load load =
         Load.byTraffic(
             upstream.localRequests(),
@@ -70,12 +84,18 @@
   }
 
   private Traffic traffic(String service, long now) {
-    return traffics.compute(
-        service,
-        (name, known) ->
-            known != null && now - known.atNanos() < MAX_TRAFFIC_AGE_NANOS
-                ? known
-                : countTraffic(upstreams.ready(name), now));
+    Traffic current = currentTraffic(service, now);
+    if (current.atNanos() == now) {
+      traffics.put(service, current);
+    }
+    return current;
+  }
+
+  private Traffic currentTraffic(String service, long now) {
+    Traffic known = traffics.get(service);
+    return known != null && now - known.atNanos() < MAX_TRAFFIC_AGE_NANOS
+        ? known
+        : countTraffic(upstreams.ready(service), now);
   }
 
   private static Traffic countTraffic(List<Upstream> ready, long now) {
