Count the requests of upstreams outside the lock of a throttle

Cause: since the throttle can tell a part, the loops over the upstreams ran under its lock, and the part was looked up also while all are admitted.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -67,20 +67,22 @@
    *
    * @param account client account; empty if the request has none
    */
-  synchronized boolean admits(String account, Collection<Upstream> upstreams) {
-    return draws(partOf(account, upstreams));
+  boolean admits(String account, Collection<Upstream> upstreams) {
+    return admits(account, requests(upstreams), slots(upstreams));
   }
 
   /** Records a request and returns the part of such requests that is admitted. */
-  synchronized double partOf(String account, Collection<Upstream> upstreams) {
+  double partOf(String account, Collection<Upstream> upstreams) {
+    return partOf(account, requests(upstreams), slots(upstreams));
+  }
+
+  private int requests(Collection<Upstream> upstreams) {
     long now = clock.getAsLong();
-    int requests = upstreams.stream().mapToInt(upstream -> upstream.requests(now)).sum();
-    int slots = upstreams.stream().mapToInt(upstream -> upstream.report().slots()).sum();
-    return partOf(account, requests, slots);
+    return upstreams.stream().mapToInt(upstream -> upstream.requests(now)).sum();
   }
 
-  private boolean draws(double part) {
-    return admitted >= 1 || random.getAsDouble() < part;
+  private static int slots(Collection<Upstream> upstreams) {
+    return upstreams.stream().mapToInt(upstream -> upstream.report().slots()).sum();
   }
 
   /**
@@ -91,10 +93,11 @@
    * @param slots requests that these upstreams run at the same time
    */
   synchronized boolean admits(String account, int requests, int slots) {
-    return draws(partOf(account, requests, slots));
+    double part = partOf(account, requests, slots);
+    return admitted >= 1 || random.getAsDouble() < part;
   }
 
-  private double partOf(String account, int requests, int slots) {
+  private synchronized double partOf(String account, int requests, int slots) {
     long now = clock.getAsLong();
     double steps = (now - lastStepAt) / (double) STEP_NANOS;
     if (steps >= 1) {
@@ -102,7 +105,7 @@
       adjust(requests / Math.max(1, slots * TARGET_REQUESTS_PER_SLOT), steps);
     }
     parts.record(account);
-    return parts.partOf(account, admitted);
+    return admitted >= 1 ? 1 : parts.partOf(account, admitted);
   }
 
   /** Adjusts the admitted part to a load, as a fraction of the target. */
