Create what a selection needs only when it is needed

Cause: the split of drawing and listing made a selection for each upstream of a plain service, looked up the return schedule for each request, and made an estimator for each request to a service without samples.

Change: selections are made when drawn, the schedule is looked up only if upstreams are scarce, and requests share the estimator of the service again; only explanations use one that nobody keeps.

Result: UpstreamSelectorTest, ReturnScheduleTest and RouteExplainerTest pass.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Shortlist.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/Shortlist.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.IntFunction;
 import java.util.random.RandomGenerator;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 
@@ -13,24 +14,28 @@
  */
 final class Shortlist {
 
-  private final List<Selection> selections;
+  private final IntFunction<Selection> selections;
   private final double[] values;
   private final boolean weighted;
 
-  private Shortlist(List<Selection> selections, double[] values, boolean weighted) {
+  private Shortlist(IntFunction<Selection> selections, double[] values, boolean weighted) {
     this.selections = selections;
     this.values = values;
     this.weighted = weighted;
   }
 
-  /** Returns a list of which one is drawn in proportion to its weight; none if all are 0. */
-  static Shortlist byWeight(List<Selection> selections, double[] weights) {
+  /**
+   * Returns a list of which one is drawn in proportion to its weight; none if all are 0.
+   *
+   * @param selections creates the selection at an index, when it is needed
+   */
+  static Shortlist byWeight(IntFunction<Selection> selections, double[] weights) {
     return new Shortlist(selections, weights, true);
   }
 
   /** Returns a list of which two are drawn and the one of lower cost is taken. */
   static Shortlist bestOfTwo(List<Selection> selections, double[] costs) {
-    return new Shortlist(selections, costs, false);
+    return new Shortlist(selections::get, costs, false);
   }
 
   /**
@@ -46,13 +51,13 @@
       double sum = sum();
       return sum <= 0
           ? Optional.empty()
-          : Optional.of(selections.get(indexAt(random.nextDouble(sum))));
+          : Optional.of(selections.apply(indexAt(random.nextDouble(sum))));
     }
-    if (selections.isEmpty()) {
+    if (values.length == 0) {
       return Optional.empty();
     }
-    int one = random.nextInt(selections.size());
-    return Optional.of(selections.get(better(one, random.nextInt(selections.size()))));
+    int one = random.nextInt(values.length);
+    return Optional.of(selections.apply(better(one, random.nextInt(values.length))));
   }
 
   private double sum() {
@@ -84,7 +89,7 @@
     List<Chance> chances = new ArrayList<>();
     for (int i = 0; i < parts.length; i++) {
       if (parts[i] > 0) {
-        chances.add(new Chance(selections.get(i), parts[i] / sum));
+        chances.add(new Chance(selections.apply(i), parts[i] / sum));
       }
     }
     chances.sort((a, b) -> Double.compare(b.probability(), a.probability()));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.toucansaddle.coordination.zones.AllowedRegions;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
@@ -142,9 +143,9 @@
 
   /** Selects one of the usable upstreams that was not tried; empty if all are busy. */
   Optional<Selection> select(List<Upstream> usable) {
-    EngineProfile profile = profile(usable);
+    EngineProfile profile = profile(usable, context.estimator(service));
     nominalTokensPerMilli = profile.nominalTokensPerMilli();
-    if (isFirst() && !isTurn(usable, context.returnSchedule(service))) {
+    if (isFirst() && !isTurn(usable, () -> context.returnSchedule(service))) {
       return Optional.empty();
     }
     return shortlist(usable, profile, this::takesRequest).draw(ThreadLocalRandom.current());
@@ -152,18 +153,18 @@
 
   /** Returns the upstreams among which {@link #select} would draw one; changes nothing. */
   Shortlist preview(List<Upstream> usable) {
-    return shortlist(usable, profile(usable), upstream -> heldBack(upstream).isEmpty());
+    return shortlist(usable, currentProfile(usable), upstream -> heldBack(upstream).isEmpty());
   }
 
   /** Returns whether {@link #select} would leave the first place to others; changes nothing. */
   boolean leavesPlace(List<Upstream> usable) {
-    return isFirst() && !isTurn(usable, context.returnScheduleCopy(service));
+    return isFirst() && !isTurn(usable, () -> context.returnScheduleCopy(service));
   }
 
   /** Returns why a usable upstream does not get the request now; changes nothing. */
   Optional<Obstacle> obstacle(Upstream upstream, List<Upstream> usable) {
     return heldBack(upstream)
-        .or(() -> context.selector().obstacle(upstream, head, profile(usable)));
+        .or(() -> context.selector().obstacle(upstream, head, currentProfile(usable)));
   }
 
   private Shortlist shortlist(
@@ -173,7 +174,11 @@
     return context.selector().shortlist(allowed, head, route.targetMillis(), profile, takesMore);
   }
 
-  private EngineProfile profile(List<Upstream> usable) {
+  private EngineProfile currentProfile(List<Upstream> usable) {
+    return profile(usable, context.currentEstimator(service));
+  }
+
+  private EngineProfile profile(List<Upstream> usable, FirstTokenEstimator estimator) {
     int count =
         origin.isEmpty()
             ? usable.size()
@@ -181,13 +186,13 @@
                 .state()
                 .usableUpstreams(service, route.isRepeatable(), this::isAllowed)
                 .size();
-    return EngineProfile.of(
-        view, service, count, context.currentEstimator(service), context.nowNanos());
+    return EngineProfile.of(view, service, count, estimator, context.nowNanos());
   }
 
   /** Returns whether no caller that was asked to return is due before this one. */
-  private boolean isTurn(List<Upstream> usable, ReturnSchedule schedule) {
-    return !areScarce(usable) || schedule.admits(context.nowNanos(), head.isLikelyRetry(route));
+  private boolean isTurn(List<Upstream> usable, Supplier<ReturnSchedule> schedule) {
+    return !areScarce(usable)
+        || schedule.get().admits(context.nowNanos(), head.isLikelyRetry(route));
   }
 
   private boolean isTried(Upstream upstream) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -203,14 +203,13 @@
    */
   private Shortlist listByFreeCapacity(List<Upstream> candidates, long nowNanos) {
     double[] free = new double[candidates.size()];
-    List<Selection> selections = new ArrayList<>();
     for (int i = 0; i < free.length; i++) {
       Upstream upstream = candidates.get(i);
       double taken = upstream.condition().takenPart(nowNanos);
       free[i] = freeCapacity(upstream, nowNanos) * taken;
-      selections.add(new Selection(upstream, 0, 0, 0, Reason.FREE_CAPACITY));
     }
-    return Shortlist.byWeight(selections, free);
+    return Shortlist.byWeight(
+        i -> new Selection(candidates.get(i), 0, 0, 0, Reason.FREE_CAPACITY), free);
   }
 
   /** Returns the requests per slot that an upstream can accept; 0 if it is full. */
