Explain one service by one copy of the shares

Cause: each of three questions copied the shares of all accounts under their lock, so the answers could be of different moments.

Change: the shares are copied once for a service, and the copy is copied.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServicePreview.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServicePreview.java
@@ -33,6 +33,7 @@
   private final RelayContext context;
   private final CallRequest call;
   private final String service;
+  private final AccountShares sharesNow;
   private final UpstreamChoice choice;
   private final List<Upstream> usable;
   private final boolean leavesPlace;
@@ -44,6 +45,7 @@
     this.call = call;
     this.service = service;
     this.now = context.nowNanos();
+    this.sharesNow = context.state().shares().copy(() -> ADMITTED_IF_AT_ALL);
     this.choice = new UpstreamChoice(context, call, Optional.empty(), service);
     this.usable = choice.usable();
     this.leavesPlace = choice.leavesPlace(usable);
@@ -70,7 +72,7 @@
   /** Returns whether the request would be admitted. */
   Verdict admission() {
     Optional<Selection> selection = first.stream().map(Chance::selection).findFirst();
-    AccountShares shares = context.state().shares().copy(() -> ADMITTED_IF_AT_ALL);
+    AccountShares shares = sharesNow.copy(() -> ADMITTED_IF_AT_ALL);
     AdmissionRequest request = request(shares);
     new AdmissionControl(shares).recordArrival(request);
     AccountState account = shares.state(call.account(), request.tokensPerSecond());
@@ -110,7 +112,7 @@
 
   /** Admits the request at a copy of the shares whose draws give the same number each time. */
   private Optional<ErrorResponse> refusal(double drawn, Optional<Selection> selection) {
-    AccountShares shares = context.state().shares().copy(() -> drawn);
+    AccountShares shares = sharesNow.copy(() -> drawn);
     AdmissionControl control = new AdmissionControl(shares);
     AdmissionRequest request = request(shares);
     control.recordArrival(request);
