Refuse shared parts whose tokens exceed an int together

Cause: 43 parts of 100,000,000 tokens add up to less than the prompt in an int, and a number such as 1.5 was taken for a whole one.

Change: the sum is a long, and only whole numbers are accepted.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/ExplainOperations.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/admin/ExplainOperations.java
@@ -77,7 +77,11 @@
 
   private static int tokens(JsonNode body, String field) {
     JsonNode node = body.path(field);
-    boolean isNumber = node.canConvertToInt() && node.asInt() >= 0 && node.asInt() <= MAX_TOKENS;
+    boolean isNumber =
+        node.isIntegralNumber()
+            && node.canConvertToInt()
+            && node.asInt() >= 0
+            && node.asInt() <= MAX_TOKENS;
     if (!node.isMissingNode() && !isNumber) {
       throw badField(field, "a whole number from 0 to " + MAX_TOKENS);
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ExplainedRequest.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ExplainedRequest.java
@@ -37,15 +37,15 @@
   }
 
   /** Returns the tokens of the parts that other requests share. */
-  public int sharedTokens() {
-    return sharedParts.stream().mapToInt(SharedPart::tokens).sum();
+  public long sharedTokens() {
+    return sharedParts.stream().mapToLong(SharedPart::tokens).sum();
   }
 
   RequestHead head() {
     List<RequestHead.PromptPart> parts = new ArrayList<>();
     sharedParts.forEach(part -> parts.add(new RequestHead.PromptPart(part.id(), part.tokens())));
     if (promptTokens > 0) {
-      parts.add(new RequestHead.PromptPart("", promptTokens - sharedTokens()));
+      parts.add(new RequestHead.PromptPart("", Math.toIntExact(promptTokens - sharedTokens())));
     }
     return new RequestHead(
         "",
