Count an upstream as silent only if it does not report at all

Cause: the silence of an upstream was measured from its last report that tells its warm-up. While a daemon that knows no warm-ups forwards its reports, they lack the field, so that a warm upstream counted as cold after 4 s, and stayed so however often it reported.

Change: the time of its last report of any kind decides, as docs/design/cold-upstreams.md says.

ColdUpstreamTest.shouldNotSpareUpstreamWhoseLaterReportsTellNoWarmUp failed before; ColdUpstreamTest and WarmUpStateTest pass.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/WarmUpState.java
@@ -34,7 +34,6 @@
   private final long startedAt;
   private long coldUntil;
   private boolean reported;
-  private long reportedAt;
   private long sequence;
   private boolean doubted;
 
@@ -59,8 +58,7 @@
     }
     reported = true;
     sequence = report.sequence();
-    reportedAt = report.receivedAtNanos();
-    coldUntil = reportedAt + TimeUnit.MILLISECONDS.toNanos(report.remainingMillis());
+    coldUntil = report.receivedAtNanos() + TimeUnit.MILLISECONDS.toNanos(report.remainingMillis());
     if (doubted && report.notBeforeNanos() - doubtedAt > 0) {
       doubted = !receivedSinceDoubt;
       receivedSinceDoubt = true;
@@ -88,9 +86,9 @@
     return nowNanos - since < TimeUnit.MILLISECONDS.toNanos(unreportedMillis);
   }
 
-  /** Returns whether the upstream has reported its warm-up, but not after a time. */
-  public synchronized boolean isSilentSince(long nanos) {
-    return reported && reportedAt - nanos <= 0;
+  /** Returns whether the upstream has reported its warm-up. */
+  public synchronized boolean isReported() {
+    return reported;
   }
 
   /** Returns the remaining warm-up as reported, in milliseconds; 0 if it is over or unreported. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpdateTimes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpdateTimes.java
@@ -58,8 +58,9 @@
    */
   boolean isSilent(Upstream upstream, long nowNanos) {
     long margin = reportTimeoutNanos / 3;
-    return upstream.warmUp().isSilentSince(nowNanos - reportTimeoutNanos + margin)
+    return !upstream.hasReportedAfter(nowNanos - reportTimeoutNanos + margin)
+        && upstream.warmUp().isReported()
         && !lastBySource.isEmpty()
-        && upstream.warmUp().isSilentSince(reportDeadline(nowNanos) + margin);
+        && !upstream.hasReportedAfter(reportDeadline(nowNanos) + margin);
   }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/ColdUpstreamTest.java
@@ -205,6 +205,16 @@
     assertThat(router.coldStart().isCold(upstream)).isTrue();
   }
 
+  // A warm upstream was spared for good while a daemon that knows no warm-ups forwarded its
+  // reports.
+  @Test
+  public void shouldNotSpareUpstreamWhoseLaterReportsTellNoWarmUp() {
+    Upstream upstream = heartbeat(report(10, 1).withWarmUpMillis(0));
+    advance(4_000);
+    heartbeat(report(10, 2));
+    assertThat(router.coldStart().isCold(upstream)).isFalse();
+  }
+
   @DataProvider
   public Object[][] silences() {
     return new Object[][] {
