Compute the fair share by the demand at all routers

Cause: the fair share took the lesser of an account's recent and present demand at this router and at the others apart, and added them up. When its callers changed routers, the sum was less than its demand of either kind, so that all demands seemed to fit.

AccountSharesTest.shouldCountDemandThatHasMovedToOtherRouters failed before (no bound for 247,000 demanded of 200,000 tokens); AccountSharesTest and AccountFairnessTest pass.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.toucansaddle.coordination.sharing.MaxMinShare;
 import org.toucansaddle.coordination.sharing.SharedThroughput;
 import org.toucansaddle.coordination.sharing.SharedThroughput.Load;
@@ -319,10 +320,7 @@
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
     return new AccountState(
-        demand(local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote)),
-        local.admitted + remote.getAdmitted(),
-        share,
-        ageMillis);
+        demandAtAllRouters(account), local.admitted + remote.getAdmitted(), share, ageMillis);
   }
 
   /**
@@ -368,6 +366,14 @@
     return throughput.isLimited();
   }
 
+  /** Returns the demand of an account by the sums of all routers; the local ones are up to date. */
+  private double demandAtAllRouters(String account) {
+    LocalUsage local = localUsage.getOrDefault(account, new LocalUsage());
+    AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
+    return demand(
+        local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote));
+  }
+
   private double fairShare(double capacity) {
     long now = clock.getAsLong();
     if (!fairShareKnown
@@ -375,13 +381,12 @@
         || now - fairShareAt > FAIR_SHARE_MAX_AGE_NANOS) {
       localUsage.values().forEach(usage -> usage.decay(now));
       localUsage.values().removeIf(LocalUsage::isForgotten);
-      Map<String, Double> demands = new HashMap<>();
-      localUsage.forEach(
-          (account, usage) -> demands.put(account, demand(usage.demanded, usage.recentlyDemanded)));
-      remoteUsage.forEach(
-          (account, usage) ->
-              demands.merge(account, demand(usage.getAsked(), recentlyAsked(usage)), Double::sum));
-      double[] amounts = demands.values().stream().mapToDouble(d -> d).toArray();
+      double[] amounts =
+          Stream.concat(
+                  localUsage.keySet().stream(),
+                  remoteUsage.keySet().stream().filter(name -> !localUsage.containsKey(name)))
+              .mapToDouble(this::demandAtAllRouters)
+              .toArray();
       fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
       fairShareAt = now;
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -208,4 +208,22 @@
     int[] admitted = runFor(2_000, 120, 300);
     assertThat(admitted[0]).isGreaterThan(admitted[1] / 2);
   }
+
+  /** Guards against a demand that seems to end when the callers of an account change routers. */
+  @Test
+  public void shouldCountDemandThatHasMovedToOtherRouters() {
+    shares.recordDemand("moved", 400_000);
+    clock.addAndGet(TimeUnit.SECONDS.toNanos(2));
+    AccountUse moved =
+        AccountUse.newBuilder()
+            .setAccount("moved")
+            .setAsked(100_000)
+            .setRecentlyAsked(80_000)
+            .build();
+    shares.updateRemoteUsage(List.of(moved));
+
+    assertThat(shares.state("moved", CAPACITY_TOKENS_PER_SECOND).fairShareTokens())
+        .as("share of 247,000 demanded tokens")
+        .isLessThan(247_000);
+  }
 }
