Leave out recent demand that an older control daemon has summed

Cause: an older control daemon adds up the fields that it knows and keeps the others of the first router. Its sums held recently_asked of one router beside asked of all, so that the demand of each account seemed to be a small part of itself, and shares bounded nobody until all control daemons had changed version.

Change: recently_asked of an update that names no answered report, which older daemons don't set, counts as not set.

AccountSharesTest.shouldNotTrustRecentDemandSummedByOlderDaemon failed before (90,000 of 900,000 tokens); AccountSharesTest passes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -13,6 +13,7 @@
 import org.toucansaddle.coordination.sharing.SharedThroughput;
 import org.toucansaddle.coordination.sharing.SharedThroughput.Load;
 import org.toucansaddle.protocol.generated.AccountUse;
+import org.toucansaddle.protocol.generated.FleetUpdate;
 
 /**
  * Max-min fair shares of client accounts in the token throughput of all engines.
@@ -253,6 +254,19 @@
         : (long) (use.getAsked() / WINDOW_PER_RECENT);
   }
 
+  /**
+   * Replaces the usage reported by the other routers by that of an update. An older daemon, which
+   * names no report that it answers, passes on what was recently asked at one router as if it were
+   * that of all, so it counts as not set.
+   */
+  public void updateRemoteUsage(FleetUpdate update) {
+    List<AccountUse> usages = update.getAccountsList();
+    updateRemoteUsage(
+        update.hasAnsweredReport()
+            ? usages
+            : usages.stream().map(use -> use.toBuilder().clearRecentlyAsked().build()).toList());
+  }
+
   /** Replaces the usage reported by the other routers. */
   public synchronized void updateRemoteUsage(List<AccountUse> usages) {
     Map<String, AccountUse> byAccount = new HashMap<>();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -134,7 +134,7 @@
     }
     if (update.getSums()) {
       state.updateRemoteWork(update.getWorkList());
-      state.shares().updateRemoteUsage(update.getAccountsList());
+      state.shares().updateRemoteUsage(update);
       state.updateLimitParts(update.getPartsList());
     }
   }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.assertj.core.data.Percentage;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Charge;
 import org.toucansaddle.protocol.generated.AccountUse;
+import org.toucansaddle.protocol.generated.FleetUpdate;
 
 /** Tests of {@link AccountShares} with simulated load. */
 public class AccountSharesTest {
@@ -226,4 +228,28 @@
         .as("share of 247,000 demanded tokens")
         .isLessThan(247_000);
   }
+
+  @DataProvider
+  public Object[][] updatesOfSums() {
+    return new Object[][] {{FleetUpdate.newBuilder(), 900_000}, {answer(), 90_000}};
+  }
+
+  private static FleetUpdate.Builder answer() {
+    return FleetUpdate.newBuilder().setAnsweredReport(1);
+  }
+
+  /** Guards against sums of an older daemon, which keep the recent demand of one router only. */
+  @Test(dataProvider = "updatesOfSums")
+  public void shouldNotTrustRecentDemandSummedByOlderDaemon(
+      FleetUpdate.Builder update, double demanded) {
+    AccountUse hot =
+        AccountUse.newBuilder()
+            .setAccount("hot")
+            .setAsked(900_000)
+            .setRecentlyAsked(22_500)
+            .build();
+    shares.updateRemoteUsage(update.addAccounts(hot).build());
+    assertThat(shares.state("hot", CAPACITY_TOKENS_PER_SECOND).demandedTokens())
+        .isEqualTo(demanded);
+  }
 }
