--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.assertj.core.data.Percentage;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.internal.gateway.routing.AccountShares.Charge;
 import org.toucansaddle.protocol.generated.AccountUse;
+import org.toucansaddle.protocol.generated.FleetUpdate;
 
 /** Tests of {@link AccountShares} with simulated load. */
 public class AccountSharesTest {
@@ -208,4 +210,46 @@
     int[] admitted = runFor(2_000, 120, 300);
     assertThat(admitted[0]).isGreaterThan(admitted[1] / 2);
   }
+
+  /** Guards against a demand that seems to end when the callers of an account change routers. */
+  @Test
+  public void shouldCountDemandThatHasMovedToOtherRouters() {
+    shares.recordDemand("moved", 400_000);
+    clock.addAndGet(TimeUnit.SECONDS.toNanos(2));
+    AccountUse moved =
+        AccountUse.newBuilder()
+            .setAccount("moved")
+            .setAsked(100_000)
+            .setRecentlyAsked(80_000)
+            .build();
+    shares.updateRemoteUsage(List.of(moved));
+
+    assertThat(shares.state("moved", CAPACITY_TOKENS_PER_SECOND).fairShareTokens())
+        .as("share of 247,000 demanded tokens")
+        .isLessThan(247_000);
+  }
+
+  @DataProvider
+  public Object[][] updatesOfSums() {
+    return new Object[][] {{FleetUpdate.newBuilder(), 900_000}, {answer(), 90_000}};
+  }
+
+  private static FleetUpdate.Builder answer() {
+    return FleetUpdate.newBuilder().setAnsweredReport(1);
+  }
+
+  /** Guards against sums of an older daemon, which keep the recent demand of one router only. */
+  @Test(dataProvider = "updatesOfSums")
+  public void shouldNotTrustRecentDemandSummedByOlderDaemon(
+      FleetUpdate.Builder update, double demanded) {
+    AccountUse hot =
+        AccountUse.newBuilder()
+            .setAccount("hot")
+            .setAsked(900_000)
+            .setRecentlyAsked(22_500)
+            .build();
+    shares.updateRemoteUsage(update.addAccounts(hot).build());
+    assertThat(shares.state("hot", CAPACITY_TOKENS_PER_SECOND).demandedTokens())
+        .isEqualTo(demanded);
+  }
 }
