Bound parts of shares, and look at updates and queries without streams

Cause, by the review: the part of an account's requests that is admitted could be negative or above one where an explanation multiplies it; an account without recent requests had a part that is no number; each request split its query and went through the updates by a stream.

Change: the part is bounded by 0 and 1; fewer requests than none are not reckoned with; loops, and the query is split only if its first parameter was received with a question mark. Usage is not decayed twice in a moment.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/AccountParts.java
@@ -104,6 +104,9 @@
      */
     double atPresent() {
       double fewer = requests - WINDOW_PER_RATE * rateRequests;
+      if (fewer <= 0) {
+        return requests;
+      }
       double standardDeviation = Math.sqrt(WINDOW_PER_RATE / 2 * requests);
       return requests - fewer * Math.max(0, Math.min(1, fewer / standardDeviation - 1));
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ReceivedQuery.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ReceivedQuery.java
@@ -19,13 +19,13 @@
   /** Returns the query without the question mark before it; empty if there is none. */
   static String of(HttpServerExchange exchange) {
     String query = exchange.getQueryString();
-    String[] parameters = query.split("&", -1);
-    String marked = MARK + nameOf(parameters[0]);
+    int firstEnd = query.indexOf('&');
+    String marked = MARK + nameOf(firstEnd < 0 ? query : query.substring(0, firstEnd));
     Deque<String> received = exchange.getQueryParameters().get(marked);
     if (received == null) {
       return query;
     }
-    long kept = Arrays.stream(parameters).filter(p -> nameOf(p).equals(marked)).count();
+    long kept = Arrays.stream(query.split("&", -1)).filter(p -> nameOf(p).equals(marked)).count();
     return received.size() > kept ? MARK + query : query;
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -128,6 +128,9 @@
     }
 
     void decay(long now) {
+      if (now == updatedAt) {
+        return;
+      }
       double factor = Math.exp(-(now - updatedAt) / (NANOS_PER_SECOND * DECAY_SECONDS));
       demanded *= factor;
       admitted *= factor;
@@ -364,7 +367,8 @@
         admitted <= 1
             ? MAX_CATCH_UP - (MAX_CATCH_UP - 1) * admitted
             : (MAX_OVERSHOOT - admitted) / (MAX_OVERSHOOT - 1);
-    return multipleOfShare * share / Math.max(1, state.demandedTokens());
+    double part = multipleOfShare * share / Math.max(1, state.demandedTokens());
+    return Math.max(0, Math.min(1, part));
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpdateTimes.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/UpdateTimes.java
@@ -38,10 +38,17 @@
 
   /** Returns the time since the latest update, in milliseconds; -1 without one. */
   long ageMillis(long nowNanos) {
-    return lastBySource.values().stream()
-        .reduce(Math::max)
-        .map(latest -> TimeUnit.NANOSECONDS.toMillis(nowNanos - latest))
-        .orElse(-1L);
+    return lastBySource.isEmpty()
+        ? -1
+        : TimeUnit.NANOSECONDS.toMillis(nowNanos - latestOr(nowNanos));
+  }
+
+  private long latestOr(long none) {
+    long latest = 0;
+    for (long at : lastBySource.values()) {
+      latest = latest == 0 ? at : Math.max(latest, at);
+    }
+    return latest == 0 ? none : latest;
   }
 
   /**
@@ -49,7 +56,7 @@
    * update of a followed control daemon, or before now if none is followed.
    */
   long reportDeadline(long nowNanos) {
-    return lastBySource.values().stream().reduce(Math::max).orElse(nowNanos) - reportTimeoutNanos;
+    return latestOr(nowNanos) - reportTimeoutNanos;
   }
 
   /**
