--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/PlacedUpstream.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/PlacedUpstream.java
@@ -9,7 +9,6 @@
 import org.toucansaddle.coordination.placement.PlacementRequest;
 import org.toucansaddle.coordination.placement.PlacementRequest.PromptPart;
 import org.toucansaddle.coordination.placement.PoolUpstream;
-import org.toucansaddle.coordination.selection.PromptMemory;
 
 /**
  * Load and memory of one incarnation of an upstream, as one placer knows them.
@@ -21,7 +20,7 @@
   private static final OtherLoad NO_LOAD = new OtherLoad(0, 0, 0);
 
   private PoolUpstream upstream;
-  private final PromptMemory memory = new PromptMemory(Integer.MAX_VALUE);
+  private final PromptMemory memory = new PromptMemory();
   private final Map<Long, Grant> grants = new HashMap<>();
   private final Map<String, OtherLoad> otherLoads = new HashMap<>();
   private OtherLoad otherLoad = NO_LOAD;
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -350,7 +350,6 @@
               millis - lagMillis,
               FirstTokenEstimator.nominalMillis(pendingTokens, nominalTokensPerMilli),
               context.nowNanos());
-      upstream.readPrompts().recordRead(call.head().sharedPrefixes(), context.nowNanos());
       grant.started(Math.max(0, millis - Math.round(lagMillis)));
     }
     call.admission().recordBegun();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RequestHead.java
@@ -1,8 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
-import java.util.ArrayList;
 import java.util.List;
-import org.toucansaddle.coordination.placement.PlacementRequest;
 import org.toucansaddle.daemon.gateway.Route;
 
 /**
@@ -96,17 +94,6 @@
     return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
   }
 
-  /** Returns the shareable prefixes of the prompt, each with the tokens that it adds. */
-  public List<PlacementRequest.PromptPart> sharedPrefixes() {
-    List<PlacementRequest.PromptPart> prefixes = new ArrayList<>();
-    StringBuilder path = new StringBuilder();
-    for (PromptPart part : sharedParts()) {
-      path.append(part.id()).append('/');
-      prefixes.add(new PlacementRequest.PromptPart(path.toString(), part.tokens()));
-    }
-    return prefixes;
-  }
-
   /** Returns a key of the longest shareable prefix of the prompt; empty if there is none. */
   public String sharedPrefixKey() {
     StringBuilder name = new StringBuilder();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamSelector.java
@@ -3,16 +3,14 @@
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
-import org.toucansaddle.coordination.placement.PlacementRequest.PromptPart;
-import org.toucansaddle.coordination.selection.PromptChoice;
-import org.toucansaddle.coordination.selection.PromptChoice.Candidate;
+import java.util.stream.IntStream;
 import org.toucansaddle.daemon.gateway.ServiceDefinition;
 import org.toucansaddle.daemon.internal.gateway.routing.RoutingView;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
@@ -32,6 +30,9 @@
   /** Requests per slot up to which an engine is selected. */
   private static final double MAX_ENGINE_LOAD = 1.1;
 
+  /** Fraction of the target within which an engine is used for the sake of a shared prefix. */
+  private static final double PREFIX_WAIT_TARGET_FRACTION = 0.8;
+
   /** Fraction of an engine's memory for requests; the rest caches shared prefixes. */
   private static final double MAX_MEMORY_FRACTION = 0.85;
 
@@ -41,6 +42,9 @@
   /** Waiting time added to another availability zone. */
   private static final double OTHER_ZONE_PENALTY_MILLIS = 4;
 
+  /** Time by which another engine may take longer than the best one and still be selected. */
+  private static final double NEAR_BEST_FACTOR = 1.1;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private static final Hasher64 HASHER = Hashing.komihash5_0();
@@ -132,28 +136,8 @@
       return new EngineProfile(estimator, prefilled, memoryTokens, nowNanos);
     }
 
-    private double multiple(Upstream engine) {
-      return engine.condition().multiple(estimator.factor(), nowNanos);
-    }
-
-    /** Returns the time in which an engine reads tokens, in milliseconds. */
-    private double readMillis(Upstream engine, int tokens) {
-      return multiple(engine) * tokens / nominalTokensPerMilli;
-    }
-
-    /** Returns the tokens of leading prefixes that an engine has read for this router and keeps. */
-    private int keptTokens(Upstream engine, List<PromptPart> prefixes) {
-      return engine
-          .readPrompts()
-          .keptTokens(
-              prefixes,
-              memoryTokens - engine.memoryTokens(),
-              nominalTokensPerMilli / multiple(engine),
-              nowNanos);
-    }
-
     private Selection selection(Upstream engine, int prefillTokens, Reason reason) {
-      double multiple = multiple(engine);
+      double multiple = engine.condition().multiple(estimator.factor(), nowNanos);
       long pending = engine.pendingTokens(nowNanos);
       return new Selection(
           engine,
@@ -218,59 +202,60 @@
   }
 
   private Optional<Selection> selectEngine(
-      Collection<Upstream> upstreams,
+      Collection<Upstream> candidates,
       RequestHead head,
       int targetMillis,
       EngineProfile profile,
       Predicate<Upstream> takesMore) {
     String prefix = head.sharedPrefixKey();
-    List<PromptPart> prefixes = head.sharedPrefixes();
     List<Selection> selections = new ArrayList<>();
-    List<Candidate> candidates = new ArrayList<>();
-    boolean isHome = !prefix.isEmpty();
-    for (Upstream upstream : rankForPrefix(upstreams, prefix)) {
-      if (loadPerSlot(upstream, profile.nowNanos()) <= MAX_ENGINE_LOAD
-          && hasMemory(upstream, head, profile)
-          && takesMore.test(upstream)) {
-        int kept = isHome ? head.sharedPrefixTokens() : profile.keptTokens(upstream, prefixes);
-        Reason reason = isHome ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
-        Selection selection = profile.selection(upstream, head.promptTokens() - kept, reason);
-        selections.add(selection);
-        double rereadMillis = profile.readMillis(upstream, head.sharedPrefixTokens() - kept);
-        candidates.add(candidate(selection, rereadMillis, isHome, profile.nowNanos()));
+    boolean first = true;
+    for (Upstream upstream : rankForPrefix(candidates, prefix)) {
+      if (loadPerSlot(upstream, profile.nowNanos()) > MAX_ENGINE_LOAD
+          || !hasMemory(upstream, head, profile)
+          || !takesMore.test(upstream)) {
+        first = false;
+        continue;
+      }
+      int prefillTokens = head.promptTokens() - (first ? head.sharedPrefixTokens() : 0);
+      Reason reason = first ? Reason.PREFIX : Reason.NEXT_FOR_PREFIX;
+      Selection selection = profile.selection(upstream, prefillTokens, reason);
+      if (!prefix.isEmpty()
+          && selection.expectedFirstTokenMillis() < PREFIX_WAIT_TARGET_FRACTION * targetMillis) {
+        return Optional.of(selection);
       }
-      isHome = false;
+      first = false;
+      selections.add(selection.asLeastWait(zonePenaltyMillis(upstream)));
     }
-    return choose(selections, candidates, targetMillis, !prefix.isEmpty());
+    return drawNearBest(selections, targetMillis, profile.nowNanos());
   }
 
-  private Optional<Selection> choose(
-      List<Selection> selections, List<Candidate> candidates, int targetMillis, boolean hasPrefix) {
-    PromptChoice choice =
-        new PromptChoice(
-            targetMillis,
-            AdmissionControl.MAX_WAIT_TARGET_FRACTION,
-            ThreadLocalRandom.current()::nextInt);
-    OptionalInt chosen = hasPrefix ? choice.chooseForPrefix(candidates) : OptionalInt.empty();
-    if (chosen.isPresent()) {
-      return Optional.of(selections.get(chosen.getAsInt()));
+  /**
+   * Returns the better of two drawn ones that are about as good as the best. If routers with the
+   * same reports all selected the best engine, they would overload it until the next report. One
+   * that cannot meet the target is not drawn if the best can.
+   */
+  private static Optional<Selection> drawNearBest(
+      List<Selection> selections, int targetMillis, long nowNanos) {
+    double[] costs =
+        selections.stream().mapToDouble(selection -> costMillis(selection, nowNanos)).toArray();
+    double best = Arrays.stream(costs).min().orElse(0);
+    double admitted = AdmissionControl.MAX_WAIT_TARGET_FRACTION * targetMillis;
+    double near = best * NEAR_BEST_FACTOR;
+    double limit = best <= admitted ? Math.min(near, admitted) : near;
+    int[] drawable = IntStream.range(0, costs.length).filter(i -> costs[i] <= limit).toArray();
+    if (drawable.length == 0) {
+      return Optional.empty();
     }
-    OptionalInt drawn = choice.drawNearBest(candidates);
-    return drawn.isEmpty()
-        ? Optional.empty()
-        : Optional.of(
-            selections
-                .get(drawn.getAsInt())
-                .asLeastWait(zonePenaltyMillis(selections.get(drawn.getAsInt()).upstream())));
+    int one = drawable[ThreadLocalRandom.current().nextInt(drawable.length)];
+    int other = drawable[ThreadLocalRandom.current().nextInt(drawable.length)];
+    return Optional.of(selections.get(costs[one] <= costs[other] ? one : other));
   }
 
-  /** Its time to the first token is longer at an engine that refuses requests. */
-  private Candidate candidate(
-      Selection selection, double rereadMillis, boolean isHome, long nowNanos) {
-    double expected = selection.expectedFirstTokenMillis();
-    double penalised = expected + zonePenaltyMillis(selection.upstream());
+  /** Returns the expected time to the first token, longer at an engine that refuses requests. */
+  private static double costMillis(Selection selection, long nowNanos) {
     double taken = selection.upstream().condition().takenPart(nowNanos);
-    return new Candidate(expected, penalised / taken, rereadMillis, isHome);
+    return selection.expectedFirstTokenMillis() / taken;
   }
 
   /** An engine that runs out of memory preempts its newest request and prefills it again. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/Upstream.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucansaddle.coordination.pacing.UpstreamPace;
 import org.toucansaddle.coordination.pacing.WarmUpState;
-import org.toucansaddle.coordination.selection.ReadPrompts;
 import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 import org.toucansaddle.coordination.upstream.UpstreamCondition;
 import org.toucansaddle.coordination.upstream.UpstreamCondition.OthersWork;
@@ -49,7 +48,6 @@
   private volatile boolean leaving;
   private final AtomicInteger connectionFailures = new AtomicInteger();
   private final UpstreamCondition condition = new UpstreamCondition();
-  private final ReadPrompts readPrompts = new ReadPrompts();
   private final AtomicLong localMemoryTokens = new AtomicLong();
 
   Upstream(UpstreamReport report, long lastReportAtNanos, UpstreamPace pace) {
@@ -258,11 +256,6 @@
     return condition.requests(nowNanos);
   }
 
-  /** Returns the shared prefixes that this incarnation has read for this router. */
-  public ReadPrompts readPrompts() {
-    return readPrompts;
-  }
-
   /** Returns the load and the speed of this incarnation. */
   public UpstreamCondition condition() {
     return condition;
