--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/admin/ExplainOperationsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/admin/ExplainOperationsTest.java
@@ -13,6 +13,7 @@
 import org.toucansaddle.daemon.internal.gateway.relay.RouteExplanation;
 import org.toucansaddle.daemon.internal.problem.ProblemException;
 
+/** Tests of {@link ExplainOperations}. */
 public class ExplainOperationsTest {
 
   private static final RouteExplanation ANSWER =
