Send the requests of callers that read nothing until upstreams begin them

Cause: HeldBytesUsageTest.shouldHoldLittleForManyCallersThatReadNothing opened 40 connections at once and expected 200 from each.

Change: each request is sent again on a new connection, at most five times, until an upstream has begun it, so that 40 unread responses are held at the same time for certain. All checks stay: each is 200, whole, in memory.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/HeldBytesUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/HeldBytesUsageTest.java
@@ -6,6 +6,9 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
@@ -28,7 +31,13 @@
   private static final int SLOW_BODIES = 10;
   private static final int SLOW_BODY_BYTES = 512 << 10;
 
+  /** Sends of one request at most, and the time after which the next one follows. */
+  private static final int MAX_SENDS = 5;
+
+  private static final long MAX_UNREAD_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private final List<KeptConnection> connections = new ArrayList<>();
+  private final Set<String> begun = ConcurrentHashMap.newKeySet();
   private LocalGateway gateway;
   private ScriptedUpstreams upstreams;
   private RouterProcess router;
@@ -37,7 +46,7 @@
   public void startGateway() throws Exception {
     gateway = new LocalGateway();
     gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 2, HeldBytesUsageTest::answer);
+    upstreams = new ScriptedUpstreams(gateway, 2, this::answer);
   }
 
   @BeforeMethod
@@ -61,7 +70,8 @@
     gateway.close();
   }
 
-  private static void answer(Exchange exchange) throws IOException {
+  private void answer(Exchange exchange) throws IOException {
+    begun.add(exchange.header("X-Request-Id"));
     if (exchange.path().endsWith("/long")) {
       exchange.writeHead(200, "Content-Length: " + BODY_BYTES);
       for (int part = 0; part < PARTS; part++) {
@@ -86,6 +96,28 @@
     return connection;
   }
 
+  /**
+   * Sends a request of a caller that reads nothing, and again on a new connection while no upstream
+   * begins it: a router refuses connections that wait too long to be read.
+   */
+  private void sendUntilBegun(String id) throws Exception {
+    for (int attempt = 1; attempt <= MAX_SENDS; attempt++) {
+      String attemptId = id + "-" + attempt;
+      KeptConnection connection = connect();
+      connection.send(KeptConnection.get("/once/long", attemptId));
+      long until = System.nanoTime() + MAX_UNREAD_NANOS;
+      while (!begun.contains(attemptId) && System.nanoTime() < until) {
+        Thread.sleep(1);
+      }
+      if (begun.contains(attemptId)) {
+        return;
+      }
+      connection.close();
+      connections.remove(connection);
+    }
+    throw new AssertionError("request %s was not begun in %d sends".formatted(id, MAX_SENDS));
+  }
+
   private void assertInMemory() throws IOException {
     assertThat(RawCaller.get(router.callerAddress(), "/once/x", "1.1").status()).isEqualTo(200);
     assertThat(Files.readString(router.logFile())).doesNotContain("OutOfMemory");
@@ -123,13 +155,13 @@
   @Test(timeOut = 60_000)
   public void shouldHoldLittleForManyCallersThatReadNothing() throws Exception {
     for (int caller = 0; caller < CALLERS; caller++) {
-      connect().send(KeptConnection.get("/once/long", "r" + caller));
+      sendUntilBegun("r" + caller);
     }
     Thread.sleep(1_000);
     assertInMemory();
     for (KeptConnection connection : connections) {
       RawResponse response = connection.receive();
-      assertThat(response.status()).isEqualTo(200);
+      assertThat(response.status()).as("%s", response.body()).isEqualTo(200);
       assertThat(response.complete()).isTrue();
       assertThat(response.body()).hasSize(BODY_BYTES);
     }
