--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/Experiments.java
@@ -17,6 +17,7 @@
               "faults", new Registration(new FaultsExperiment(1), 42),
               "double-faults", new Registration(new FaultsExperiment(2), 30),
               "overload", new Registration(new OverloadExperiment(), 7),
+              "request-cost", new Registration(new RequestCostExperiment(), 5),
               "slopes", new Registration(new SlopesExperiment(), 4),
               "utilisation", new Registration(new UtilisationExperiment(), 14)));
 
--- a/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ProcessCounters.java
+++ b/toucansaddle-standins/src/main/java/org/toucansaddle/standins/experiment/ProcessCounters.java
@@ -35,6 +35,8 @@
   private static final Pattern PORT_PAIR = Pattern.compile(":(\\d+)\\s+\\S+:(\\d+)\\s");
   private static final Pattern HEAP_USED = Pattern.compile("used (\\d+)K");
 
+  private static final Pattern ALLOCATED = Pattern.compile("allocated=([0-9.]+)([KMG]?)");
+
   private ProcessCounters() {}
 
   /** Returns the bytes on the wire, both directions, of the connections of a process with peers. */
@@ -116,6 +118,19 @@
     return kibibytes * 1024;
   }
 
+  /** Returns the bytes that the threads with a name prefix have allocated since their start. */
+  static double allocatedBytes(long pid, String threadPrefix) {
+    double bytes = 0;
+    for (String line : runCommand("jcmd", Long.toString(pid), "Thread.print", "-e")) {
+      Matcher matcher = ALLOCATED.matcher(line);
+      if (line.startsWith("\"" + threadPrefix) && matcher.find()) {
+        int shift = 10 * " KMG".indexOf(matcher.group(2));
+        bytes += Double.parseDouble(matcher.group(1)) * (1L << Math.max(0, shift));
+      }
+    }
+    return bytes;
+  }
+
   private static List<String> runCommand(String... command) {
     List<String> lines = new ArrayList<>();
     try {
