Build no ask that no control daemon reads

Each request to an engine built the ask for a placing control daemon, with a pass over all upstreams, before the router looked whether one places; by default none does. Now it looks first (`PlacementClient.accepts`) and selects itself. Kept: for services with a warm-up, permits are asked for the cold engines that the pass comes across. Changed: without a placing daemon, an engine held back for its pace counts once for a request in the metric, not twice.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementClient.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementClient.java
@@ -91,6 +91,11 @@
     void cancel();
   }
 
+  /** Returns whether a control daemon answers asks now; if not, this router decides. */
+  public synchronized boolean accepts() {
+    return current.filter(Placing::accepts).isPresent();
+  }
+
   /**
    * Asks for a slot.
    *
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAdmission.java
@@ -55,6 +55,11 @@
       call.selectFirst();
       return;
     }
+    if (!context.placement().accepts()) {
+      choice.recordColdEngines();
+      call.selectFirst();
+      return;
+    }
     asked = context.placement().ask(createAsk(), this::onAnyThread);
   }
 
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamChoice.java
@@ -297,6 +297,13 @@
         && view.service(service).flatMap(ServiceDefinition::engine).isPresent();
   }
 
+  /** Has the next report ask for permits for all engines that are cold now, preferred or not. */
+  void recordColdEngines() {
+    if (view.service(service).flatMap(ServiceDefinition::warmUp).isPresent()) {
+      usable().forEach(this::takesRequest);
+    }
+  }
+
   /** Returns the upstream that a control daemon selected; empty if it is not usable here. */
   Optional<Selection> selectPlaced(PlacementAnswer answer) {
     List<Upstream> usable = usable();
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementClientTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/placement/PlacementClientTest.java
@@ -125,9 +125,11 @@
 
   @Test
   public void shouldDecideLocallyUntilControlDaemonGivesSign() {
+    assertThat(client.accepts()).isFalse();
     ask();
     assertThat(answers).containsExactly(Optional.empty());
     stream().acknowledge();
+    assertThat(client.accepts()).isTrue();
     ask();
     assertThat(answers).hasSize(1);
     assertThat(stream().last().getAsksCount()).isEqualTo(1);
