Keep the reports of all routers to the number that the interval allows for

Cause: intervals between 100 ms and 400 ms that do not divide 400 ms fall between the ticks and the full reports. 25 routers reported at 300 ms and at 400 ms of each interval, more than 120 times a second together instead of the 80 that the design names.

Change: the interval is 100, 200 or 400 ms, the shortest one with at most 120 reports a second: up to 12 routers report every 100 ms, as they did in effect, up to 24 every 200 ms. The mean age of a sum follows, so it fits what is sent.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ReportInterval.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ReportInterval.java
@@ -16,18 +16,27 @@
   /** Interval of few routers. */
   public static final int MIN_MILLIS = 100;
 
-  private static final int REPORTS_PER_SECOND = 80;
+  /** Reports a second up to which the interval is shorter than that of many routers. */
+  private static final int MAX_REPORTS_PER_SECOND = 120;
 
   private ReportInterval() {}
 
   /**
-   * Returns the time between two reports of a router, in milliseconds.
+   * Returns the time between two reports of a router, in milliseconds. It divides the interval of
+   * many routers, since every report that says everything is one of them.
    *
    * @param routers number of routers that report
    */
   public static int millis(int routers) {
-    long even = TimeUnit.SECONDS.toMillis(1) * routers / REPORTS_PER_SECOND;
-    return (int) Math.max(MIN_MILLIS, Math.min(MAX_MILLIS, even));
+    int millis = MIN_MILLIS;
+    while (millis < MAX_MILLIS && isTooOften(routers, millis)) {
+      millis *= 2;
+    }
+    return millis;
+  }
+
+  private static boolean isTooOften(long routers, int millis) {
+    return routers * TimeUnit.SECONDS.toMillis(1) > MAX_REPORTS_PER_SECOND * (long) millis;
   }
 
   /**
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/ReportScheduleTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/ReportScheduleTest.java
@@ -27,6 +27,23 @@
     assertThat(sums).isEqualTo(sumReports);
   }
 
+  @DataProvider
+  public Object[][] ticks() {
+    return new Object[][] {{100}, {103}, {110}};
+  }
+
+  /**
+   * Guards against intervals that fall between ticks, so that reports come up to twice as often.
+   */
+  @Test(dataProvider = "ticks")
+  public void shouldKeepReportsOfAllRoutersBounded(int tickMillis) {
+    for (int routers = 1; routers <= 48; routers++) {
+      run(routers, tickMillis);
+      int reports = routers * (everything + sums);
+      assertThat(reports).as("routers %d", routers).isLessThanOrEqualTo(4 * 120);
+    }
+  }
+
   /** Ticks that come late: guards against everything being said less often for the sums. */
   @Test
   public void shouldSayEverythingInTimeWhenTicksAreLate() {
