Tell the previous summing daemon at once that another one sums

Cause: a router that found another primary between two full reports told only the new one. For up to 400 ms both took it for one that wants sums and sent them every 100 ms in turn, the previous one with counts and parts of limits from an old report.

Change: the report for sums is a full one when the primary is another one than at the last full report.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/ControlFollower.java
@@ -19,7 +19,8 @@
  * this router's zone sends documents at once, and only the live daemon with the lowest address
  * aggregates the load of the routers.
  *
- * <p>Thread-safe; {@link #step} is called by one thread a few times a second.
+ * <p>Thread-safe; {@link #step} and {@link #stepSums} are called by one thread a few times a
+ * second.
  */
 public final class ControlFollower implements AutoCloseable {
 
@@ -34,6 +35,9 @@
   private final Map<String, String> zones = new ConcurrentHashMap<>();
   private final Map<String, Set<String>> addressesBySource = new ConcurrentHashMap<>();
 
+  /** Daemon that was last asked for sums; used by the thread of the steps only. */
+  private String summing = "";
+
   /**
    * Creates a follower without streams.
    *
@@ -87,6 +91,7 @@
     FollowerReport.Builder shortReport =
         fullReport.clone().clearWork().clearAccounts().clearDemands().clearColdAsks();
     String primary = primary();
+    summing = primary;
     String documentSource = documentSource(primary);
     List<String> known = addresses();
     for (String address : known) {
@@ -106,11 +111,16 @@
     }
   }
 
-  /** Reports to the daemon that sums what routers report, if it is known. */
+  /**
+   * Reports to the daemon that sums what routers report, if it is known; to all daemons if it is
+   * another one than before, so that only one sends sums.
+   */
   public void stepSums() {
     String primary = primary();
     FollowClient client = followClients.get(primary);
-    if (client != null) {
+    if (!primary.equals(summing)) {
+      step();
+    } else if (client != null) {
       client.step(
           state
               .createReport()
