Say in comments that 400 ms is the longest interval of reports

Cause: two comments still said that updates and reports come every 400 ms.

Change: comments only; the values hold for shorter intervals.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ServiceThrottle.java
@@ -23,7 +23,7 @@
   /** Requests per slot above which a smaller part is admitted. */
   private static final double TARGET_REQUESTS_PER_SLOT = 1.4;
 
-  /** Interval of the reports of other routers. */
+  /** Longest interval of the reports of other routers. */
   private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
   /** Largest change of the admitted part in a step. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FollowClient.java
@@ -22,7 +22,9 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(FollowClient.class);
 
-  /** Silence after which a stream is replaced; control daemons send an update every 400 ms. */
+  /**
+   * Silence after which a stream is replaced; control daemons send updates at least every 400 ms.
+   */
   private static final long SILENCE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
   /** Minimum time between two attempts to open a stream. */
