Select by the learned speed of each upstream when a control daemon places

Cause: the placer knew one speed for all upstreams of a pool, the mean of the ratios of observed to nominal times, so slow upstreams got as much as fast ones, and short prompts that waited made every estimate too high.

Change: each upstream of a placer has a SpeedEstimate, drawn to that of the pool while few times are known; the pool's is the sum of observed times divided by that of the nominal ones.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/PlacedUpstream.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/PlacedUpstream.java
@@ -9,6 +9,7 @@
 import org.toucansaddle.coordination.placement.PlacementRequest;
 import org.toucansaddle.coordination.placement.PlacementRequest.PromptPart;
 import org.toucansaddle.coordination.placement.PoolUpstream;
+import org.toucansaddle.coordination.upstream.SpeedEstimate;
 
 /**
  * Load and memory of one incarnation of an upstream, as one placer knows them.
@@ -21,6 +22,7 @@
 
   private PoolUpstream upstream;
   private final PromptMemory memory = new PromptMemory();
+  private final SpeedEstimate speed = new SpeedEstimate();
   private final Map<Long, Grant> grants = new HashMap<>();
   private final Map<String, OtherLoad> otherLoads = new HashMap<>();
   private OtherLoad otherLoad = NO_LOAD;
@@ -44,6 +46,11 @@
     upstream = newState;
   }
 
+  /** Returns what is known of its speed. */
+  SpeedEstimate speed() {
+    return speed;
+  }
+
   /** Returns the number of requests under way. */
   int requests() {
     return grants.size() + otherLoad.requests();
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/PoolPlacer.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/PoolPlacer.java
@@ -89,7 +89,7 @@
       usage.recordDemand(request.account(), request.shareTokens(), now);
     }
     List<PromptPart> prefixes = request.sharedPrefixes();
-    Optional<Candidate> best = ranking.best(upstreams.values(), request, prefixes, capacity);
+    Optional<Candidate> best = ranking.best(upstreams.values(), request, prefixes, capacity, now);
     boolean promised = request.returned() && takePlace(request, now);
     boolean hasRoom =
         best.isPresent()
@@ -231,7 +231,7 @@
       for (WaitingRequest entry : waiting) {
         if (next == null || goesBefore(entry, next, now)) {
           Optional<Candidate> room =
-              ranking.best(upstreams.values(), entry.request(), entry.prefixes(), capacity);
+              ranking.best(upstreams.values(), entry.request(), entry.prefixes(), capacity, now);
           if (room.isPresent()) {
             next = entry;
             candidate = room;
@@ -274,7 +274,7 @@
     Grant grant = grants.get(new GrantKey(router, number));
     if (grant != null && !grant.isStarted()) {
       grant.upstream().recordStart(grant);
-      ranking.recordFirstToken(grant, millis, capacity);
+      ranking.recordFirstToken(grant, millis, capacity, now);
       double waitedMillis =
           (grant.grantedAt() - grant.askedAt()) / (double) TimeUnit.MILLISECONDS.toNanos(1);
       workLimit.recordFirstToken(waitedMillis + millis, grant.request().targetMillis());
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/UpstreamRanking.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/internal/placement/UpstreamRanking.java
@@ -7,13 +7,15 @@
 import org.toucansaddle.coordination.placement.PlacementRequest;
 import org.toucansaddle.coordination.placement.PlacementRequest.PromptPart;
 import org.toucansaddle.coordination.placement.PoolCapacity;
+import org.toucansaddle.coordination.upstream.SpeedEstimate;
+import org.toucansaddle.coordination.upstream.SpeedEstimate.Sums;
 
 /**
  * Selects the upstream for a request.
  *
  * <p>Each prefix has an order of the upstreams that is the same whoever decides, so that few of
- * them keep it: the first one that is expected to meet the target well is selected. Confined to its
- * placer's lock.
+ * them keep it: the first one that is expected to meet the target well is selected. The expected
+ * times are those at the learned speed of each upstream. Confined to its placer's lock.
  */
 final class UpstreamRanking {
 
@@ -27,10 +29,19 @@
   private static final double BASE_MILLIS = 20;
   private static final double SAMPLE_WEIGHT = 0.05;
 
-  private static final double MIN_FACTOR = 0.2;
-  private static final double MAX_FACTOR = 8;
+  /** Nominal time that the multiple of a pool begins with, in milliseconds. */
+  private static final double POOL_PRIOR_MILLIS = 300;
 
-  private double factor = 1;
+  /** Nominal time by which the multiple of the pool counts for an upstream, in milliseconds. */
+  private static final double UPSTREAM_PRIOR_MILLIS = 300;
+
+  /** Largest deviation of an upstream from its pool, in either direction. */
+  private static final double MAX_DEVIATION = 8;
+
+  private static final double MIN_MULTIPLE = 0.2;
+
+  /** Times to the first token at all upstreams of the pool. */
+  private final SpeedEstimate poolSpeed = new SpeedEstimate();
 
   /** Average time for which a request holds its slot, in milliseconds. */
   private double holdMillis = 500;
@@ -58,7 +69,9 @@
       Collection<PlacedUpstream> upstreams,
       PlacementRequest request,
       List<PromptPart> prefixes,
-      PoolCapacity capacity) {
+      PoolCapacity capacity,
+      long now) {
+    double usual = usualMultiple(now);
     String prefix = prefixes.isEmpty() ? "" : prefixes.get(prefixes.size() - 1).id();
     Candidate leastWait = null;
     Candidate first = null;
@@ -66,7 +79,7 @@
     for (PlacedUpstream upstream : upstreams) {
       if (hasRoom(upstream, request, capacity)
           && !request.excluded().contains(upstream.upstream().id())) {
-        Candidate candidate = evaluate(upstream, request, prefixes, capacity);
+        Candidate candidate = evaluate(upstream, request, prefixes, capacity, usual, now);
         if (leastWait == null || candidate.cost() < leastWait.cost()) {
           leastWait = candidate;
         }
@@ -102,22 +115,34 @@
       PlacedUpstream upstream,
       PlacementRequest request,
       List<PromptPart> prefixes,
-      PoolCapacity capacity) {
+      PoolCapacity capacity,
+      double usual,
+      long now) {
     int readTokens = request.promptTokens() - upstream.keptTokens(prefixes);
-    double millisPerToken = factor / capacity.readTokensPerMilli();
+    double multiple = multiple(upstream.speed().sums(now), usual);
+    double millisPerToken = multiple / capacity.readTokensPerMilli();
     double queueMillis = upstream.pendingTokens() * millisPerToken;
-    double firstTokenMillis = factor * BASE_MILLIS + queueMillis + readTokens * millisPerToken;
+    double firstTokenMillis = multiple * BASE_MILLIS + queueMillis + readTokens * millisPerToken;
     double cost =
         firstTokenMillis
             + (upstream.upstream().zone().equals(request.zone()) ? 0 : OTHER_ZONE_MILLIS);
     return new Candidate(upstream, readTokens, queueMillis, firstTokenMillis, cost);
   }
 
-  /** Learns the speed of the upstreams from the time to the first token of a granted request. */
-  void recordFirstToken(Grant grant, double millis, PoolCapacity capacity) {
+  private double usualMultiple(long now) {
+    return Math.max(MIN_MULTIPLE, poolSpeed.sums(now).multiple(1, POOL_PRIOR_MILLIS));
+  }
+
+  private static double multiple(Sums sums, double usual) {
+    double learned = sums.multiple(usual, UPSTREAM_PRIOR_MILLIS);
+    return Math.max(usual / MAX_DEVIATION, Math.min(usual * MAX_DEVIATION, learned));
+  }
+
+  /** Learns the speed of an upstream from the time to the first token of a granted request. */
+  void recordFirstToken(Grant grant, double millis, PoolCapacity capacity, long now) {
     double nominal = BASE_MILLIS + grant.pendingTokens() / capacity.readTokensPerMilli();
-    double sample = Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, millis / nominal));
-    factor += SAMPLE_WEIGHT * (sample - factor);
+    poolSpeed.record(millis, nominal, now);
+    grant.upstream().speed().record(millis, nominal, now);
   }
 
   /** Learns for how long requests hold their slots. */
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/placement/PlacementPatternsTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/placement/PlacementPatternsTest.java
@@ -22,6 +22,11 @@
   /** Share of its requests that a caller gets in target while the upstreams have room. */
   private static final double SERVED_WITH_ROOM = 0.95;
 
+  /**
+   * Share of its requests that a caller gets in target while the fast upstreams alone have room.
+   */
+  private static final double SERVED_IN_ROOMY_POOL = 0.99;
+
   /** Share of its requests that a caller gets in target while others ask for too much. */
   private static final double SERVED_BESIDE_OVERLOAD = 0.85;
 
@@ -30,6 +35,11 @@
   private static final Work SHORT_PROMPT =
       new Work("short", 211, 800, 10_000, 628, 198, 290, 927, 1.3);
   private static final Work TAG = new Work("tag", 338, 1_200, 2_500, 1_800, 568, 25, 993, 0.31);
+  private static final List<Work> SHORT_TARGETS =
+      List.of(
+          new Work("essay", 100, 600, 10_000, 6_610, 5_382, 380, 200, 6.6),
+          new Work("caption", 260, 300, 8_000, 628, 198, 290, 500, 1.9),
+          new Work("check", 270, 400, 2_500, 1_800, 568, 25, 500, 0.42));
   private static final List<Work> MIX = List.of(LONG_PROMPT, SHORT_PROMPT, TAG);
 
   @DataProvider
@@ -41,6 +51,10 @@
     return new Settings(95, 59, 12, 55, 395_139, 1_120_000, ACCOUNTS, MIX, 8);
   }
 
+  private static Settings largeEngines() {
+    return new Settings(67, 42, 32, 140, 444_000, 1_470_000, ACCOUNTS, SHORT_TARGETS, 8);
+  }
+
   private static PlacementSimulation simulate(long seed, double load) {
     PlacementSimulation simulation = new PlacementSimulation(smallEngines(), seed, WARM_UP_SECONDS);
     addEqualTraffic(simulation, load);
@@ -125,6 +139,24 @@
     assertServed(simulation, seed, SERVED_WITH_ROOM);
   }
 
+  /**
+   * Upstreams of uneven speed and short targets: guards against slow ones that get as much as fast
+   * ones, whose callers wait.
+   */
+  @Test(dataProvider = "seeds")
+  public void shouldGiveSlowUpstreamsWhatTheyFinishInTime(long seed) {
+    PlacementSimulation simulation = new PlacementSimulation(largeEngines(), seed, WARM_UP_SECONDS);
+    simulation.engines.forEach(engine -> engine.slowness = engine.index % 3 == 0 ? 2.2 : 0.9);
+    for (int account = 0; account < ACCOUNTS; account++) {
+      for (Work work : SHORT_TARGETS) {
+        double perSecond = work.perSecond() / ACCOUNTS;
+        simulation.addTraffic(work, "account" + account, perSecond, 0, 8);
+      }
+    }
+    simulation.run(simulation.new Granting(MESSAGE_MILLIS));
+    assertServed(simulation, seed, SERVED_IN_ROOMY_POOL);
+  }
+
   /** Half of the upstreams gone: guards against the requests that fail all others. */
   @Test(dataProvider = "seeds")
   public void shouldGoOnWithHalfOfTheUpstreams(long seed) {
