Let accounts catch up only if their demand has fallen

Cause: the change for accounts after a burst acted on all accounts. The present rate of requests that come in clumps is often below that of the window, so all shares were too large; and an account that got less than its share since upstreams had no room was admitted at up to three times its rate.

Change: demand has fallen as far as the present rate is lower by more than requests vary at random; only then, and as far, is it taken for the demand, and only then does an account catch up.

AccountFairnessTest (16 cases) and AccountSharesTest pass; three mutations fail their test.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -62,9 +62,18 @@
   /** Multiple of its share from which nothing is admitted for an account. */
   private static final double MAX_OVERSHOOT = 1.25;
 
-  /** Rate at which an account that got nothing lately is admitted, as a multiple of its share. */
+  /**
+   * Rate at which an account whose demand has fallen is admitted if it got nothing lately, as a
+   * multiple of its share.
+   */
   private static final double MAX_CATCH_UP = 3;
 
+  /**
+   * Variance of the demand at the present rate, per request in the window and per square of a
+   * request's mean tokens. Requests come in clumps and differ in size.
+   */
+  private static final double DEMAND_VARIANCE = 8;
+
   private final LongSupplier clock;
   private final DoubleSupplier random;
   private final Map<String, LocalUsage> localUsage = new HashMap<>();
@@ -205,6 +214,10 @@
    * Those admitted would tell less: they are the smaller ones while accounts are above their share.
    */
   public synchronized double meanWorkTokens() {
+    return meanDemandedTokens() / tokensPerWorkToken();
+  }
+
+  private double meanDemandedTokens() {
     double demanded = 0;
     double requests = 0;
     for (String account : localUsage.keySet()) {
@@ -212,7 +225,7 @@
       demanded += usage.demanded;
       requests += usage.requests;
     }
-    return requests < MIN_MEAN_REQUESTS ? 0 : demanded / requests / tokensPerWorkToken();
+    return requests < MIN_MEAN_REQUESTS ? 0 : demanded / requests;
   }
 
   /**
@@ -243,11 +256,29 @@
   }
 
   /**
-   * Returns what an account demands in the window of the shares: the demand of the last window, or
-   * that at its present rate if it is less. A single large request makes the present rate high.
+   * What an account demands in the window of the shares. Immutable.
+   *
+   * @param tokens demand of the last window, or that at its present rate as far as it has fallen
+   * @param fallen whether it has fallen, from 0 for no to 1 for certainly; the present rate varies
+   *     at random, as requests come in clumps and differ in size
    */
-  private static double demand(double demanded, double recentlyDemanded) {
-    return Math.min(demanded, WINDOW_PER_RECENT * recentlyDemanded);
+  private record Demand(double tokens, double fallen) {
+
+    /**
+     * Returns a demand.
+     *
+     * @param meanTokens mean tokens of a request; 0 if not known
+     */
+    static Demand of(double inWindow, double recent, double meanTokens) {
+      double less = inWindow - WINDOW_PER_RECENT * recent;
+      if (less <= 0) {
+        return new Demand(inWindow, 0);
+      }
+      double standardDeviation = Math.sqrt(DEMAND_VARIANCE * inWindow * meanTokens);
+      double certainty = standardDeviation == 0 ? 1 : less / standardDeviation - 1;
+      double fallen = Math.max(0, Math.min(1, certainty));
+      return new Demand(inWindow - fallen * less, fallen);
+    }
   }
 
   /** Returns the tokens that a report says were demanded recently; older daemons do not say so. */
@@ -305,12 +336,14 @@
    * What a router knows of an account, in recent tokens at all routers. Immutable.
    *
    * @param demandedTokens tokens that it demands in the window of the shares
+   * @param demandFallen whether that is less than before, from 0 for no to 1 for certainly
    * @param admittedTokens tokens of those that were admitted
    * @param fairShareTokens its fair share; {@link Double#MAX_VALUE} if all demands fit
    * @param remoteUsageAgeMillis age of the other routers' usage; -1 if none was reported
    */
   public record AccountState(
       double demandedTokens,
+      double demandFallen,
       double admittedTokens,
       double fairShareTokens,
       long remoteUsageAgeMillis) {}
@@ -336,8 +369,9 @@
     local.decay(now);
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
+    Demand demand = demandAtAllRouters(account, meanDemandedTokens());
     return new AccountState(
-        demandAtAllRouters(account), local.admitted + remote.getAdmitted(), share, ageMillis);
+        demand.tokens(), demand.fallen(), local.admitted + remote.getAdmitted(), share, ageMillis);
   }
 
   /**
@@ -353,9 +387,11 @@
 
   /**
    * Returns the part of an account's requests that is admitted, the same at all routers: at its
-   * present rate the account gets its share, more while it got less before, and less while it got
-   * more. If each router admitted all until the sums that it knows reach the share, all would
-   * exceed it together until the next report, and then admit nothing.
+   * present rate the account gets its share, less while it got more before, and more while it got
+   * less since its demand was larger. One whose demand is as before gets less than its share only
+   * if upstreams have no room for its requests, so that more of them would help nobody. If each
+   * router admitted all until the sums that it knows reach the share, all would exceed it together
+   * until the next report, and then admit nothing.
    */
   public static double admittedPart(AccountState state, long tokens) {
     double share = state.fairShareTokens();
@@ -365,7 +401,7 @@
     double admitted = (state.admittedTokens() + tokens / 2.0) / share;
     double multipleOfShare =
         admitted <= 1
-            ? MAX_CATCH_UP - (MAX_CATCH_UP - 1) * admitted
+            ? 1 + (MAX_CATCH_UP - 1) * (1 - admitted) * state.demandFallen()
             : (MAX_OVERSHOOT - admitted) / (MAX_OVERSHOOT - 1);
     double part = multipleOfShare * share / Math.max(1, state.demandedTokens());
     return Math.max(0, Math.min(1, part));
@@ -385,11 +421,13 @@
   }
 
   /** Returns the demand of an account by the sums of all routers; the local ones are up to date. */
-  private double demandAtAllRouters(String account) {
+  private Demand demandAtAllRouters(String account, double meanTokens) {
     LocalUsage local = localUsage.getOrDefault(account, new LocalUsage());
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
-    return demand(
-        local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote));
+    return Demand.of(
+        local.demanded + remote.getAsked(),
+        local.recentlyDemanded + recentlyAsked(remote),
+        meanTokens);
   }
 
   private double fairShare(double capacity) {
@@ -399,11 +437,12 @@
         || now - fairShareAt > FAIR_SHARE_MAX_AGE_NANOS) {
       localUsage.values().forEach(usage -> usage.decay(now));
       localUsage.values().removeIf(LocalUsage::isForgotten);
+      double meanTokens = meanDemandedTokens();
       double[] amounts =
           Stream.concat(
                   localUsage.keySet().stream(),
                   remoteUsage.keySet().stream().filter(name -> !localUsage.containsKey(name)))
-              .mapToDouble(this::demandAtAllRouters)
+              .mapToDouble(account -> demandAtAllRouters(account, meanTokens).tokens())
               .toArray();
       fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
