Round up recent demand that older daemons do not report

Cause: a quarter of their demand was rounded down, so demand seemed to have fallen by up to 3 tokens. At a router without requests of its own, which knows no mean, that counted as certain. Change: the quarter is rounded up. Result: shouldNotSeeDemandFallenInSumsOfOlderDaemon saw a fall of 1 before and sees 0.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -281,11 +281,14 @@
     }
   }
 
-  /** Returns the tokens that a report says were demanded recently; older daemons do not say so. */
+  /**
+   * Returns the tokens that a report says were demanded recently. Older daemons do not say so;
+   * theirs are rounded up, as their demand must not seem to have fallen.
+   */
   public static long recentlyAsked(AccountUse use) {
     return use.hasRecentlyAsked()
         ? use.getRecentlyAsked()
-        : (long) (use.getAsked() / WINDOW_PER_RECENT);
+        : (long) Math.ceil(use.getAsked() / WINDOW_PER_RECENT);
   }
 
   /**
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -292,4 +292,12 @@
     assertThat(shares.state("hot", CAPACITY_TOKENS_PER_SECOND).demandedTokens())
         .isEqualTo(demanded);
   }
+
+  /** Guards against accounts that seem to demand less because of a rounded sum. */
+  @Test
+  public void shouldNotSeeDemandFallenInSumsOfOlderDaemon() {
+    shares.updateRemoteUsage(
+        List.of(AccountUse.newBuilder().setAccount("hot").setAsked(900_003).build()));
+    assertThat(shares.state("hot", CAPACITY_TOKENS_PER_SECOND).demandFallen()).isZero();
+  }
 }
