Keep the mean demand of requests with the fair share

Cause: each check of a request's share went through all accounts for the mean and decayed their sums. Result: AccountSharesTest, AccountFairnessTest and RouteExplainerTest pass (54 tests).

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -82,6 +82,7 @@
   private SharedThroughput throughput = new SharedThroughput();
   private double fairShare = Double.MAX_VALUE;
   private double fairShareCapacity;
+  private double meanTokens;
   private long fairShareAt;
   private boolean fairShareKnown;
 
@@ -109,6 +110,7 @@
     copy.throughput = throughput.copy();
     copy.fairShare = fairShare;
     copy.fairShareCapacity = fairShareCapacity;
+    copy.meanTokens = meanTokens;
     copy.fairShareAt = fairShareAt;
     copy.fairShareKnown = fairShareKnown;
     return copy;
@@ -372,7 +374,7 @@
     local.decay(now);
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
-    Demand demand = demandAtAllRouters(account, meanDemandedTokens());
+    Demand demand = demandAtAllRouters(account);
     return new AccountState(
         demand.tokens(), demand.fallen(), local.admitted + remote.getAdmitted(), share, ageMillis);
   }
@@ -424,7 +426,7 @@
   }
 
   /** Returns the demand of an account by the sums of all routers; the local ones are up to date. */
-  private Demand demandAtAllRouters(String account, double meanTokens) {
+  private Demand demandAtAllRouters(String account) {
     LocalUsage local = localUsage.getOrDefault(account, new LocalUsage());
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     return Demand.of(
@@ -440,12 +442,12 @@
         || now - fairShareAt > FAIR_SHARE_MAX_AGE_NANOS) {
       localUsage.values().forEach(usage -> usage.decay(now));
       localUsage.values().removeIf(LocalUsage::isForgotten);
-      double meanTokens = meanDemandedTokens();
+      meanTokens = meanDemandedTokens();
       double[] amounts =
           Stream.concat(
                   localUsage.keySet().stream(),
                   remoteUsage.keySet().stream().filter(name -> !localUsage.containsKey(name)))
-              .mapToDouble(account -> demandAtAllRouters(account, meanTokens).tokens())
+              .mapToDouble(account -> demandAtAllRouters(account).tokens())
               .toArray();
       fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
