Widen the margin of the test of clumps of requests

Cause: after 40 clumps the window was not full, so the bound of 0.75 lay between 0.80 with the mechanism and 0.74 without it (computed). Change: 120 clumps and a bound of 0.85, between 0.93 and 0.74 (computed). Result: AccountSharesTest passes (24 tests); the mutations demand-between-clumps, burst-forgotten-when-it-ends and catch-up-after-fall-only are found.

--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -231,7 +231,7 @@
   /** Clumps of requests: guards against a demand that seems to have fallen between two of them. */
   @Test
   public void shouldKeepDemandBetweenClumpsOfRequests() {
-    for (int clump = 0; clump < 40; clump++) {
+    for (int clump = 0; clump < 120; clump++) {
       for (int i = 0; i < 6; i++) {
         shares.recordDemand("clumpy", REQUEST_TOKENS);
       }
@@ -240,7 +240,7 @@
     double steady = 6 * REQUEST_TOKENS * 10 * 2;
     clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(100));
     assertThat(shares.state("clumpy", CAPACITY_TOKENS_PER_SECOND).demandedTokens())
-        .isGreaterThan(0.75 * steady);
+        .isGreaterThan(0.85 * steady);
   }
 
   /** Burst that ends: guards against an account that gets far less than its share after a flood. */
