Say less of accounts that are behind their shares

Cause: the comment said that upstreams without room are the only reason why an account whose demand has not fallen got less than its share; a share that has just grown is another. Change: the comment says mostly.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -393,10 +393,10 @@
   /**
    * Returns the part of an account's requests that is admitted, the same at all routers: at its
    * present rate the account gets its share, less while it got more before, and more while it got
-   * less since its demand was larger. One whose demand is as before gets less than its share only
-   * if upstreams have no room for its requests, so that more of them would help nobody. If each
-   * router admitted all until the sums that it knows reach the share, all would exceed it together
-   * until the next report, and then admit nothing.
+   * less since its demand was larger. One whose demand is as before is mostly behind because
+   * upstreams have no room for its requests, and more of them would help nobody. If each router
+   * admitted all until the sums that it knows reach the share, all would exceed it together until
+   * the next report, and then admit nothing.
    */
   public static double admittedPart(AccountState state, long tokens) {
     double share = state.fairShareTokens();
