Treat an upstream's own 408, 429 or 503 as lost on routes that run once

Cause: a sealed 408, 429 or 503 that names the request but does not say that the request was not run was relayed unchanged.

Change: on a route that may not be repeated such a response counts as a lost answer (outcome unproven, 502). Repeatable routes are as before.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -257,6 +257,8 @@
       call.onNotExecuted(this, status);
     } else if (!isFromUpstream(status, headers)) {
       fail("unsealed", "status " + status + " does not come from the upstream itself");
+    } else if (ErrorResponse.isPromise(status) && !call.route().isRepeatable()) {
+      fail("unproven", "status " + status + " does not say that the request was not run");
     } else if (call.isResponding() && !HeaderCodec.continuesEventStream(status, headers)) {
       fail("status-" + status, "the upstream did not resume the stream");
     } else if (status >= 500 && (call.mayRetryFailure() || call.takeover().isStandby(this))) {
@@ -317,10 +319,9 @@
    * that promises that the request did not run, must carry the upstream's seal.
    */
   private boolean isFromUpstream(int status, HeaderMap headers) {
-    boolean claimsNotRun = status == 408 || status == 429 || status == 503;
     boolean sealed = context.codec().hasSeal(headers) && context.codec().hasRequestId(headers);
     return !headers.contains(Headers.CONTENT_ENCODING)
-        && (sealed || !(isSuccess(status) || claimsNotRun));
+        && (sealed || !(isSuccess(status) || ErrorResponse.isPromise(status)));
   }
 
   private void fail(String outcome, String cause) {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -24,6 +24,14 @@
 public record ErrorResponse(
     int status, String type, RunState runState, String detail, long retryAfterMillis) {
 
+  /** Statuses by which a caller knows that the request has not run and never will. */
+  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+  /** Returns whether a status promises that the request has not run and never will. */
+  static boolean isPromise(int status) {
+    return PROMISES.contains(status);
+  }
+
   static ErrorResponse noRoute(String host) {
     return new ErrorResponse(
         404, "no-route", RunState.NOT_RUN, "No route of host '" + host + "' matches this path.", 0);
