Keep the promise of 429 and 503 at the one place where a call ends

Cause: whether a request may have run was kept in a flag that three paths had to set, and only one of the paths that end a call asked it. No path was found that broke the promise by this; the request would have been answered as not run if one had forgotten the flag.

Change: SentAttempts counts the attempts sent and those whose upstream said that they were not run. RelayedCall.respond passes each error through ErrorResponse.given, which makes it 502 unless the two are equal.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ErrorResponse.java
@@ -14,8 +14,10 @@
 /**
  * An error response created by the router itself. Immutable.
  *
- * @param status HTTP status; 429 and 503 guarantee that the request has not run and never will; 429
- *     concerns the caller's account, 503 the service
+ * <p>Invariant: a status that promises that the request has not run and never will, as in {@link
+ * #isPromise}, goes only with {@link RunState#NOT_RUN}.
+ *
+ * @param status HTTP status; 429 concerns the caller's account, 503 the service
  * @param type short name of the problem
  * @param runState whether the request may have run
  * @param detail what happened and how to proceed, for people
@@ -27,11 +29,27 @@
   /** Statuses by which a caller knows that the request has not run and never will. */
   private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
+  /** Creates a response. */
+  public ErrorResponse {
+    if (isPromise(status) && runState != RunState.NOT_RUN) {
+      throw new IllegalArgumentException(
+          "Status %d of '%s' promises that the request has not run. Use 502 or 504."
+              .formatted(status, type));
+    }
+  }
+
   /** Returns whether a status promises that the request has not run and never will. */
   static boolean isPromise(int status) {
     return PROMISES.contains(status);
   }
 
+  /** Returns this response, or one that promises nothing if the request may have run. */
+  ErrorResponse given(RunState run) {
+    return run == RunState.NOT_RUN || runState != RunState.NOT_RUN
+        ? this
+        : upstreamLost("The response was lost and no other upstream took over.");
+  }
+
   static ErrorResponse noRoute(String host) {
     return new ErrorResponse(
         404, "no-route", RunState.NOT_RUN, "No route of host '" + host + "' matches this path.", 0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -54,8 +54,7 @@
   private Phase phase = Phase.NOT_SENT;
   private CallAttempt currentAttempt;
   private XnioExecutor.Key timer;
-  private int attempts;
-  private boolean earlierMayHaveRun;
+  private final SentAttempts sent = new SentAttempts();
   private double expectedFirstTokenMillis;
   private Dispatch lastDispatch = Dispatch.NONE;
 
@@ -106,7 +105,7 @@
   }
 
   int attempts() {
-    return attempts;
+    return sent.count();
   }
 
   String service() {
@@ -230,7 +229,7 @@
 
   /** Counts an attempt that is sent now and returns the body of the request. */
   byte[] onAttemptStarted(CallAttempt attempt) {
-    attempts++;
+    sent.recordSent();
     choice.markSent(attempt.upstream());
     if (isCurrent(attempt)) {
       choice.recordOrigin(attempt.upstream());
@@ -261,8 +260,7 @@
     if (phase == Phase.ENDED) {
       return;
     }
-    boolean maybeSent = earlierMayHaveRun || (currentAttempt != null && currentAttempt.isSent());
-    RunState run = maybeSent ? RunState.UNKNOWN : RunState.NOT_RUN;
+    RunState run = sent.runState();
     cancelAttempt();
     prepareNextAttempt();
     if (phase == Phase.RESPONDING) {
@@ -299,14 +297,14 @@
   void fail(ErrorResponse error) {
     if (phase == Phase.RESPONDING) {
       abortResponse(error.type());
-    } else if (earlierMayHaveRun && error.runState() == RunState.NOT_RUN) {
-      respond(ErrorResponse.upstreamLost("The response was lost and no other upstream took over."));
     } else {
       respond(error);
     }
   }
 
-  private void respond(ErrorResponse error) {
+  /** Responds; the promise that a request has not run is kept here, for all causes of its end. */
+  private void respond(ErrorResponse cause) {
+    ErrorResponse error = cause.given(sent.runState());
     recordEnd(error.status(), error.type(), error.detail());
     ErrorResponseWriter.send(
         exchange, request.head().requestId(), error, context.closesConnections());
@@ -351,7 +349,6 @@
   void replaceSilentAttempt() {
     currentAttempt.cancel();
     choice.allowAgain(currentAttempt.upstream());
-    earlierMayHaveRun = true;
     context.metrics().recordAttempt("silent");
     RelayLog.attemptFailed(this, currentAttempt.dispatch(), "silent", "another one takes over");
     continueWithStandby();
@@ -398,6 +395,7 @@
 
   /** Retries a request that an upstream reported as not executed. */
   void onNotExecuted(CallAttempt attempt, int status) {
+    sent.recordNotRun();
     if (status == HeaderCodec.MISDIRECTED_REQUEST) {
       attempt.upstream().markMisdirected(context.nowNanos());
     }
@@ -410,7 +408,6 @@
 
   /** Retries, if allowed, a request whose response was lost; it may have run. */
   void onAttemptLost(CallAttempt attempt, String outcome, String cause) {
-    earlierMayHaveRun = true;
     context.metrics().recordAttempt(outcome);
     RelayLog.attemptFailed(this, attempt.dispatch(), outcome, cause);
     if (!continuesWithout(attempt)) {
