Count the question mark with which a query begins in the size of a head

Cause: Undertow drops it, and HeadSize took the query as Undertow gives it.

Change: HeadSize uses ReceivedQuery, which moves to internal.request.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.toucansaddle.daemon.gateway.HeaderNames;
 import org.toucansaddle.daemon.internal.gateway.relay.RequestHead.PromptPart;
+import org.toucansaddle.daemon.internal.request.ReceivedQuery;
 
 /** Reads and writes header fields of requests and responses. Immutable and thread-safe. */
 public final class HeaderCodec {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/HeadSize.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/HeadSize.java
@@ -15,7 +15,7 @@
    * <p>The method and the protocol version are not counted.
    */
   public static int of(HttpServerExchange exchange) {
-    int bytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
+    int bytes = exchange.getRequestURI().length() + ReceivedQuery.of(exchange).length();
     HeaderMap headers = exchange.getRequestHeaders();
     for (long cookie = headers.fastIterate(); cookie != -1; cookie = headers.fiNext(cookie)) {
       HeaderValues values = headers.fiCurrent(cookie);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ReceivedQuery.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/request/ReceivedQuery.java
@@ -1,4 +1,4 @@
-package org.toucansaddle.daemon.internal.gateway.relay;
+package org.toucansaddle.daemon.internal.request;
 
 import io.undertow.server.HttpServerExchange;
 import java.util.Arrays;
@@ -8,16 +8,17 @@
  * The query of a request as the caller sent it.
  *
  * <p>The server drops a question mark with which a query begins, but keeps it in the name of the
- * first parameter. Names are not decoded. Stateless and thread-safe.
+ * first parameter. Names must not be decoded by the server. A query of nothing is not told from
+ * none. Stateless and thread-safe.
  */
-final class ReceivedQuery {
+public final class ReceivedQuery {
 
   private static final String MARK = "?";
 
   private ReceivedQuery() {}
 
   /** Returns the query without the question mark before it; empty if there is none. */
-  static String of(HttpServerExchange exchange) {
+  public static String of(HttpServerExchange exchange) {
     String query = exchange.getQueryString();
     int firstEnd = query.indexOf('&');
     String marked = MARK + nameOf(firstEnd < 0 ? query : query.substring(0, firstEnd));
