Check that no failure of a router bears an upstream's seal

Cause: an upstream's own 408, 429 or 503 is now replaced by 502 on routes that run once; no test looked whether its seal goes with it. Change: PromiseUsageTest demands that a sealed failure has the status that the upstream of the case sends itself.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PromiseUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PromiseUsageTest.java
@@ -48,6 +48,8 @@
   /** Requests that allow a service more than one retry. */
   private static final int SOUND_REQUESTS = 20;
 
+  private static final String SEAL = "X-Answer-Seal";
+
   private static final String OK = "id: 1\ndata: a\n\n";
 
   private final HttpClient client = HttpClient.create(HttpClientSettings.defaults());
@@ -159,7 +161,10 @@
     return cases.toArray(new Object[0][]);
   }
 
-  /** Guards against a request that ran and is answered as not run, on routes that run it once. */
+  /**
+   * Guards against a request that ran and is answered as not run, on routes that run it once, and
+   * against an upstream's seal on a failure that the upstream did not send.
+   */
   @Test(dataProvider = "endsOfCalls")
   public void shouldPromiseOnlyWhatHasNotRun(String route, String behaviour) throws Exception {
     boolean retried = behaviour.startsWith("refuses") || route.equals("repeatable");
@@ -186,16 +191,21 @@
     String id = request.headers().get("X-Request-Id");
     int status;
     boolean fromUpstream = false;
+    boolean sealed = false;
     String text = "";
     try {
       HttpResponse response = client.send(request, TIMEOUT).join();
       status = response.status();
       text = response.text();
       fromUpstream = text.equals("own answer");
+      sealed = response.header(SEAL).isPresent();
     } catch (RuntimeException e) {
       // The connection ended, which promises nothing.
       status = 0;
     }
+    if (sealed && status >= 400) {
+      assertThat(behaviour).as("behaviour that explains the seal").contains("runs-" + status);
+    }
     int ran = count(runs, id);
     boolean runsOnce = route.contains("once");
     if (runsOnce) {
