End responses that callers do not take, and bound them in sum

Change: UnreadGuard tells the budget of the router what a response holds and ends it as one whose upstream failed: the connection is closed or reset, the attempt cancelled. A log line unread_ended, the gauge unread_bytes and a counter by cause.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -370,14 +370,19 @@
     }
   }
 
+  @Override
+  public int readBytes(int usual) {
+    return call.response().readBytes(usual);
+  }
+
   @Override
   public void onDataDrained() {
-    call.flush();
+    call.response().flush();
   }
 
   @Override
   public Optional<String> findTruncation() {
-    return call.isCurrent(this) ? call.findTruncation() : Optional.empty();
+    return call.isCurrent(this) ? call.response().findTruncation() : Optional.empty();
   }
 
   @Override
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
@@ -30,6 +30,7 @@
   private final Runnable onWritable;
   private final Runnable onDisconnect;
   private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+  private final UnreadGuard guard;
   private StreamSinkChannel sink;
   private boolean endRequested;
   private boolean done;
@@ -38,12 +39,19 @@
    * Creates a response whose head has not been sent.
    *
    * @param onWritable called when all pending data has been written
-   * @param onDisconnect called when writing to the caller failed
+   * @param onDisconnect called when writing to the caller failed, or the caller left the response
+   *     unread for too long
    */
-  CallerResponse(HttpServerExchange exchange, Runnable onWritable, Runnable onDisconnect) {
+  CallerResponse(
+      RelayContext context,
+      HttpServerExchange exchange,
+      CallRequest request,
+      Runnable onWritable,
+      Runnable onDisconnect) {
     this.exchange = exchange;
     this.onWritable = onWritable;
     this.onDisconnect = onDisconnect;
+    this.guard = new UnreadGuard(context, exchange, request, this::onWriteFailure);
   }
 
   /**
@@ -103,6 +111,7 @@
       ByteBuffer rest = ByteBuffer.allocate(data.remaining());
       rest.put(data).flip();
       pending.add(rest);
+      guard.onWritten(pendingBytes());
       sink.resumeWrites();
       return false;
     } catch (IOException e) {
@@ -111,6 +120,22 @@
     }
   }
 
+  private long pendingBytes() {
+    return pending.stream().mapToLong(ByteBuffer::remaining).sum();
+  }
+
+  /** Records the size of an event that is held until the upstream completes it. */
+  void holdUnfinished(long bytes) {
+    if (!done) {
+      guard.onUnfinished(bytes);
+    }
+  }
+
+  /** Returns how many bytes to read at once from the upstream, instead of the usual number. */
+  int readBytes(int usual) {
+    return guard.readBytes(usual);
+  }
+
   private void openSink() {
     if (sink == null) {
       sink = exchange.getResponseChannel();
@@ -134,12 +159,14 @@
       while (!pending.isEmpty()) {
         ByteBuffer next = pending.peek();
         if (sink.write(next) == 0) {
+          guard.onTaken(pendingBytes());
           return;
         }
         if (!next.hasRemaining()) {
           pending.poll();
         }
       }
+      guard.onTaken(0);
       sink.suspendWrites();
       if (endRequested) {
         finish();
@@ -165,11 +192,14 @@
       } catch (IOException e) {
         onWriteFailure();
       }
+    } else {
+      guard.onUpstreamDone();
     }
   }
 
   private void finish() throws IOException {
     done = true;
+    guard.close();
     sink.shutdownWrites();
     if (sink.flush()) {
       exchange.endExchange();
@@ -196,6 +226,7 @@
    */
   void abort() {
     done = true;
+    guard.close();
     HeaderMap headers = exchange.getResponseHeaders();
     boolean framed =
         headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
@@ -84,6 +84,11 @@
     return scanner.findTruncation(framing);
   }
 
+  @Override
+  public int heldBytes() {
+    return partialEvent.size();
+  }
+
   /** Removes and returns the bytes after the last event: blank lines and comments. */
   @Override
   public ByteBuffer drain() {
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/GatewayHandler.java
@@ -51,6 +51,12 @@
             "toucansaddle_gateway_body_bytes",
             "Bytes held of the bodies of requests under way.",
             bodies::heldBytes);
+    context
+        .metrics()
+        .registerGauge(
+            "toucansaddle_gateway_unread_bytes",
+            "Bytes held of responses that callers have not taken.",
+            context.unreadBudget()::heldBytes);
   }
 
   /** Returns the number of requests whose responses are not completely written. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import org.toucansaddle.coordination.admission.LoadShedding;
 import org.toucansaddle.coordination.admission.LoadShedding.Others;
 import org.toucansaddle.coordination.admission.ReadLag;
+import org.toucansaddle.coordination.admission.UnreadBudget;
 import org.toucansaddle.coordination.zones.ZoneRegions;
 import org.toucansaddle.daemon.gateway.GatewaySettings.RouterSettings;
 import org.toucansaddle.daemon.gateway.PlacementMode;
@@ -22,6 +23,9 @@
 /** State and settings shared by all requests of a router. Thread-safe. */
 public final class RelayContext {
 
+  /** Fraction of the heap for responses that callers have not taken. */
+  private static final double MAX_UNREAD_HEAP_FRACTION = 0.1;
+
   /** Bounds the memory for removed routes; above the number of routes of a configuration. */
   private static final int MAX_TRACKED_ROUTES = 2_000;
 
@@ -39,6 +43,8 @@
   private final IoLag ioLag;
   private final LoadShedding shedding;
   private final ConnectOutcomes connectOutcomes = new ConnectOutcomes();
+  private final UnreadBudget unreadBudget =
+      new UnreadBudget((long) (MAX_UNREAD_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
   private final OriginLookup originLookup;
   private final PlacementClient placement;
   private final ZoneRegions regions;
@@ -150,6 +156,11 @@
     return connectOutcomes;
   }
 
+  /** Returns the bytes of responses that callers have not taken. */
+  UnreadBudget unreadBudget() {
+    return unreadBudget;
+  }
+
   ZoneRegions regions() {
     return regions;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -87,6 +87,21 @@
         takeover);
   }
 
+  /** Logs that a response was ended since its caller did not take it. */
+  static void unreadEnded(
+      CallRequest request, String cause, long unread, long unfinished, long pausedMillis) {
+    LOG.info(
+        "unread_ended request={} route={} account={} cause={} unread_bytes={} unfinished_bytes={}"
+            + " paused_ms={}",
+        request.head().requestId(),
+        request.route().name(),
+        request.account(),
+        cause,
+        unread,
+        unfinished,
+        pausedMillis);
+  }
+
   static void requestEnded(RelayedCall call, int status, String outcome, String detail) {
     LOG.info(
         "ended request={} route={} account={} configuration={} in_force={} status={} outcome={}"
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayMetrics.java
@@ -42,6 +42,13 @@
           .name("toucansaddle_gateway_malformed_loads_total")
           .help("Responses whose field of the upstream's load cannot be used.")
           .register(registry);
+  private final Counter unreadEnded =
+      Counter.builder()
+          .name("toucansaddle_gateway_unread_ended_total")
+          .help("Responses ended since their callers did not take them, by cause.")
+          .labelNames("cause")
+          .withoutExemplars()
+          .register(registry);
   private final Histogram firstByteSeconds =
       Histogram.builder()
           .name("toucansaddle_gateway_first_byte_seconds")
@@ -67,6 +74,11 @@
     malformedLoads.inc();
   }
 
+  /** Counts a response that was ended since its caller did not take it. */
+  void recordUnreadEnded(String cause) {
+    unreadEnded.labelValues(cause).inc();
+  }
+
   /** Counts a lookup of where a stream began. */
   public void recordOriginLookup(String outcome) {
     originLookups.labelValues(outcome).inc();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -81,7 +81,7 @@
     this.admission = new CallAdmission(context, this, exchange, choice);
     this.response =
         new ResponseRelay(
-            context, exchange, route, this::resumeAttempt, this::onCallerDisconnected);
+            context, exchange, request, this::resumeAttempt, this::onCallerDisconnected);
   }
 
   CallRequest request() {
@@ -470,13 +470,9 @@
     return hasRoom;
   }
 
-  void flush() {
-    response.flush();
-  }
-
-  /** Returns why a response that ends here is incomplete; empty if it may be complete. */
-  Optional<String> findTruncation() {
-    return response.findTruncation();
+  /** Returns the response to the caller. */
+  ResponseRelay response() {
+    return response;
   }
 
   /** Ends the response after the upstream completed it. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseContent.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseContent.java
@@ -30,6 +30,11 @@
   /** Returns why content that ends here is incomplete; empty if it may be complete. */
   Optional<String> findTruncation(ResponseFraming framing);
 
+  /** Returns the number of bytes that wait for the rest of an event. */
+  default int heldBytes() {
+    return 0;
+  }
+
   /** Returns bytes that are only forwarded when the content is complete. */
   default ByteBuffer drain() {
     return ByteBuffer.allocate(0);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
@@ -29,12 +29,12 @@
   ResponseRelay(
       RelayContext context,
       HttpServerExchange exchange,
-      Route route,
+      CallRequest request,
       Runnable onWritable,
       Runnable onDisconnect) {
     this.context = context;
-    this.route = route;
-    this.response = new CallerResponse(exchange, onWritable, onDisconnect);
+    this.route = request.route();
+    this.response = new CallerResponse(context, exchange, request, onWritable, onDisconnect);
   }
 
   /** Returns the framing of the last response of an upstream. */
@@ -80,6 +80,7 @@
   void prepareResume() {
     if (eventSplitter != null) {
       eventSplitter.prepareResume();
+      response.holdUnfinished(content.heldBytes());
     }
   }
 
@@ -102,6 +103,7 @@
   /** Relays content; returns whether the caller can accept more. */
   boolean write(ByteBuffer data) {
     ByteBuffer out = content.accept(data);
+    response.holdUnfinished(content.heldBytes());
     return !out.hasRemaining() || response.write(out);
   }
 
@@ -110,6 +112,11 @@
     return eventSplitter == null ? Optional.empty() : eventSplitter.fault();
   }
 
+  /** Returns how many bytes to read at once from the upstream, instead of the usual number. */
+  int readBytes(int usual) {
+    return response.readBytes(usual);
+  }
+
   void flush() {
     response.flush();
   }
@@ -122,6 +129,7 @@
   /** Writes what is left of the content. */
   void drain() {
     response.write(content.drain());
+    response.holdUnfinished(content.heldBytes());
   }
 
   /** Completes the response. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -43,6 +43,9 @@
      */
     boolean onResponseData(ByteBuffer data);
 
+    /** Returns how many bytes to read at once, at most the usual number. */
+    int readBytes(int usual);
+
     /** Called after content has been delivered, when there is no more or others are read first. */
     void onDataDrained();
 
@@ -228,7 +231,7 @@
           awaitNextTurn();
           return;
         }
-        ByteBuffer buffer = READ_BUFFER.get().clear();
+        ByteBuffer buffer = READ_BUFFER.get().clear().limit(listener.readBytes(READ_BYTES));
         int count;
         do {
           count = readInto(buffer);
