Keep responses of callers that take bytes, however few

Cause: a response was ended if not all of it was taken within 5 s. A caller that takes bytes slowly lost an answer that was being delivered. Even with a clock of single bytes it would have: the kernel announces room in the send buffer only once much of it is free, so a caller at 40 KiB a second looks silent for 5 s.

Change: while the upstream is at work, a response is ended only if nothing was taken for 5 s; every byte that the router can write starts the time anew. Giving way in sum and the 60 s of complete responses stay. Before a response is ended the guard tries to write, which replaces the pass of 1 ms it waited for. Callers that take nothing are still ended, with the exact count.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/ReadingPause.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/admission/ReadingPause.java
@@ -5,14 +5,13 @@
 /**
  * Decides when a response is ended that its caller does not take.
  *
- * <p>While the upstream has more to send, it sees no reading from the first byte that the caller
- * leaves until the caller has taken everything; what the caller takes in between does not help the
- * upstream. Once the upstream has completed the response, only the caller's silence counts. Times
- * are in nanoseconds of any clock. Not thread-safe; does no I/O.
+ * <p>Only the caller's silence counts: every byte that it takes starts the time anew. The time is
+ * short while the upstream has more to send, since its slot is taken. Times are in nanoseconds of
+ * any clock. Not thread-safe; does no I/O.
  */
 public final class ReadingPause {
 
-  /** Time without reading that upstreams bear. */
+  /** Time without taking anything while the upstream has more to send. */
   public static final long MAX_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   /** Time without taking anything after which the caller of a complete response has gone. */
@@ -63,6 +62,6 @@
     if (!paused) {
       return Long.MAX_VALUE;
     }
-    return upstreamDone ? takenAt + MAX_SILENCE_NANOS - now : pausedAt + MAX_PAUSE_NANOS - now;
+    return takenAt + (upstreamDone ? MAX_SILENCE_NANOS : MAX_PAUSE_NANOS) - now;
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallerResponse.java
@@ -51,7 +51,8 @@
     this.exchange = exchange;
     this.onWritable = onWritable;
     this.onDisconnect = onDisconnect;
-    this.guard = new UnreadGuard(context, exchange, request, this::onWriteFailure);
+    this.guard =
+        new UnreadGuard(context, exchange, request, this::writePending, this::onWriteFailure);
   }
 
   /**
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UnreadGuard.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UnreadGuard.java
@@ -15,12 +15,10 @@
  */
 final class UnreadGuard implements AutoCloseable {
 
-  /** Delay after which a late I/O thread has written what callers can take. */
-  private static final long NEXT_PASS_MILLIS = 1;
-
   private final RelayContext context;
   private final CallRequest request;
   private final XnioIoThread ioThread;
+  private final Runnable writeLeft;
   private final Runnable onEnd;
   private final UnreadBudget.Holding holding;
   private final ReadingPause pause = new ReadingPause();
@@ -32,13 +30,19 @@
   /**
    * Creates a guard of a response that holds nothing.
    *
+   * @param writeLeft writes what the caller takes by now of the bytes that it left
    * @param onEnd ends the response so that it does not look complete, and its attempt
    */
   UnreadGuard(
-      RelayContext context, HttpServerExchange exchange, CallRequest request, Runnable onEnd) {
+      RelayContext context,
+      HttpServerExchange exchange,
+      CallRequest request,
+      Runnable writeLeft,
+      Runnable onEnd) {
     this.context = context;
     this.request = request;
     this.ioThread = exchange.getIoThread();
+    this.writeLeft = writeLeft;
     this.onEnd = onEnd;
     this.holding =
         context
@@ -103,26 +107,27 @@
   private void startTimer() {
     if (timer == null && !closed && pause.isPaused()) {
       long millis = TimeUnit.NANOSECONDS.toMillis(pause.remainingNanos(context.nowNanos()));
-      timer =
-          ioThread.executeAfter(
-              this::checkAfterNextPass, Math.max(1, millis), TimeUnit.MILLISECONDS);
+      timer = ioThread.executeAfter(this::check, Math.max(1, millis), TimeUnit.MILLISECONDS);
     }
   }
 
-  /** Timers of a late I/O thread run before it writes what callers can take by now. */
-  private void checkAfterNextPass() {
-    timer = ioThread.executeAfter(this::check, NEXT_PASS_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
   private void check() {
     timer = null;
-    if (pause.remainingNanos(context.nowNanos()) <= 0) {
+    if (isOverdue()) {
+      // The kernel announces room only once much is free, and a late I/O thread has not seen it.
+      writeLeft.run();
+    }
+    if (isOverdue()) {
       end("unread");
     } else {
       startTimer();
     }
   }
 
+  private boolean isOverdue() {
+    return !closed && pause.remainingNanos(context.nowNanos()) <= 0;
+  }
+
   private void end(String cause) {
     if (closed) {
       return;
