Count an unfinished event only while it is held

Cause: an event that was discarded with an unsent head stayed counted until the next content, so a call that held nothing could give way, also while its error response was written. What was left of a stream at its end was counted twice for the time of one write, which could make a call give way.

Change: a withdrawn head sets the count to zero; the rest of a stream is no longer counted as unfinished before it is written.

Found by reading; no test shows either fault: one with a stream broken off within its first event did not reach the next attempt, since the router answered 502, and was left out.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
@@ -96,6 +96,7 @@
     }
     content = ResponseContent.OPAQUE;
     eventSplitter = null;
+    response.holdUnfinished(0);
     response.discardHead();
     return true;
   }
@@ -128,8 +129,9 @@
 
   /** Writes what is left of the content. */
   void drain() {
-    response.write(content.drain());
+    ByteBuffer rest = content.drain();
     response.holdUnfinished(content.heldBytes());
+    response.write(rest);
   }
 
   /** Completes the response. */
