--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
@@ -29,12 +29,12 @@
   ResponseRelay(
       RelayContext context,
       HttpServerExchange exchange,
-      Route route,
+      CallRequest request,
       Runnable onWritable,
       Runnable onDisconnect) {
     this.context = context;
-    this.route = route;
-    this.response = new CallerResponse(exchange, onWritable, onDisconnect);
+    this.route = request.route();
+    this.response = new CallerResponse(context, exchange, request, onWritable, onDisconnect);
   }
 
   /** Returns the framing of the last response of an upstream. */
@@ -80,6 +80,7 @@
   void prepareResume() {
     if (eventSplitter != null) {
       eventSplitter.prepareResume();
+      response.holdUnfinished(content.heldBytes());
     }
   }
 
@@ -95,6 +96,7 @@
     }
     content = ResponseContent.OPAQUE;
     eventSplitter = null;
+    response.holdUnfinished(0);
     response.discardHead();
     return true;
   }
@@ -102,6 +104,7 @@
   /** Relays content; returns whether the caller can accept more. */
   boolean write(ByteBuffer data) {
     ByteBuffer out = content.accept(data);
+    response.holdUnfinished(content.heldBytes());
     return !out.hasRemaining() || response.write(out);
   }
 
@@ -110,6 +113,11 @@
     return eventSplitter == null ? Optional.empty() : eventSplitter.fault();
   }
 
+  /** Returns how many bytes to read at once from the upstream, instead of the usual number. */
+  int readBytes(int usual) {
+    return response.readBytes(usual);
+  }
+
   void flush() {
     response.flush();
   }
@@ -121,7 +129,9 @@
 
   /** Writes what is left of the content. */
   void drain() {
-    response.write(content.drain());
+    ByteBuffer rest = content.drain();
+    response.holdUnfinished(content.heldBytes());
+    response.write(rest);
   }
 
   /** Completes the response. */
