Hold the pace of an upstream while it is cold or in doubt

Cause: a pace began at the start of an upstream, so the slow answers of its warm-up halved it, or its few permitted requests raised it, and its rounds without a halving ran during the warm-up: it was at an arbitrary pace when the bound of a cold upstream ended. A doubt of one router had the same effect in the middle of a pace.

Change: PacedUpstreams tells the pace whether the upstream has to be spared (ColdStart.isCold). An answer or a rejection is evidence only if the upstream was warm since the request was sent; the sum of other routers counts once the hold ends; rounds begin with the end of the hold. Failed connections and broken responses halve as before, also in doubt. WorkReports gets PacedUpstreams instead of the number of routers; WorkReportsTest is adapted to that and checks the same. PacedFleet, the model of the tests, can hold its upstream cold; without that it does what it did.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -18,8 +18,8 @@
  *
  * <p>Invariants: the pace is at least {@link #MIN_PACE}; it rises only with a request that kept
  * pace and was not counted before; it is halved at most once for the requests sent at one pace; a
- * restriction ends only with a request that kept pace. Times are nanoseconds of one clock.
- * Thread-safe; does no I/O.
+ * restriction ends only with a request that kept pace; while the upstream is cold the pace changes
+ * only by this router's failures. Times are nanoseconds of one clock. Thread-safe; does no I/O.
  */
 public final class UpstreamPace {
 
@@ -136,6 +136,10 @@
   private int behind;
   private long behindAt;
   private long cutAt;
+  private boolean isHeld;
+  private boolean wasHeld;
+  private long heldAt;
+  private long releasedAt;
   private boolean hasEnded;
   private long endedAt;
   private boolean hasSent;
@@ -213,6 +217,31 @@
     listener.onChange(Change.BEGUN, pace, now);
   }
 
+  /**
+   * Records whether the upstream has to be spared as a cold one. Its answers are no evidence until
+   * that ends, and what grows with time begins then.
+   */
+  public synchronized void recordCold(boolean cold, long nowNanos) {
+    if (cold) {
+      heldAt = wasHeld ? Math.max(heldAt, nowNanos) : nowNanos;
+      isHeld = true;
+      wasHeld = true;
+    } else if (isHeld) {
+      isHeld = false;
+      releasedAt = nowNanos;
+      begunAt = nowNanos;
+      roundAt = nowNanos;
+      roundPace = pace;
+    }
+  }
+
+  /**
+   * Returns whether the answer to a request is evidence: the upstream was warm since it was sent.
+   */
+  public synchronized boolean isEvidence(long sentAtNanos) {
+    return !isHeld && (!wasHeld || sentAtNanos - heldAt > 0);
+  }
+
   /** Returns whether the upstream is restricted now. */
   public boolean isActive() {
     return active;
@@ -300,13 +329,17 @@
 
   /**
    * Takes over the sum of the other routers' evidence. A sum that is smaller than one before, since
-   * a part was lost or it is an older one, changes nothing.
+   * a part was lost or it is an older one, changes nothing. What is added while the upstream is
+   * cold counts with the first sum after that.
    */
   public synchronized void mergeOthers(Evidence sum, int slots, int routers, long nowNanos) {
     adopt(sum, nowNanos);
     hasOthers = true;
     isShared = true;
     othersAt = nowNanos;
+    if (isHeld) {
+      return;
+    }
     int addedKept = sum.kept() - othersKept;
     int addedBehind = sum.behind() - othersBehind;
     othersKept = Math.max(othersKept, sum.kept());
@@ -356,17 +389,22 @@
   /** What one router alone has seen is over once it has its part; else most slots have to be. */
   private double endingPace(int slots, int routers, long now) {
     double part = Math.max(INITIAL_PACE, (double) slots / Math.max(1, routers));
-    double shared = now - cutAt >= EARLY_END_NANOS ? ENDING_PART * slots : slots;
+    double shared = steadyNanos(now) >= EARLY_END_NANOS ? ENDING_PART * slots : slots;
     return isShared ? shared : Math.min(slots, part);
   }
 
   /** The last step to all slots waits for the answers at most of them. */
   private double growthEnd(int slots, long now) {
-    boolean hasAnswers = !isShared || now - cutAt >= 2 * ROUND_TRIP_NANOS;
+    boolean hasAnswers = !isShared || steadyNanos(now) >= 2 * ROUND_TRIP_NANOS;
     double part = Math.max(INITIAL_PACE, ENDING_PART * slots);
     return hasAnswers ? slots : Math.min(slots, part);
   }
 
+  /** Returns the time without a halving during which answers were evidence. */
+  private long steadyNanos(long now) {
+    return wasHeld ? Math.min(now - cutAt, now - releasedAt) : now - cutAt;
+  }
+
   /** A pace at most doubles before its results are known. */
   private double boundOfRound(long now) {
     if (now - roundAt >= ROUND_TRIP_NANOS) {
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedFleet.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/PacedFleet.java
@@ -66,6 +66,9 @@
   private final List<Request> running = new ArrayList<>();
   private final List<Sample> samples = new ArrayList<>();
   private long millis;
+  private long coldUntil;
+  private int coldGapMillis;
+  private long lastColdAt = Long.MIN_VALUE / 2;
 
   PacedFleet(int routers, Engine engine, Faults faults, long seed) {
     this(routers, routers, engine, faults, seed);
@@ -97,12 +100,19 @@
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
+  /** Makes the upstream known as cold until a time, with one permitted request in a while. */
+  void coldUntil(long endMillis, int gapMillis) {
+    coldUntil = endMillis;
+    coldGapMillis = gapMillis;
+  }
+
   /** Plays until a time; returns what was seen since the last call. */
   List<Sample> runUntil(long endMillis) {
     int from = samples.size();
     for (; millis < endMillis; millis += STEP_MILLIS) {
       finish();
       exchange();
+      Arrays.stream(paces).forEach(pace -> pace.recordCold(millis < coldUntil, nanos()));
       int sent = 0;
       for (int offset = 0, first = random.nextInt(routers); offset < routers; offset++) {
         sent += send((first + offset) % routers);
@@ -123,9 +133,11 @@
     if (router >= senders
         || load.own() >= wanted
         || load.all() >= 2 * SLOTS
+        || (millis < coldUntil && millis - lastColdAt < coldGapMillis)
         || !paces[router].admits(load, true, nanos())) {
       return 0;
     }
+    lastColdAt = millis;
     paces[router].recordSent(nanos());
     own[router]++;
     Answer answer = engine.answer(running.size() + 1, millis, random);
@@ -145,11 +157,12 @@
     awaited.removeIf(
         request -> {
           boolean isDue = request.firstTokenAt() <= millis;
-          if (isDue && request.answer().keepsPace()) {
-            paces[request.router()].recordKept(SLOTS, routers, nanos());
-          } else if (isDue) {
-            UpstreamPace pace = paces[request.router()];
-            long sentAt = TimeUnit.MILLISECONDS.toNanos(request.sentAt());
+          long sentAt = TimeUnit.MILLISECONDS.toNanos(request.sentAt());
+          UpstreamPace pace = paces[request.router()];
+          boolean counts = request.answer().isFailure() || pace.isEvidence(sentAt);
+          if (isDue && counts && request.answer().keepsPace()) {
+            pace.recordKept(SLOTS, routers, nanos());
+          } else if (isDue && counts) {
             if (request.answer().isFailure()) {
               pace.restart(nanos());
               pace.recordFailed(sentAt, nanos());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -251,7 +251,7 @@
     if (isRefusal) {
       upstream.condition().recordAnswer(false, context.nowNanos());
       if (status != HeaderCodec.MISDIRECTED_REQUEST) {
-        paceSample.onFailure(context.nowNanos());
+        paceSample.onRejected(context.nowNanos());
       }
       close();
       call.onNotExecuted(this, status);
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/PaceSample.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/PaceSample.java
@@ -6,7 +6,8 @@
 
 /**
  * Whether one attempt kept the pace that is expected of its upstream. One that answers and breaks
- * later counts as both; one that is given up early counts as neither. Confined to the call's I/O
+ * later counts as both; one that is given up early counts as neither. An answer counts only if the
+ * upstream was warm since the request was sent; a failure always does. Confined to the call's I/O
  * thread.
  */
 final class PaceSample {
@@ -37,7 +38,7 @@
     this.upstream = upstream;
     this.dueMillis = Math.max(targetMillis, LATE_TO_EXPECTED_RATIO * expectedMillis);
     this.sentAtNanos = nowNanos;
-    upstream.pace().recordSent(nowNanos);
+    paced.recordSent(upstream, nowNanos);
   }
 
   /** Records data; the first token counts, which this router may have read late. */
@@ -47,13 +48,20 @@
     }
     if (isLate(lagMillis, nowNanos)) {
       onLate(nowNanos);
-    } else if (!behind) {
+    } else if (!behind && isEvidence()) {
       paced.recordKept(upstream);
     }
     answered = true;
   }
 
-  /** Records that the request was rejected or its response broke. */
+  /** Records that the request was rejected. */
+  void onRejected(long nowNanos) {
+    if (isEvidence()) {
+      onFailure(nowNanos);
+    }
+  }
+
+  /** Records that the response broke. */
   void onFailure(long nowNanos) {
     if (!behind) {
       behind = true;
@@ -69,12 +77,16 @@
   }
 
   private void onLate(long nowNanos) {
-    if (!behind) {
+    if (!behind && isEvidence()) {
       behind = true;
       upstream.pace().recordLate(sentAtNanos, nowNanos);
     }
   }
 
+  private boolean isEvidence() {
+    return paced.isEvidence(upstream, sentAtNanos);
+  }
+
   private boolean isLate(double lagMillis, long nowNanos) {
     return TimeUnit.NANOSECONDS.toMillis(nowNanos - sentAtNanos) - lagMillis > dueMillis;
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
@@ -7,14 +7,17 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.toucansaddle.coordination.pacing.UpstreamPace;
+import org.toucansaddle.coordination.pacing.UpstreamPace.Evidence;
 import org.toucansaddle.coordination.pacing.UpstreamPace.Load;
 
 /**
  * Keeps this router's requests to upstreams that have started or recovered at their pace.
  *
  * <p>Without effect on a service of which more than half of the ready upstreams are being paced:
- * there is nowhere else to go. Thread-safe.
+ * there is nowhere else to go. While an upstream is cold, or may be, its answers are no evidence
+ * and its pace is held. Thread-safe.
  */
 public final class PacedUpstreams {
 
@@ -33,13 +36,21 @@
   private final UpstreamTable upstreams;
   private final IntSupplier routers;
   private final LongSupplier clock;
+  private final Predicate<Upstream> cold;
   private final AtomicLong passedOver = new AtomicLong();
 
-  /** Creates an object that has passed over no request; {@code clock} returns nanoseconds. */
-  PacedUpstreams(UpstreamTable upstreams, IntSupplier routers, LongSupplier clock) {
+  /**
+   * Creates an object that has passed over no request.
+   *
+   * @param clock returns nanoseconds
+   * @param cold whether an upstream has to be spared as a cold one now
+   */
+  PacedUpstreams(
+      UpstreamTable upstreams, IntSupplier routers, LongSupplier clock, Predicate<Upstream> cold) {
     this.upstreams = upstreams;
     this.routers = routers;
     this.clock = clock;
+    this.cold = cold;
   }
 
   /** Returns whether an upstream may get a request of this router now, as far as its pace goes. */
@@ -53,6 +64,7 @@
 
   /** Returns the same as {@link #mayGetRequest} without recording that it was passed over. */
   public boolean isAdmitted(Upstream upstream, boolean repeatable) {
+    recordCold(upstream);
     return isAdmitted(upstream, repeatable, this::traffic);
   }
 
@@ -115,6 +127,32 @@
     upstream.pace().recordKept(upstream.report().slots(), routers.getAsInt(), clock.getAsLong());
   }
 
+  /** Records that a request is sent to an upstream. */
+  public void recordSent(Upstream upstream, long nowNanos) {
+    recordCold(upstream);
+    upstream.pace().recordSent(nowNanos);
+  }
+
+  /**
+   * Returns whether an upstream was warm since it was sent a request, so that its answer counts.
+   */
+  public boolean isEvidence(Upstream upstream, long sentAtNanos) {
+    recordCold(upstream);
+    return upstream.pace().isEvidence(sentAtNanos);
+  }
+
+  /** Takes over the sum of the other routers' evidence on an upstream. */
+  void mergeOthers(Upstream upstream, Evidence sum, long nowNanos) {
+    recordCold(upstream);
+    upstream.pace().mergeOthers(sum, upstream.report().slots(), routers.getAsInt(), nowNanos);
+  }
+
+  private void recordCold(Upstream upstream) {
+    if (upstream.pace().isActive()) {
+      upstream.pace().recordCold(cold.test(upstream), clock.getAsLong());
+    }
+  }
+
   /** Returns the number of upstreams that are being paced. */
   public int count() {
     return (int) upstreams.all().stream().filter(upstream -> upstream.pace().isActive()).count();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/RouterState.java
@@ -90,8 +90,6 @@
   public RouterState(
       DocumentFormat format, int reportTimeoutMillis, LongSupplier clock, boolean paces) {
     this.upstreams = new UpstreamTable(paces);
-    this.paced = new PacedUpstreams(upstreams, this::routers, clock);
-    this.work = new WorkReports(upstreams, this::routers);
     this.format = format;
     this.clock = clock;
     this.shares = new AccountShares(clock);
@@ -102,6 +100,8 @@
     this.coldStart =
         new ColdStart(
             this::view, clock, upstream -> updateTimes.isSilent(upstream, clock.getAsLong()));
+    this.paced = new PacedUpstreams(upstreams, this::routers, clock, coldStart::isCold);
+    this.work = new WorkReports(upstreams, paced);
     this.zones = new ZonesInService(upstreams, clock);
     this.usable = new UsableUpstreams(upstreams, zones, clock, updateTimes);
   }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -8,7 +8,6 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucansaddle.coordination.pacing.UpstreamPace.Evidence;
@@ -38,11 +37,11 @@
   private static final double MIN_REPORTED_MILLIS = 5;
 
   private final UpstreamTable upstreams;
-  private final IntSupplier routers;
+  private final PacedUpstreams paced;
 
-  WorkReports(UpstreamTable upstreams, IntSupplier routers) {
+  WorkReports(UpstreamTable upstreams, PacedUpstreams paced) {
     this.upstreams = upstreams;
-    this.routers = routers;
+    this.paced = paced;
   }
 
   /** Returns what this router reports of its requests at each upstream. */
@@ -171,7 +170,7 @@
   private void mergePace(Upstream upstream, PaceEvidence sum, long now) {
     long behindAt = now - TimeUnit.MILLISECONDS.toNanos(sum.getFellBehindAgeMillis());
     Evidence evidence = new Evidence(sum.getKeptPace(), sum.getFellBehind(), behindAt);
-    upstream.pace().mergeOthers(evidence, upstream.report().slots(), routers.getAsInt(), now);
+    paced.mergeOthers(upstream, evidence, now);
   }
 
   private static void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
@@ -30,7 +30,8 @@
     String address = "10.0.0.1:80";
     table.accept(
         new UpstreamReport("u", "s", address, "z", 8, State.READY, STARTED_AT_MILLIS, 1), NOW);
-    reports = new WorkReports(table, () -> 1);
+    reports =
+        new WorkReports(table, new PacedUpstreams(table, () -> 1, () -> NOW, upstream -> false));
     upstream = table.ready("s").get(0);
   }
 
