Give a router that alone sends to a service its part of a pace

Cause: UpstreamPace.Load.byTraffic gave an equal part, 1/60 with 60 routers, where no requests of others are known, whether the others had told of none or nothing was known of them. An upstream that only the callers of one router want stayed idle.

Change: a router that has had all requests at the service for a step (800 ms), with sums of the others that are in effect at each ready upstream, takes its part by the same formula, at most eight equal ones. Not at once: routers that all begin at a quiet service each see only their own requests, and would take eight times the pace together.

Limit: eight equal parts are 3.2 of 24 slots for one sender of 60 routers.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -105,6 +105,21 @@
       if (serviceAll <= serviceOwn) {
         return new Load(own, all, routers);
       }
+      return byParts(own, all, serviceOwn, serviceAll, routers);
+    }
+
+    /**
+     * Returns the load of a router that has had all requests under way at the service for a while,
+     * as the others have told. Without that, one that knows of no others has an equal part, since
+     * the others may know of none either.
+     *
+     * @param serviceOwn requests of this router at all upstreams of the service
+     */
+    public static Load ofOnlySender(int own, int all, int serviceOwn, int routers) {
+      return byParts(own, all, serviceOwn, serviceOwn, routers);
+    }
+
+    private static Load byParts(int own, int all, int serviceOwn, int serviceAll, int routers) {
       double like = (serviceAll + IDLE_WEIGHT * routers) / (serviceOwn + IDLE_WEIGHT);
       return new Load(own, all, Math.max(1, Math.max(routers / MAX_MULTIPLE, like)));
     }
--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/UpstreamCondition.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/upstream/UpstreamCondition.java
@@ -173,6 +173,11 @@
         .filter(report -> others.isEmpty() || report.atNanos() - others.get().atNanos() >= 0);
   }
 
+  /** Returns whether the other routers have told of their requests there, which may be none. */
+  public synchronized boolean knowsOthers(long nowNanos) {
+    return countedOthers(nowNanos).isPresent();
+  }
+
   private Optional<OthersWork> countedOthers(long nowNanos) {
     return others.filter(sum -> nowNanos - sum.atNanos() < MAX_SUM_AGE_NANOS).map(Others::work);
   }
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/UpstreamPaceLoadTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/UpstreamPaceLoadTest.java
@@ -47,6 +47,21 @@
     assertThat(part(serviceOwn, serviceAll)).isEqualTo(1.0 / ROUTERS);
   }
 
+  @DataProvider
+  public Object[][] onlySenders() {
+    return new Object[][] {
+      // requests of this router, its part of the pace
+      {1, 1.25 / 16}, {4, 8.0 / ROUTERS}, {30, 8.0 / ROUTERS},
+    };
+  }
+
+  /** Guards against an idle upstream, as routers without callers keep most of its pace. */
+  @Test(dataProvider = "onlySenders")
+  public void shouldTakeMoreThanAnEqualPartIfOthersHaveNone(int requests, double expected) {
+    double part = 1 / Load.ofOnlySender(0, 0, requests, ROUTERS).routers();
+    assertThat(part).isCloseTo(expected, Offset.offset(0.001));
+  }
+
   @Test
   public void shouldNeverTakeMoreThanEightEqualParts() {
     assertThat(part(1_000, 1_001)).isCloseTo(8.0 / ROUTERS, Offset.offset(0.001));
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreams.java
@@ -24,8 +24,26 @@
   /** Age from which the counts of a service are taken anew; counts of others are older. */
   private static final long MAX_TRAFFIC_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
-  /** Requests under way at a service, of this router and of all. Immutable. */
-  private record Traffic(int own, int all, long atNanos) {}
+  /** Time after which a router that has all requests at a service takes its part of a pace. */
+  private static final long MIN_ALONE_NANOS = UpstreamPace.STEP_NANOS;
+
+  /**
+   * Requests under way at a service, of this router and of all. Immutable.
+   *
+   * @param aloneSinceNanos time since which all are of this router; valid if it is alone
+   */
+  private record Traffic(int own, int all, long atNanos, boolean isAlone, long aloneSinceNanos) {
+
+    boolean isAloneForLong() {
+      return isAlone && atNanos - aloneSinceNanos >= MIN_ALONE_NANOS;
+    }
+
+    /** Returns the same with the time of an earlier count, unless that is too old to tell. */
+    Traffic after(Traffic earlier) {
+      boolean isLasting = isAlone && earlier.isAlone && atNanos - earlier.atNanos < MIN_ALONE_NANOS;
+      return isLasting ? new Traffic(own, all, atNanos, true, earlier.aloneSinceNanos) : this;
+    }
+  }
 
   /** Returns the traffic of a service at a time. */
   private interface TrafficSource {
@@ -80,16 +98,18 @@
     }
     long now = clock.getAsLong();
     Traffic traffic = source.at(upstream.report().service(), now);
-    Load load =
-        Load.byTraffic(
-            upstream.localRequests(),
-            upstream.requests(now),
-            traffic.own(),
-            traffic.all(),
-            routers.getAsInt());
+    Load load = load(upstream, traffic, now);
     return pace.admits(load, repeatable, now);
   }
 
+  private Load load(Upstream upstream, Traffic traffic, long now) {
+    int own = upstream.localRequests();
+    int all = upstream.requests(now);
+    return traffic.isAloneForLong()
+        ? Load.ofOnlySender(own, all, traffic.own(), routers.getAsInt())
+        : Load.byTraffic(own, all, traffic.own(), traffic.all(), routers.getAsInt());
+  }
+
   /** Counts an upstream that was passed over for its pace. */
   public void recordPassedOver() {
     passedOver.incrementAndGet();
@@ -105,15 +125,21 @@
 
   private Traffic currentTraffic(String service, long now) {
     Traffic known = traffics.get(service);
-    return known != null && now - known.atNanos() < MAX_TRAFFIC_AGE_NANOS
-        ? known
-        : countTraffic(upstreams.ready(service), now);
+    if (known != null && now - known.atNanos() < MAX_TRAFFIC_AGE_NANOS) {
+      return known;
+    }
+    Traffic counted = countTraffic(upstreams.ready(service), now);
+    return known != null ? counted.after(known) : counted;
   }
 
   private static Traffic countTraffic(List<Upstream> ready, long now) {
     int own = ready.stream().mapToInt(Upstream::localRequests).sum();
     int all = ready.stream().mapToInt(upstream -> upstream.requests(now)).sum();
-    return new Traffic(own, all, now);
+    boolean isAlone =
+        own > 0
+            && all <= own
+            && ready.stream().allMatch(upstream -> upstream.condition().knowsOthers(now));
+    return new Traffic(own, all, now, isAlone, now);
   }
 
   private boolean isRestricted(String service) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreamsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/PacedUpstreamsTest.java
@@ -153,4 +153,44 @@
     assertThat(works).hasSize(1);
     assertThat(find(router, 0).pace().pace() - before).isEqualTo(isCounted ? 1 : 0);
   }
+
+  @DataProvider
+  public Object[][] knowledge() {
+    return new Object[][] {
+      // what is known of the other routers, steps of 100 ms before, admissions of 100 at least, at
+      // most
+      {"they have no requests", List.of(), 9, 30, 75},
+      {"nothing", null, 9, 0, 20},
+      {"they have no requests, but only now", List.of(), 0, 0, 20},
+      {"they have many", List.of(work(1, 500)), 9, 0, 20},
+    };
+  }
+
+  private static UpstreamWork work(int index, int requests) {
+    return UpstreamWork.newBuilder().setUpstream("u" + index).setRequests(requests).build();
+  }
+
+  /**
+   * Guards against a new upstream that only the callers of one router want, and that is left idle.
+   */
+  @Test(dataProvider = "knowledge")
+  public void shouldTakeLargerPartOnlyIfOthersAreKnownToHaveNone(
+      String name, List<UpstreamWork> others, int stepsBefore, int atLeast, int atMost) {
+    int admitted = 0;
+    for (int i = 0; i < 100; i++) {
+      RouterState router = createRouter(true);
+      restart(router, 0);
+      find(router, 1).recordRequestStarted(0, 0);
+      find(router, 1).recordRequestStarted(0, 0);
+      for (int step = 0; step <= stepsBefore; step++) {
+        if (others != null) {
+          router.updateRemoteWork(others);
+        }
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(100);
+        boolean isAdmitted = router.paced().isAdmitted(find(router, 0), true);
+        admitted += step == stepsBefore && isAdmitted ? 1 : 0;
+      }
+    }
+    assertThat(admitted).isBetween(atLeast, atMost);
+  }
 }
