Let no answer raise or end a pace while it is held

Cause: PaceSample asks whether an answer is evidence and records it in two steps. If another thread sees the upstream cold between them, the answer raised the pace during the hold and could end it; an ended pace then kept its hold, since only active paces are told of the end of one. Change: UpstreamPace.raise does nothing while the pace is held, as its invariant says. Off, nothing is held, so nothing changes.

--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/pacing/UpstreamPace.java
@@ -384,7 +384,7 @@
   }
 
   private void raise(int requests, int slots, int routers, long now) {
-    if (!active) {
+    if (!active || isHeld) {
       return;
     }
     int repaid = Math.min(debt, requests);
--- a/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/UpstreamPaceHoldTest.java
+++ b/toucansaddle-coordination/src/test/java/org/toucansaddle/coordination/pacing/UpstreamPaceHoldTest.java
@@ -65,6 +65,17 @@
     assertThat(pace.isActive()).isFalse();
   }
 
+  /** Guards against an answer judged just before another thread sees the upstream cold. */
+  @Test
+  public void shouldNeitherRaiseNorEndPaceWhileCold() {
+    advance(60_000);
+    pace.recordCold(true, nowNanos);
+    double before = pace.pace();
+    keep(100);
+    assertThat(pace.pace()).isEqualTo(before);
+    assertThat(pace.isActive()).isTrue();
+  }
+
   @DataProvider
   public Object[][] times() {
     return new Object[][] {
