--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReports.java
@@ -40,10 +40,12 @@
 
   private final UpstreamTable upstreams;
   private final IntSupplier routers;
+  private final PacedUpstreams paced;
 
-  WorkReports(UpstreamTable upstreams, IntSupplier routers) {
+  WorkReports(UpstreamTable upstreams, IntSupplier routers, PacedUpstreams paced) {
     this.upstreams = upstreams;
     this.routers = routers;
+    this.paced = paced;
   }
 
   /** Returns what this router reports of its requests at each upstream. */
@@ -173,7 +175,7 @@
   private void mergePace(Upstream upstream, PaceEvidence sum, long now) {
     long behindAt = now - TimeUnit.MILLISECONDS.toNanos(sum.getFellBehindAgeMillis());
     Evidence evidence = new Evidence(sum.getKeptPace(), sum.getFellBehind(), behindAt);
-    upstream.pace().mergeOthers(evidence, upstream.report().slots(), routers.getAsInt(), now);
+    paced.mergeOthers(upstream, evidence, now);
   }
 
   private static void mergeLimit(Upstream upstream, LimitNotice notice, long now) {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/WorkReportsTest.java
@@ -32,7 +32,8 @@
     table.accept(
         new UpstreamReport("u", "s", address, "z", 8, State.READY, STARTED_AT_MILLIS, 1), NOW);
     routers = 95;
-    reports = new WorkReports(table, () -> routers);
+    PacedUpstreams paced = new PacedUpstreams(table, () -> routers, () -> NOW, u -> false);
+    reports = new WorkReports(table, () -> routers, paced);
     upstream = table.ready("s").get(0);
   }
 
