--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -62,18 +62,9 @@
   /** Multiple of its share from which nothing is admitted for an account. */
   private static final double MAX_OVERSHOOT = 1.25;
 
-  /**
-   * Rate at which an account whose demand has fallen is admitted if it got nothing lately, as a
-   * multiple of its share.
-   */
+  /** Rate at which an account that got nothing lately is admitted, as a multiple of its share. */
   private static final double MAX_CATCH_UP = 3;
 
-  /**
-   * Variance of the demand at the present rate, per request in the window and per square of a
-   * request's mean tokens. Requests come in clumps and differ in size.
-   */
-  private static final double DEMAND_VARIANCE = 8;
-
   private final LongSupplier clock;
   private final DoubleSupplier random;
   private final Map<String, LocalUsage> localUsage = new HashMap<>();
@@ -82,7 +73,6 @@
   private SharedThroughput throughput = new SharedThroughput();
   private double fairShare = Double.MAX_VALUE;
   private double fairShareCapacity;
-  private double meanTokens;
   private long fairShareAt;
   private boolean fairShareKnown;
 
@@ -110,7 +100,6 @@
     copy.throughput = throughput.copy();
     copy.fairShare = fairShare;
     copy.fairShareCapacity = fairShareCapacity;
-    copy.meanTokens = meanTokens;
     copy.fairShareAt = fairShareAt;
     copy.fairShareKnown = fairShareKnown;
     return copy;
@@ -216,10 +205,6 @@
    * Those admitted would tell less: they are the smaller ones while accounts are above their share.
    */
   public synchronized double meanWorkTokens() {
-    return meanDemandedTokens() / tokensPerWorkToken();
-  }
-
-  private double meanDemandedTokens() {
     double demanded = 0;
     double requests = 0;
     for (String account : localUsage.keySet()) {
@@ -227,7 +212,7 @@
       demanded += usage.demanded;
       requests += usage.requests;
     }
-    return requests < MIN_MEAN_REQUESTS ? 0 : demanded / requests;
+    return requests < MIN_MEAN_REQUESTS ? 0 : demanded / requests / tokensPerWorkToken();
   }
 
   /**
@@ -258,39 +243,18 @@
   }
 
   /**
-   * What an account demands in the window of the shares. Immutable.
-   *
-   * @param tokens demand of the last window, or that at its present rate as far as it has fallen
-   * @param fallen whether it has fallen, from 0 for no to 1 for certainly; the present rate varies
-   *     at random, as requests come in clumps and differ in size
+   * Returns what an account demands in the window of the shares: the demand of the last window, or
+   * that at its present rate if it is less. A single large request makes the present rate high.
    */
-  private record Demand(double tokens, double fallen) {
-
-    /**
-     * Returns a demand.
-     *
-     * @param meanTokens mean tokens of a request; 0 if not known
-     */
-    static Demand of(double inWindow, double recent, double meanTokens) {
-      double less = inWindow - WINDOW_PER_RECENT * recent;
-      if (less <= 0) {
-        return new Demand(inWindow, 0);
-      }
-      double standardDeviation = Math.sqrt(DEMAND_VARIANCE * inWindow * meanTokens);
-      double certainty = standardDeviation == 0 ? 1 : less / standardDeviation - 1;
-      double fallen = Math.max(0, Math.min(1, certainty));
-      return new Demand(inWindow - fallen * less, fallen);
-    }
+  private static double demand(double demanded, double recentlyDemanded) {
+    return Math.min(demanded, WINDOW_PER_RECENT * recentlyDemanded);
   }
 
-  /**
-   * Returns the tokens that a report says were demanded recently. Older daemons do not say so;
-   * theirs are rounded up, as their demand must not seem to have fallen.
-   */
+  /** Returns the tokens that a report says were demanded recently; older daemons do not say so. */
   public static long recentlyAsked(AccountUse use) {
     return use.hasRecentlyAsked()
         ? use.getRecentlyAsked()
-        : (long) Math.ceil(use.getAsked() / WINDOW_PER_RECENT);
+        : (long) (use.getAsked() / WINDOW_PER_RECENT);
   }
 
   /**
@@ -341,14 +305,12 @@
    * What a router knows of an account, in recent tokens at all routers. Immutable.
    *
    * @param demandedTokens tokens that it demands in the window of the shares
-   * @param demandFallen whether that is less than before, from 0 for no to 1 for certainly
    * @param admittedTokens tokens of those that were admitted
    * @param fairShareTokens its fair share; {@link Double#MAX_VALUE} if all demands fit
    * @param remoteUsageAgeMillis age of the other routers' usage; -1 if none was reported
    */
   public record AccountState(
       double demandedTokens,
-      double demandFallen,
       double admittedTokens,
       double fairShareTokens,
       long remoteUsageAgeMillis) {}
@@ -374,9 +336,8 @@
     local.decay(now);
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
-    Demand demand = demandAtAllRouters(account);
     return new AccountState(
-        demand.tokens(), demand.fallen(), local.admitted + remote.getAdmitted(), share, ageMillis);
+        demandAtAllRouters(account), local.admitted + remote.getAdmitted(), share, ageMillis);
   }
 
   /**
@@ -392,11 +353,9 @@
 
   /**
    * Returns the part of an account's requests that is admitted, the same at all routers: at its
-   * present rate the account gets its share, less while it got more before, and more while it got
-   * less since its demand was larger. One whose demand is as before is mostly behind because
-   * upstreams have no room for its requests, and more of them would help nobody. If each router
-   * admitted all until the sums that it knows reach the share, all would exceed it together until
-   * the next report, and then admit nothing.
+   * present rate the account gets its share, more while it got less before, and less while it got
+   * more. If each router admitted all until the sums that it knows reach the share, all would
+   * exceed it together until the next report, and then admit nothing.
    */
   public static double admittedPart(AccountState state, long tokens) {
     double share = state.fairShareTokens();
@@ -406,7 +365,7 @@
     double admitted = (state.admittedTokens() + tokens / 2.0) / share;
     double multipleOfShare =
         admitted <= 1
-            ? 1 + (MAX_CATCH_UP - 1) * (1 - admitted) * state.demandFallen()
+            ? MAX_CATCH_UP - (MAX_CATCH_UP - 1) * admitted
             : (MAX_OVERSHOOT - admitted) / (MAX_OVERSHOOT - 1);
     double part = multipleOfShare * share / Math.max(1, state.demandedTokens());
     return Math.max(0, Math.min(1, part));
@@ -426,13 +385,11 @@
   }
 
   /** Returns the demand of an account by the sums of all routers; the local ones are up to date. */
-  private Demand demandAtAllRouters(String account) {
+  private double demandAtAllRouters(String account) {
     LocalUsage local = localUsage.getOrDefault(account, new LocalUsage());
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
-    return Demand.of(
-        local.demanded + remote.getAsked(),
-        local.recentlyDemanded + recentlyAsked(remote),
-        meanTokens);
+    return demand(
+        local.demanded + remote.getAsked(), local.recentlyDemanded + recentlyAsked(remote));
   }
 
   private double fairShare(double capacity) {
@@ -442,12 +399,11 @@
         || now - fairShareAt > FAIR_SHARE_MAX_AGE_NANOS) {
       localUsage.values().forEach(usage -> usage.decay(now));
       localUsage.values().removeIf(LocalUsage::isForgotten);
-      meanTokens = meanDemandedTokens();
       double[] amounts =
           Stream.concat(
                   localUsage.keySet().stream(),
                   remoteUsage.keySet().stream().filter(name -> !localUsage.containsKey(name)))
-              .mapToDouble(account -> demandAtAllRouters(account).tokens())
+              .mapToDouble(this::demandAtAllRouters)
               .toArray();
       fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
       fairShareCapacity = capacity;
