--- a/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ReportInterval.java
+++ b/toucansaddle-coordination/src/main/java/org/toucansaddle/coordination/sharing/ReportInterval.java
@@ -10,7 +10,7 @@
  */
 public final class ReportInterval {
 
-  /** Interval of many routers. All daemons hear of each other at least this often. */
+  /** Interval of many routers, and longest time between two messages of any daemon. */
   public static final int MAX_MILLIS = 400;
 
   /** Interval of few routers. */
