--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpClient.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import org.toucansaddle.http.internal.UndertowHttpClient;
+import org.toucansaddle.http.internal.PooledHttpClient;
 import org.xnio.XnioWorker;
 
 /**
@@ -22,7 +22,7 @@
 
   /** Creates a client with its own I/O threads, which {@link #close} stops. */
   static HttpClient create(HttpClientSettings settings) {
-    return new UndertowHttpClient(settings);
+    return new PooledHttpClient(settings);
   }
 
   /**
@@ -32,7 +32,7 @@
    * owner of the worker stops the threads.
    */
   static HttpClient createWithWorker(XnioWorker worker, HttpClientSettings settings) {
-    return new UndertowHttpClient(settings, worker);
+    return new PooledHttpClient(settings, worker);
   }
 
   /**
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/UndertowHttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledHttpClient.java
@@ -37,7 +37,7 @@
  * from one of the worker's I/O threads is processed on that thread, and so is its response.
  * Thread-safe.
  */
-public final class UndertowHttpClient implements HttpClient {
+public final class PooledHttpClient implements HttpClient {
 
   private static final int BUFFER_SIZE_BYTES = 16 * 1024;
   private static final int SHUTDOWN_TIMEOUT_MILLIS = 500;
@@ -52,16 +52,16 @@
   private record IdleKey(String target, XnioIoThread ioThread) {}
 
   /** Creates a client with its own I/O threads. */
-  public UndertowHttpClient(HttpClientSettings settings) {
+  public PooledHttpClient(HttpClientSettings settings) {
     this(settings, createWorker(settings), true);
   }
 
   /** Creates a client on the I/O threads of an existing worker, whose owner stops them. */
-  public UndertowHttpClient(HttpClientSettings settings, XnioWorker worker) {
+  public PooledHttpClient(HttpClientSettings settings, XnioWorker worker) {
     this(settings, worker, false);
   }
 
-  private UndertowHttpClient(HttpClientSettings settings, XnioWorker worker, boolean ownsWorker) {
+  private PooledHttpClient(HttpClientSettings settings, XnioWorker worker, boolean ownsWorker) {
     this.settings = settings;
     this.worker = worker;
     this.ownsWorker = ownsWorker;
@@ -70,7 +70,7 @@
 
   private static XnioWorker createWorker(HttpClientSettings settings) {
     try {
-      return Xnio.getInstance(UndertowHttpClient.class.getClassLoader())
+      return Xnio.getInstance(PooledHttpClient.class.getClassLoader())
           .createWorker(
               OptionMap.builder()
                   .set(Options.WORKER_IO_THREADS, settings.ioThreads())
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/UndertowHttpClientTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/PooledHttpClientTest.java
@@ -35,8 +35,8 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
-/** Tests of {@link UndertowHttpClient}. */
-public class UndertowHttpClientTest {
+/** Tests of {@link PooledHttpClient}. */
+public class PooledHttpClientTest {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
@@ -203,7 +203,7 @@
   }
 
   private static XnioWorker newWorker() throws IOException {
-    return Xnio.getInstance(UndertowHttpClientTest.class.getClassLoader())
+    return Xnio.getInstance(PooledHttpClientTest.class.getClassLoader())
         .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
   }
 }
