Read responses without Undertow's client, so that broken chunks are no answer

Callers saw: a complete 200 with a part of the body, or with none, when an upstream sent a chunk without its line end or a size that is no number; or nothing until their deadline. Cause: Undertow's client skips what stands between a chunk and the next line feed, and takes a size that it cannot read for the end. It shows none of this to its user. Change: HttpConnection reads responses over XNIO, line by line and chunk by chunk, and fails with a MalformedResponseException, which ends the attempt as `malformed`: 502, or a retry where the route allows it. Both HTTP clients use it: the gateway's relay, and HttpClient (fleet of classes of work, orders, command line). Statuses, lengths and transfer codings are still taken as before. Why it works: a byte that the grammar of RFC 9112 does not allow at its place ends the response, and no other code reads bytes of responses.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayRouter.java
@@ -156,7 +156,6 @@
             metrics,
             router,
             System::nanoTime,
-            starter.buffers(),
             draining::get,
             connections,
             ioLag,
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/RouterListeners.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/RouterListeners.java
@@ -52,11 +52,6 @@
     this.worker = worker;
   }
 
-  /** Returns the buffers for the connections of the router. */
-  ByteBufferPool buffers() {
-    return buffers;
-  }
-
   /**
    * Listens for operators, who authenticate with their token.
    *
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/CallAttempt.java
@@ -1,7 +1,5 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
-import io.undertow.client.ClientRequest;
-import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -18,6 +16,8 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
+import org.toucansaddle.http.MalformedResponseException;
+import org.toucansaddle.http.ResponseHead;
 
 /**
  * One attempt of a call at one upstream: accounts for its load, sends the request, and validates
@@ -164,16 +164,15 @@
             expectedFirstTokenMillis,
             call.route().targetMillis(),
             sentAtNanos);
-    upstreamExchange = new UpstreamExchange(connection, body, this);
+    upstreamExchange = new UpstreamExchange(connection, this);
     stallDetector =
         new StallDetector(context, call, this, exchange.getIoThread(), expectedFirstTokenMillis);
-    upstreamExchange.start(buildRequest(body));
+    String method = exchange.getRequestMethod().toString();
+    upstreamExchange.start(method, call.head().target(), requestHeaders(body), body);
   }
 
-  private ClientRequest buildRequest(byte[] body) {
-    ClientRequest request = new ClientRequest();
-    request.setMethod(exchange.getRequestMethod()).setPath(call.head().target());
-    HeaderMap headers = request.getRequestHeaders();
+  private HeaderMap requestHeaders(byte[] body) {
+    HeaderMap headers = new HeaderMap();
     context.codec().copyRequestHeaders(exchange.getRequestHeaders(), headers);
     long remaining = Math.max(1, call.remainingMillis());
     context.codec().setUpstreamHeaders(headers, upstream.id(), call.request().account(), remaining);
@@ -183,7 +182,7 @@
     if (call.lastEventId() >= 0) {
       headers.put(LAST_EVENT_ID, Long.toString(call.lastEventId()));
     }
-    return request;
+    return headers;
   }
 
   /** Resumes reading after the caller's backpressure ended. */
@@ -229,9 +228,9 @@
   }
 
   @Override
-  public void onResponseHead(ClientResponse response) {
-    HeaderMap headers = response.getResponseHeaders();
-    int status = response.getResponseCode();
+  public void onResponseHead(ResponseHead head) {
+    HeaderMap headers = head.fields();
+    int status = head.status();
     upstream.markReachable();
     if (!context.codec().matchesRequestId(call.head().requestId(), headers)) {
       fail("crossed", "the response belongs to another request");
@@ -274,7 +273,7 @@
         releasePrefillLoad();
         stallDetector.onResponseStarted();
       }
-      call.onResponseHead(status, headers);
+      call.onResponseHead(head);
     }
   }
 
@@ -401,7 +400,7 @@
   }
 
   @Override
-  public void onFailure(String cause) {
+  public void onFailure(IOException cause) {
     if (!call.isUnderWay(this)) {
       return;
     }
@@ -409,6 +408,9 @@
       upstream.markBroken(context.nowNanos());
     }
     call.quarantine().recordStrike(upstream);
-    fail("broken", cause);
+    String message = cause.getMessage();
+    fail(
+        cause instanceof MalformedResponseException ? "malformed" : "broken",
+        message == null ? cause.getClass().getSimpleName() : message);
   }
 }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventMonitor.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventMonitor.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.toucansaddle.http.ResponseFraming;
 
 /**
  * Content of an event stream that cannot be resumed: forwarded as it arrives. Not thread-safe.
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventScanner.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventScanner.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.toucansaddle.http.ResponseFraming;
 
 /**
  * Finds the ends of events in a stream of server-sent events (WHATWG HTML, section 9.2.6).
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitter.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.toucansaddle.http.ResponseFraming;
 
 /**
  * Splits a stream of server-sent events into complete events and tracks their ids.
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayContext.java
@@ -1,6 +1,5 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
-import io.undertow.connector.ByteBufferPool;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -37,7 +36,6 @@
   private final RelayMetrics metrics;
   private final RouterSettings settings;
   private final LongSupplier nanoClock;
-  private final ByteBufferPool bufferPool;
   private final BooleanSupplier closing;
   private final CallerConnections connections;
   private final IoLag ioLag;
@@ -74,7 +72,6 @@
       RelayMetrics metrics,
       RouterSettings settings,
       LongSupplier nanoClock,
-      ByteBufferPool bufferPool,
       BooleanSupplier closing,
       CallerConnections connections,
       IoLag ioLag,
@@ -88,7 +85,6 @@
     this.metrics = metrics;
     this.settings = settings;
     this.nanoClock = nanoClock;
-    this.bufferPool = bufferPool;
     this.closing = closing;
     this.connections = connections;
     this.ioLag = ioLag;
@@ -239,7 +235,7 @@
 
   UpstreamConnectionPool connectionPool(XnioIoThread ioThread) {
     return connectionPools.computeIfAbsent(
-        ioThread, t -> new UpstreamConnectionPool(t, bufferPool, connectOutcomes));
+        ioThread, t -> new UpstreamConnectionPool(t, connectOutcomes));
   }
 
   /** Closes the connections to an upstream that carry no request. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -1,7 +1,6 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +12,8 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.daemon.internal.problem.RunState;
+import org.toucansaddle.http.ResponseFraming;
+import org.toucansaddle.http.ResponseHead;
 import org.xnio.XnioExecutor;
 
 /**
@@ -438,11 +439,11 @@
   }
 
   /** Starts the response to the caller; does nothing if a stream is being resumed. */
-  void onResponseHead(int status, HeaderMap headers) {
-    response.setFraming(headers);
+  void onResponseHead(ResponseHead head) {
+    response.setFraming(head.framing());
     if (phase != Phase.RESPONDING) {
       phase = Phase.RESPONDING;
-      response.start(status, headers);
+      response.start(head.status(), head.fields());
     }
     if (!isResumable()) {
       takeover.dismiss();
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseContent.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseContent.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.toucansaddle.http.ResponseFraming;
 
 /**
  * Content of a response on its way from upstreams to the caller, which knows where it may end.
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/ResponseRelay.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.toucansaddle.daemon.gateway.Route;
 import org.toucansaddle.daemon.internal.gateway.relay.EventSplitter.Fault;
+import org.toucansaddle.http.ResponseFraming;
 
 /**
  * Relays one response to the caller of a request, from one upstream or, for resumable streams, from
@@ -43,8 +44,8 @@
   }
 
   /** Records how the current upstream frames its response. */
-  void setFraming(HeaderMap headers) {
-    framing = ResponseFraming.of(headers);
+  void setFraming(ResponseFraming current) {
+    framing = current;
   }
 
   /** Starts the response with the head that an upstream sent. */
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnectionPool.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamConnectionPool.java
@@ -1,20 +1,13 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
-import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.toucansaddle.http.ClientConnections;
-import org.xnio.OptionMap;
-import org.xnio.Options;
+import org.toucansaddle.http.HttpConnection;
 import org.xnio.XnioIoThread;
 
 /**
@@ -34,40 +27,36 @@
   private static final int MAX_IDLE_ADDRESSES = 64;
 
   private final XnioIoThread ioThread;
-  private final ByteBufferPool bufferPool;
   private final ConnectOutcomes outcomes;
   private final Map<String, Deque<Connection>> idleConnections = new HashMap<>();
   private final Map<String, Integer> openCounts = new HashMap<>();
 
-  UpstreamConnectionPool(
-      XnioIoThread ioThread, ByteBufferPool bufferPool, ConnectOutcomes outcomes) {
+  UpstreamConnectionPool(XnioIoThread ioThread, ConnectOutcomes outcomes) {
     this.ioThread = ioThread;
-    this.bufferPool = bufferPool;
     this.outcomes = outcomes;
   }
 
   /** A pooled connection. */
   final class Connection {
     private final String address;
-    private final ClientConnection client;
+    private final HttpConnection http;
     private long idleSinceNanos;
     private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
 
-    private Connection(String address, ClientConnection client) {
+    private Connection(String address, HttpConnection http) {
       this.address = address;
-      this.client = client;
+      this.http = http;
       openCounts.merge(address, 1, Integer::sum);
-      client.addCloseListener(
-          channel -> openCounts.computeIfPresent(address, (key, n) -> n > 1 ? n - 1 : null));
+      http.onClose(() -> openCounts.computeIfPresent(address, (key, n) -> n > 1 ? n - 1 : null));
     }
 
-    ClientConnection client() {
-      return client;
+    HttpConnection http() {
+      return http;
     }
 
     /** Returns the connection to the pool for a limited time; 0 for the default time. */
     void release(long keepAliveMillis) {
-      if (!client.isOpen()) {
+      if (!http.isOpen()) {
         return;
       }
       idleSinceNanos = System.nanoTime();
@@ -79,11 +68,11 @@
     }
 
     void close() {
-      ClientConnections.closeNow(client);
+      http.close();
     }
 
     private boolean isReusable(long now) {
-      return client.isOpen() && now - idleSinceNanos < keepAliveNanos;
+      return http.isOpen() && now - idleSinceNanos < keepAliveNanos;
     }
   }
 
@@ -132,16 +121,14 @@
     PendingConnect opening = new PendingConnect(address, onOpen, onFailure);
     ioThread.executeAfter(opening::onTimeout, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     try {
-      URI uri = URI.create("http://" + address + "/");
-      OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
-      UndertowClient.getInstance().connect(opening, uri, ioThread, bufferPool, options);
+      HttpConnection.connect(address, ioThread, opening::completed, opening::failed);
     } catch (IllegalArgumentException e) {
       opening.failed(
           new IOException("invalid upstream address, expected host:port: " + address, e));
     }
   }
 
-  private final class PendingConnect implements ClientCallback<ClientConnection> {
+  private final class PendingConnect {
     private final String address;
     private final Consumer<Connection> onOpen;
     private final Consumer<IOException> onFailure;
@@ -153,19 +140,17 @@
       this.onFailure = onFailure;
     }
 
-    @Override
-    public void completed(ClientConnection client) {
+    void completed(HttpConnection http) {
       if (done) {
-        ClientConnections.closeNow(client);
+        http.close();
       } else {
         done = true;
         outcomes.recordAnswered(System.nanoTime());
-        onOpen.accept(new Connection(address, client));
+        onOpen.accept(new Connection(address, http));
       }
     }
 
-    @Override
-    public void failed(IOException e) {
+    void failed(IOException e) {
       if (!done) {
         done = true;
         outcomes.recordAnswered(System.nanoTime());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/UpstreamExchange.java
@@ -1,27 +1,22 @@
 package org.toucansaddle.daemon.internal.gateway.relay;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
-import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Locale;
 import java.util.Optional;
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamConnectionPool.Connection;
+import org.toucansaddle.http.HttpConnection;
+import org.toucansaddle.http.MalformedResponseException;
 import org.toucansaddle.http.ReadTurns;
-import org.xnio.ChannelListeners;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
+import org.toucansaddle.http.ResponseHead;
 
 /**
  * Sends one request to one upstream and streams its response to a listener.
  *
  * <p>Confined to the connection's I/O thread. The listener is completed or failed at most once.
  */
-final class UpstreamExchange {
+final class UpstreamExchange implements HttpConnection.Exchange {
 
   private static final int READ_BYTES = 16 * 1024;
   private static final ThreadLocal<ByteBuffer> READ_BUFFER =
@@ -34,7 +29,7 @@
   interface Listener {
 
     /** Called with the head of the response. */
-    void onResponseHead(ClientResponse response);
+    void onResponseHead(ResponseHead head);
 
     /**
      * Called with content; the buffer is valid only during the call.
@@ -61,45 +56,33 @@
     /** Called when the response is complete. */
     void onResponseComplete();
 
-    /** Called when the response cannot be completed; the request may have run. */
-    void onFailure(String why);
+    /**
+     * Called when the response cannot be completed; the request may have run.
+     *
+     * @param cause a {@link MalformedResponseException} if it is no valid response
+     */
+    void onFailure(IOException cause);
   }
 
   private final Connection connection;
+  private final HttpConnection http;
   private final Listener listener;
-  private final ByteBuffer body;
-  private StreamSourceChannel source;
   private IOException readFailure;
   private long keepAliveMillis;
-  private boolean bodyWritten;
-  private boolean closeAfterResponse;
+  private boolean headReceived;
   private boolean reading;
   private boolean awaitingTurn;
   private boolean ended;
 
-  UpstreamExchange(Connection connection, byte[] body, Listener listener) {
+  UpstreamExchange(Connection connection, Listener listener) {
     this.connection = connection;
+    this.http = connection.http();
     this.listener = listener;
-    this.body = ByteBuffer.wrap(body);
   }
 
   /** Sends the request. */
-  void start(ClientRequest request) {
-    connection
-        .client()
-        .sendRequest(
-            request,
-            new ClientCallback<>() {
-              @Override
-              public void completed(ClientExchange exchange) {
-                onRequestSent(exchange);
-              }
-
-              @Override
-              public void failed(IOException e) {
-                fail(e);
-              }
-            });
+  void start(String method, String target, HeaderMap fields, byte[] body) {
+    http.send(method, target, fields, body, this);
   }
 
   /**
@@ -116,74 +99,22 @@
     return awaited;
   }
 
-  private void onRequestSent(ClientExchange exchange) {
-    exchange.setResponseListener(
-        new ClientCallback<>() {
-          @Override
-          public void completed(ClientExchange result) {
-            onResponseHead(result);
-          }
-
-          @Override
-          public void failed(IOException e) {
-            fail(e);
-          }
-        });
-    StreamSinkChannel sink = exchange.getRequestChannel();
-    sink.getWriteSetter().set(channel -> writeBody(sink));
-    writeBody(sink);
-  }
-
-  private void writeBody(StreamSinkChannel sink) {
-    if (ended) {
-      return;
-    }
-    try {
-      while (body.hasRemaining()) {
-        if (sink.write(body) == 0) {
-          sink.resumeWrites();
-          return;
-        }
-      }
-      sink.shutdownWrites();
-      if (sink.flush()) {
-        bodyWritten = true;
-        sink.suspendWrites();
-        return;
-      }
-      sink.getWriteSetter()
-          .set(
-              ChannelListeners.flushingChannelListener(
-                  channel -> {
-                    bodyWritten = true;
-                    channel.suspendWrites();
-                  },
-                  (channel, e) -> fail(e)));
-      sink.resumeWrites();
-    } catch (IOException e) {
-      // An upstream may respond and close before it has read a long body; the response counts.
-      if (source == null) {
-        fail(e);
-      }
-    }
+  @Override
+  public void onHead(ResponseHead head) {
+    headReceived = true;
+    keepAliveMillis = parseKeepAliveMillis(head.fields());
+    listener.onResponseHead(head);
+    read();
   }
 
-  private void onResponseHead(ClientExchange exchange) {
-    if (ended) {
-      return;
-    }
-    ClientResponse response = exchange.getResponse();
-    keepAliveMillis = parseKeepAliveMillis(response.getResponseHeaders());
-    closeAfterResponse = isClosing(response.getResponseHeaders());
-    source = exchange.getResponseChannel();
-    source.getReadSetter().set(channel -> read());
-    listener.onResponseHead(response);
+  @Override
+  public void onReadable() {
     read();
   }
 
-  private static boolean isClosing(HeaderMap headers) {
-    String value = headers.getFirst(Headers.CONNECTION);
-    return value != null && value.toLowerCase(Locale.ROOT).contains("close");
+  @Override
+  public void onFailure(IOException cause) {
+    fail(cause);
   }
 
   private static long parseKeepAliveMillis(HeaderMap headers) {
@@ -209,7 +140,7 @@
   }
 
   private void awaitNextTurn() {
-    source.suspendReads();
+    http.suspendReads();
     awaitingTurn = true;
     ReadTurns.awaitNext(
         () -> {
@@ -220,7 +151,7 @@
 
   /** Delivers chunks that are there together at once: each delivery is a write to the caller. */
   private void read() {
-    if (ended || reading || awaitingTurn || source == null) {
+    if (ended || reading || awaitingTurn || !headReceived) {
       return;
     }
     reading = true;
@@ -238,7 +169,7 @@
           reads++;
         } while (count > 0 && buffer.hasRemaining() && reads < ReadTurns.MAX_READS);
         if (buffer.position() > 0 && !listener.onResponseData(buffer.flip())) {
-          source.suspendReads();
+          http.suspendReads();
           return;
         }
         if (count <= 0 && !ended) {
@@ -257,7 +188,7 @@
       return -1;
     }
     try {
-      return source.read(buffer);
+      return http.read(buffer);
     } catch (IOException e) {
       readFailure = e;
       return -1;
@@ -272,7 +203,7 @@
     } else {
       listener.onDataDrained();
       if (!ended) {
-        source.resumeReads();
+        http.resumeReads();
       }
     }
   }
@@ -284,7 +215,7 @@
       return;
     }
     ended = true;
-    if (bodyWritten && !closeAfterResponse && listener.keepsConnection()) {
+    if (http.endExchange() && listener.keepsConnection()) {
       connection.release(keepAliveMillis);
     } else {
       connection.close();
@@ -296,8 +227,7 @@
     if (!ended) {
       ended = true;
       connection.close();
-      String message = cause.getMessage();
-      listener.onFailure(message == null ? cause.getClass().getSimpleName() : message);
+      listener.onFailure(cause);
     }
   }
 }
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventScannerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventScannerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.toucansaddle.http.ResponseFraming;
 
 /** Tests of {@link EventScanner}. */
 public class EventScannerTest {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/EventSplitterTest.java
@@ -8,6 +8,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.internal.gateway.relay.EventSplitter.Fault;
+import org.toucansaddle.http.ResponseFraming;
 
 /** Tests of {@link EventSplitter}. */
 public class EventSplitterTest {
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/RouteExplainerTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/relay/RouteExplainerTest.java
@@ -84,7 +84,6 @@
             new RelayMetrics(),
             settings,
             () -> nowNanos,
-            null,
             () -> false,
             null,
             new IoLag(),
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpException.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpException.java
@@ -11,6 +11,8 @@
     CONNECT,
     /** The connection was lost after bytes of the request may have been sent. */
     BROKEN,
+    /** Something that is no valid HTTP response arrived; the request may have run. */
+    MALFORMED,
     /** The caller cancelled the request. */
     CANCELLED,
     /** The response did not arrive within the timeout. */
--- /dev/null
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/ResponseHead.java
@@ -0,0 +1,14 @@
+package org.toucansaddle.http;
+
+import io.undertow.util.HeaderMap;
+
+/**
+ * The valid head of a response. Immutable by convention: nobody modifies the fields.
+ *
+ * @param status status code
+ * @param fields header fields
+ * @param framing how the fields mark the end of the body, also if there is none
+ * @param persistent whether the server keeps the connection open after the response
+ */
+public record ResponseHead(
+    int status, HeaderMap fields, ResponseFraming framing, boolean persistent) {}
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ClientExchangeDriver.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ClientExchangeDriver.java
@@ -1,8 +1,6 @@
 package org.toucansaddle.http.internal;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -12,14 +10,14 @@
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.toucansaddle.http.HttpConnection;
 import org.toucansaddle.http.HttpException;
 import org.toucansaddle.http.HttpExchange;
 import org.toucansaddle.http.HttpRequest;
 import org.toucansaddle.http.HttpStreamHandler;
+import org.toucansaddle.http.MalformedResponseException;
 import org.toucansaddle.http.ReadTurns;
-import org.xnio.ChannelListeners;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
+import org.toucansaddle.http.ResponseHead;
 
 /**
  * Drives one exchange on a connection: writes the request and reads the response.
@@ -27,7 +25,7 @@
  * <p>Confined to the connection's I/O thread, except for {@link #cancel}, which is thread-safe. The
  * handler receives exactly one of {@code onEnd} and {@code onFailure}.
  */
-final class ClientExchangeDriver implements HttpExchange {
+final class ClientExchangeDriver implements HttpExchange, HttpConnection.Exchange {
 
   private static final int READ_BUFFER_BYTES = 16 * 1024;
   private static final ThreadLocal<ByteBuffer> READ_BUFFER =
@@ -39,7 +37,6 @@
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile PooledConnection connection;
   private volatile boolean cancelled;
-  private boolean requestWritten;
 
   ClientExchangeDriver(
       HttpRequest request,
@@ -59,19 +56,7 @@
     }
     established
         .connection()
-        .sendRequest(
-            createRequest(),
-            new ClientCallback<>() {
-              @Override
-              public void completed(ClientExchange exchange) {
-                onExchangeStarted(exchange);
-              }
-
-              @Override
-              public void failed(IOException e) {
-                onConnectionLost(e);
-              }
-            });
+        .send(request.method(), request.path(), requestFields(), request.body(), this);
   }
 
   void onConnectFailure(HttpException failure) {
@@ -90,117 +75,80 @@
     }
   }
 
-  private ClientRequest createRequest() {
-    ClientRequest clientRequest = new ClientRequest();
-    clientRequest.setMethod(new HttpString(request.method())).setPath(request.path());
-    clientRequest.getRequestHeaders().put(Headers.HOST, request.target());
-    request
-        .headers()
-        .forEach(
-            (name, value) -> clientRequest.getRequestHeaders().put(new HttpString(name), value));
+  private HeaderMap requestFields() {
+    HeaderMap fields = new HeaderMap();
+    fields.put(Headers.HOST, request.target());
+    request.headers().forEach((name, value) -> fields.put(new HttpString(name), value));
     if (request.body().length > 0) {
-      clientRequest.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.body().length);
+      fields.put(Headers.CONTENT_LENGTH, request.body().length);
     }
-    return clientRequest;
+    return fields;
   }
 
-  private void onExchangeStarted(ClientExchange exchange) {
-    exchange.setResponseListener(
-        new ClientCallback<>() {
-          @Override
-          public void completed(ClientExchange respondedExchange) {
-            onResponse(respondedExchange);
-          }
-
-          @Override
-          public void failed(IOException e) {
-            onConnectionLost(e);
-          }
-        });
-    StreamSinkChannel sink = exchange.getRequestChannel();
-    ByteBuffer body = ByteBuffer.wrap(request.body());
-    sink.getWriteSetter().set(channel -> writeBody(sink, body));
-    writeBody(sink, body);
-  }
-
-  private void writeBody(StreamSinkChannel sink, ByteBuffer body) {
-    try {
-      while (body.hasRemaining()) {
-        if (sink.write(body) == 0) {
-          sink.resumeWrites();
-          return;
-        }
-      }
-      sink.shutdownWrites();
-      if (!sink.flush()) {
-        sink.getWriteSetter()
-            .set(
-                ChannelListeners.flushingChannelListener(
-                    channel -> onBodyWritten(channel), (channel, e) -> onConnectionLost(e)));
-        sink.resumeWrites();
-        return;
-      }
-      onBodyWritten(sink);
-    } catch (IOException e) {
-      onConnectionLost(e);
-    }
-  }
-
-  private void onBodyWritten(StreamSinkChannel sink) {
-    requestWritten = true;
-    sink.suspendWrites();
-  }
-
-  private void onResponse(ClientExchange exchange) {
+  @Override
+  public void onHead(ResponseHead head) {
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-    for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
+    for (HeaderValues values : head.fields()) {
       headers.put(values.getHeaderName().toString(), values.getFirst());
     }
     if (ended.get()) {
       return;
     }
-    handler.onHead(exchange.getResponse().getResponseCode(), headers);
-    StreamSourceChannel source = exchange.getResponseChannel();
-    source.getReadSetter().set(this::readBody);
-    readBody(source);
+    handler.onHead(head.status(), headers);
+    onReadable();
   }
 
-  private void readBody(StreamSourceChannel source) {
+  @Override
+  public void onReadable() {
+    HttpConnection http = connection.connection();
     ByteBuffer buffer = READ_BUFFER.get();
     try {
       for (int reads = 0; !ended.get(); reads++) {
         if (reads == ReadTurns.MAX_READS) {
-          source.suspendReads();
-          ReadTurns.awaitNext(() -> readBody(source));
+          http.suspendReads();
+          ReadTurns.awaitNext(this::onReadable);
           return;
         }
         buffer.clear();
-        int bytesRead = source.read(buffer);
+        int bytesRead = http.read(buffer);
         if (bytesRead < 0) {
           onResponseEnd();
           return;
         }
         if (bytesRead == 0) {
-          source.resumeReads();
+          http.resumeReads();
           return;
         }
         buffer.flip();
         handler.onData(buffer);
       }
     } catch (IOException e) {
-      onConnectionLost(e);
+      onFailure(e);
     }
   }
 
   private void onResponseEnd() {
     PooledConnection current = connection;
-    if (requestWritten && current.connection().isOpen()) {
-      endOnce(handler::onEnd);
+    if (current.connection().endExchange()) {
       connectionReleaser.accept(current);
     } else {
-      endOnce(handler::onEnd);
       current.close();
     }
+    endOnce(handler::onEnd);
+  }
+
+  @Override
+  public void onFailure(IOException cause) {
+    if (cause instanceof MalformedResponseException) {
+      String message = "%s sent no valid response (%s).";
+      fail(
+          HttpException.Kind.MALFORMED,
+          true,
+          message.formatted(request.target(), cause.getMessage()),
+          cause);
+    } else {
+      onConnectionLost(cause);
+    }
   }
 
   private void onConnectionLost(IOException cause) {
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledConnection.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledConnection.java
@@ -1,9 +1,8 @@
 package org.toucansaddle.http.internal;
 
-import io.undertow.client.ClientConnection;
 import java.time.Duration;
 import java.util.concurrent.RejectedExecutionException;
-import org.toucansaddle.http.ClientConnections;
+import org.toucansaddle.http.HttpConnection;
 import org.xnio.XnioIoThread;
 
 /**
@@ -14,12 +13,12 @@
 final class PooledConnection {
 
   private final String target;
-  private final ClientConnection connection;
+  private final HttpConnection connection;
   private final XnioIoThread ioThread;
   private final long openedNanos = System.nanoTime();
   private volatile long idleSinceNanos = openedNanos;
 
-  PooledConnection(String target, ClientConnection connection, XnioIoThread ioThread) {
+  PooledConnection(String target, HttpConnection connection, XnioIoThread ioThread) {
     this.target = target;
     this.connection = connection;
     this.ioThread = ioThread;
@@ -29,7 +28,7 @@
     return target;
   }
 
-  ClientConnection connection() {
+  HttpConnection connection() {
     return connection;
   }
 
@@ -50,10 +49,10 @@
 
   void close() {
     try {
-      ioThread.execute(() -> ClientConnections.closeNow(connection));
+      ioThread.execute(connection::close);
     } catch (RejectedExecutionException e) {
       // The I/O thread has stopped, so no other thread uses the connection.
-      ClientConnections.closeNow(connection);
+      connection.close();
     }
   }
 }
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledHttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledHttpClient.java
@@ -1,12 +1,6 @@
 package org.toucansaddle.http.internal;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.net.URI;
 import java.time.Duration;
 import java.util.Deque;
 import java.util.Map;
@@ -15,9 +9,10 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.toucansaddle.http.ClientConnections;
+import java.util.function.Consumer;
 import org.toucansaddle.http.HttpClient;
 import org.toucansaddle.http.HttpClientSettings;
+import org.toucansaddle.http.HttpConnection;
 import org.toucansaddle.http.HttpException;
 import org.toucansaddle.http.HttpExchange;
 import org.toucansaddle.http.HttpRequest;
@@ -31,7 +26,7 @@
 import org.xnio.XnioWorker;
 
 /**
- * HTTP client over Undertow's client.
+ * HTTP client with pooled connections.
  *
  * <p>Each connection carries one exchange at a time and belongs to one I/O thread. A request sent
  * from one of the worker's I/O threads is processed on that thread, and so is its response.
@@ -39,12 +34,10 @@
  */
 public final class PooledHttpClient implements HttpClient {
 
-  private static final int BUFFER_SIZE_BYTES = 16 * 1024;
   private static final int SHUTDOWN_TIMEOUT_MILLIS = 500;
 
   private final HttpClientSettings settings;
   private final XnioWorker worker;
-  private final ByteBufferPool bufferPool;
   private final boolean ownsWorker;
   private final Map<IdleKey, Deque<PooledConnection>> idleConnections = new ConcurrentHashMap<>();
 
@@ -65,7 +58,6 @@
     this.settings = settings;
     this.worker = worker;
     this.ownsWorker = ownsWorker;
-    this.bufferPool = new DefaultByteBufferPool(true, BUFFER_SIZE_BYTES, -1, 4);
   }
 
   private static XnioWorker createWorker(HttpClientSettings settings) {
@@ -147,30 +139,26 @@
         },
         timeoutMillis,
         TimeUnit.MILLISECONDS);
-    ClientCallback<ClientConnection> callback =
-        new ClientCallback<>() {
-          @Override
-          public void completed(ClientConnection connection) {
+    Consumer<IOException> onFailure =
+        failure -> {
+          if (connectCompleted.compareAndSet(false, true)) {
+            driver.onConnectFailure(connectException(request, failure.getMessage(), failure));
+          }
+        };
+    try {
+      HttpConnection.connect(
+          request.target(),
+          ioThread,
+          connection -> {
             if (connectCompleted.compareAndSet(false, true)) {
               driver.start(new PooledConnection(request.target(), connection, ioThread));
             } else {
-              ClientConnections.closeNow(connection);
+              connection.close();
             }
-          }
-
-          @Override
-          public void failed(IOException e) {
-            if (connectCompleted.compareAndSet(false, true)) {
-              driver.onConnectFailure(connectException(request, e.getMessage(), e));
-            }
-          }
-        };
-    OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
-    try {
-      URI uri = URI.create("http://" + request.target() + "/");
-      UndertowClient.getInstance().connect(callback, uri, ioThread, bufferPool, options);
+          },
+          onFailure);
     } catch (IllegalArgumentException e) {
-      callback.failed(new IOException("not of the form host:port: " + request.target(), e));
+      onFailure.accept(new IOException("not of the form host:port: " + request.target(), e));
     }
   }
 
@@ -243,6 +231,5 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    bufferPool.close();
   }
 }
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/package-info.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Asynchronous HTTP client over Undertow's client, with streamed responses and pooled connections.
+ * Asynchronous HTTP client over XNIO that accepts only valid responses, with streaming and pooled
+ * connections.
  */
 package org.toucansaddle.http;
