--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
@@ -49,11 +49,27 @@
   }
 
   static {
+    addStatusLines();
     addFieldLines();
     addChunks();
     addSoundAnswers();
   }
 
+  private static void addStatusLines() {
+    for (String status : List.of("000", "099", "101", "600", "999")) {
+      brokenHead("status-" + status, "HTTP/1.1 " + status + " Status", LENGTH, BODY);
+    }
+    brokenHead("status-of-two-digits", "HTTP/1.1 20 OK", LENGTH, BODY);
+    brokenHead("status-of-four-digits", "HTTP/1.1 2000 OK", LENGTH, BODY);
+    brokenHead("status-that-is-no-number", "HTTP/1.1 2x0 OK", LENGTH, BODY);
+    brokenHead("status-with-sign", "HTTP/1.1 +20 OK", LENGTH, BODY);
+    brokenHead("status-after-two-blanks", "HTTP/1.1  200 OK", LENGTH, BODY);
+    brokenHead("version-0.9", "HTTP/0.9 200 OK", LENGTH, BODY);
+    brokenHead("version-2.0", "HTTP/2.0 200 OK", LENGTH, BODY);
+    brokenHead("version-misspelt", "HTTQ/1.1 200 OK", LENGTH, BODY);
+    brokenHead("control-byte-in-reason", "HTTP/1.1 200 O\u0001K", LENGTH, BODY);
+  }
+
   private static void addFieldLines() {
     brokenHead("line-without-colon", OK, "no field\r\n" + LENGTH, BODY);
     brokenHead("line-without-name", OK, ": value\r\n" + LENGTH, BODY);
