Skip interim responses of upstreams

Callers saw: 103 as the answer, or nothing for a 199. Cause: only 100 was taken for interim; Undertow's client waited on although the connection had ended. Change: 1xx are skipped (RFC 9110, section 15.2); the final response is the answer, and the end of the connection before it a failure.

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/StatusLine.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/StatusLine.java
@@ -13,7 +13,7 @@
 
   private static final Pattern SYNTAX = Pattern.compile("HTTP/1\\.([01]) ([0-9]{3}) .*");
   private static final int MIN_STATUS = 100;
-  private static final int CONTINUE = 100;
+  private static final int MIN_FINAL_STATUS = 200;
   private static final int MAX_STATUS = 599;
   private static final int SWITCHING_PROTOCOLS = 101;
 
@@ -37,6 +37,6 @@
 
   /** Returns whether another response follows to the same request. */
   boolean isInterim() {
-    return status == CONTINUE;
+    return status < MIN_FINAL_STATUS;
   }
 }
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
@@ -221,11 +221,11 @@
   @DataProvider
   public Object[][] endsWithinHead() {
     return new Object[][] {
-      {""}, {"HTTP/1.1 200 OK\r\n"}, {"HTTP/1.1 100 \r\n\r\n"},
+      {""}, {"HTTP/1.1 200 OK\r\n"}, {"HTTP/1.1 199 Interim\r\n\r\n"}, {"HTTP/1.1 100 \r\n\r\n"},
     };
   }
 
-  /** Guards against an exchange that never ends after the connection has. */
+  /** Guards against an exchange that never ends after an interim response. */
   @Test(dataProvider = "endsWithinHead")
   public void shouldFailWhenConnectionEndsBeforeTheHeadDoes(String answer) throws Exception {
     RawServer.Script script =
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
@@ -53,6 +53,7 @@
     addFieldLines();
     addChunks();
     addSoundAnswers();
+    addInterimResponses();
   }
 
   private static void addStatusLines() {
@@ -123,6 +124,11 @@
     sound("trailer", OK, CHUNKED, CHUNKS + "0\r\nX-Trailer: a\r\n\r\n");
   }
 
+  private static void addInterimResponses() {
+    sound("interim", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + OK, LENGTH, BODY);
+    sound("interim-unknown", "HTTP/1.1 199 Interim\r\n\r\n" + OK, LENGTH, BODY);
+  }
+
   private static void brokenHead(String name, String statusLine, String fields, String content) {
     BROKEN_HEADS.put(name, new Answer(statusLine, fields, content));
   }
