--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
@@ -50,6 +50,7 @@
 
   static {
     addStatusLines();
+    addLengths();
     addFieldLines();
     addChunks();
     addSoundAnswers();
@@ -71,6 +72,17 @@
     brokenHead("control-byte-in-reason", "HTTP/1.1 200 O\u0001K", LENGTH, BODY);
   }
 
+  private static void addLengths() {
+    for (String value : List.of("+30", "-30", "", "3O", "0x1e", "30;", "3 0", "30.0")) {
+      brokenHead("length-" + value.hashCode(), OK, "Content-Length: " + value, BODY);
+    }
+    brokenHead("length-beyond-64-bits", OK, "Content-Length: 18446744073709551646", BODY);
+    brokenHead("two-lengths", OK, "Content-Length: 5\r\n" + LENGTH, BODY);
+    brokenHead("two-lengths-reversed", OK, LENGTH + "\r\nContent-Length: 5", BODY);
+    brokenHead("two-lengths-in-one-line", OK, LENGTH + ", 5", BODY);
+    sound("same-length-twice-in-one-line", OK, LENGTH + ", " + BODY.length(), BODY);
+  }
+
   private static void addFieldLines() {
     brokenHead("line-without-colon", OK, "no field\r\n" + LENGTH, BODY);
     brokenHead("line-without-name", OK, ": value\r\n" + LENGTH, BODY);
