Refuse responses with a transfer coding other than chunked

Callers saw: a complete 200 with the sizes of chunks in its body, for gzip, chunke, xchunked, and chunked that is not the last one. Cause: Undertow's client took such a body for one that its length or its connection ends, while ResponseFraming of the relay took any coding for chunks. Change: BodyLength accepts exactly one `chunked`, in HTTP/1.1, without a length beside it; the relay uses what it found.

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/BodyLength.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/BodyLength.java
@@ -20,13 +20,22 @@
   /**
    * Reads the length from header fields, in which equal lengths become one.
    *
-   * @throws MalformedResponseException if the lengths are no numbers or differ
+   * @throws MalformedResponseException if the fields contradict each other or name a transfer
+   *     coding that no request accepts
    */
-  static BodyLength of(HeaderMap fields) throws MalformedResponseException {
-    if (CHUNKED.equalsIgnoreCase(fields.getLast(Headers.TRANSFER_ENCODING))) {
+  static BodyLength of(boolean version11, HeaderMap fields) throws MalformedResponseException {
+    HeaderValues codings = fields.get(Headers.TRANSFER_ENCODING);
+    HeaderValues lengths = fields.get(Headers.CONTENT_LENGTH);
+    if (codings != null) {
+      checkCoding(codings);
+      if (lengths != null || !version11) {
+        throw new MalformedResponseException(
+            lengths == null
+                ? "a transfer coding in HTTP/1.0"
+                : "a transfer coding and the length '%s'".formatted(shown(lengths)));
+      }
       return new BodyLength(ResponseFraming.CHUNKED, 0);
     }
-    HeaderValues lengths = fields.get(Headers.CONTENT_LENGTH);
     if (lengths == null) {
       return new BodyLength(ResponseFraming.CONNECTION_END, 0);
     }
@@ -35,6 +44,13 @@
     return new BodyLength(ResponseFraming.LENGTH, bytes);
   }
 
+  private static void checkCoding(HeaderValues codings) throws MalformedResponseException {
+    if (codings.size() != 1 || !codings.getFirst().equalsIgnoreCase(CHUNKED)) {
+      throw new MalformedResponseException(
+          "transfer coding '%s', expected '%s'".formatted(shown(codings), CHUNKED));
+    }
+  }
+
   private static long parseLength(HeaderValues lengths) throws MalformedResponseException {
     long length = -1;
     for (String text : String.join(",", lengths).split(",", -1)) {
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseHeadReader.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseHeadReader.java
@@ -44,7 +44,7 @@
         statusLine = null;
         fields = new HeaderMap();
       } else {
-        bodyLength = BodyLength.of(fields);
+        bodyLength = BodyLength.of(statusLine.version11(), fields);
         return new ResponseHead(statusLine.status(), fields, bodyLength.framing(), isPersistent());
       }
     }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
@@ -51,6 +51,7 @@
   static {
     addStatusLines();
     addLengths();
+    addCodings();
     addFieldLines();
     addChunks();
     addSoundAnswers();
@@ -83,6 +84,18 @@
     sound("same-length-twice-in-one-line", OK, LENGTH + ", " + BODY.length(), BODY);
   }
 
+  private static void addCodings() {
+    for (String coding : List.of("chunke", "xchunked", "gzip", "chunked, gzip", "gzip, chunked")) {
+      String field = "Transfer-Encoding: " + coding;
+      brokenHead("coding-" + coding.hashCode(), OK, field, CHUNKS + chunk(""));
+    }
+    brokenHead("length-and-coding", OK, LENGTH + "\r\n" + CHUNKED, CHUNKS + chunk(""));
+    brokenHead("coding-without-name", OK, "Transfer-Encoding:", CHUNKS + chunk(""));
+    brokenHead("coding-with-parameter", OK, CHUNKED + ";q=1", CHUNKS + chunk(""));
+    brokenHead("two-codings", OK, CHUNKED + "\r\n" + CHUNKED, CHUNKS + chunk(""));
+    brokenHead("coding-in-version-1.0", "HTTP/1.0 200 OK", CHUNKED, CHUNKS + chunk(""));
+  }
+
   private static void addFieldLines() {
     brokenHead("line-without-colon", OK, "no field\r\n" + LENGTH, BODY);
     brokenHead("line-without-name", OK, ": value\r\n" + LENGTH, BODY);
