Do not take the end of a connection for the end of a response to half a request

Callers saw: a part of an answer without a length as a complete 200, when the upstream reset the connection while a request of 4 MB was still being written and the caller did not read. Cause: the write that fails takes the error of the connection, and the next read sees an ordinary end, which completes a response without a length. The failed write was dropped, as an upstream may respond before it has read the request. Change: a response that its connection ends is complete only if the request was written. One with a length or chunks still counts.

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
@@ -257,7 +257,7 @@
         return 0;
       }
       if (count < 0) {
-        body.endConnection();
+        endBody();
       } else {
         body.transfer(in.flip(), target);
         received = copyOf(in);
@@ -266,6 +266,18 @@
     return target.position() > start ? target.position() - start : -1;
   }
 
+  /**
+   * Ends the body with the connection. If a part of the request could not be written, that has
+   * taken the error of a reset connection, which looks closed in order from then on.
+   */
+  private void endBody() throws IOException {
+    body.endConnection();
+    if (endsWithConnection && !requestWritten) {
+      throw new IOException(
+          "the connection that marks the end of the body ended before the request was written");
+    }
+  }
+
   /** Calls {@link Exchange#onReadable} when content arrives. */
   public void resumeReads() {
     source.resumeReads();
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
@@ -137,6 +137,33 @@
         });
   }
 
+  /**
+   * Guards against a part of an answer that looks complete, since the failed write of a long
+   * request has taken the error of the reset connection.
+   */
+  @Test
+  public void shouldNotCompleteBodyOfConnectionThatIsResetDuringTheRequest() throws Exception {
+    CountDownLatch headRead = new CountDownLatch(1);
+    RawServer.Script script =
+        socket -> {
+          RawServer.readHead(socket.getInputStream());
+          write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+          headRead.await();
+          socket.setSoLinger(true, 0);
+        };
+    try (RawServer server = new RawServer(SMALL_BUFFER_BYTES, script)) {
+      HttpConnection connection = connect(server);
+      HeadReceiver receiver = send(connection, "POST", new byte[LONG_BODY_BYTES]);
+      assertThat(receiver.await().framing()).isEqualTo(ResponseFraming.CONNECTION_END);
+
+      headRead.countDown();
+      Thread.sleep(300);
+
+      assertThatThrownBy(() -> readAll(connection)).hasCauseInstanceOf(IOException.class);
+      connection.close();
+    }
+  }
+
   /** A server may refuse a long request before it has read it. */
   @Test
   public void shouldCompleteBodyOfKnownLengthAlthoughTheRequestIsNotWritten() throws Exception {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ScriptedUpstreams.java
@@ -56,6 +56,7 @@
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
   private final AtomicLong sequence = new AtomicLong();
   private volatile int readPauseMillis;
+  private volatile boolean answersBeforeBody;
   private final ExecutorService connections = Executors.newCachedThreadPool();
   private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
 
@@ -102,6 +103,11 @@
     readPauseMillis = pauseMillis;
   }
 
+  /** Lets the upstreams answer as soon as they have read the head; they leave the body unread. */
+  void answerBeforeBody() {
+    answersBeforeBody = true;
+  }
+
   /** Deregisters an upstream and stops it. */
   void stop(String id) throws IOException {
     ScriptedUpstream upstream = find(id);
@@ -237,8 +243,13 @@
 
     /** Resets the connection once the gateway has most likely read what was written. */
     void resetAfterDelivery() throws IOException {
+      reset(DELIVERY_MILLIS);
+    }
+
+    /** Resets the connection after a delay. */
+    void reset(int delayMillis) throws IOException {
       try {
-        Thread.sleep(DELIVERY_MILLIS);
+        Thread.sleep(delayMillis);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
@@ -287,6 +298,10 @@
     }
 
     private byte[] readBody(Socket socket, InputStream in, int length) throws IOException {
+      if (answersBeforeBody && length > 0) {
+        socket.setReceiveBufferSize(SLOW_READ_BYTES);
+        return new byte[0];
+      }
       if (readPauseMillis == 0) {
         return in.readNBytes(length);
       }
