Keep nothing of a request that is written

An idle connection held the body of its last request, up to 4 MB, until the next one or its end. Found by reading the diff: HttpConnection kept the buffers after they were written. The new test failed before (the body was still reachable after 100 collections).

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
@@ -27,9 +27,9 @@
  * connection.send("GET", "/", fields, new byte[0], exchange);
  * }</pre>
  *
- * <p>Carries one exchange at a time, and relays nothing of a response that is not valid. Undertow's
- * client takes such responses for others: it reads past what it does not understand. Confined to
- * the connection's I/O thread.
+ * <p>Carries one exchange at a time, and fails it where its response is not valid, while Undertow's
+ * client reads past what it does not understand. Keeps nothing of a request that is written.
+ * Confined to the connection's I/O thread.
  */
 public final class HttpConnection implements AutoCloseable {
 
@@ -37,6 +37,7 @@
   private static final ThreadLocal<ByteBuffer> BUFFER =
       ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(BUFFER_BYTES));
   private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+  private static final ByteBuffer[] NOTHING = {EMPTY};
   private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
   /** Receives the response to one request. */
@@ -60,7 +61,7 @@
   private final ConduitStreamSourceChannel source;
   private final ConduitStreamSinkChannel sink;
   private Exchange exchange;
-  private ByteBuffer[] unsent;
+  private ByteBuffer[] unsent = NOTHING;
   private boolean requestWritten = true;
   private boolean expectsBody;
   private boolean persistent = true;
@@ -173,6 +174,7 @@
         }
       }
       requestWritten = true;
+      unsent = NOTHING;
       sink.suspendWrites();
     } catch (IOException e) {
       sink.suspendWrites();
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
@@ -7,6 +7,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.lang.ref.WeakReference;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -245,6 +246,30 @@
     }
   }
 
+  /** Guards against idle connections that hold the last request of each in memory. */
+  @Test
+  public void shouldKeepNothingOfRequestThatIsWritten() throws Exception {
+    try (RawServer server = answering(OK)) {
+      HttpConnection connection = connect(server);
+      WeakReference<byte[]> body = sendBody(connection);
+      readAll(connection);
+      assertThat(onIoThread(connection::endExchange)).isTrue();
+      for (int i = 0; i < 100 && body.get() != null; i++) {
+        System.gc();
+        Thread.sleep(20);
+      }
+      assertThat(body.get()).isNull();
+      assertThat(connection.isOpen()).isTrue();
+      connection.close();
+    }
+  }
+
+  private WeakReference<byte[]> sendBody(HttpConnection connection) throws Exception {
+    byte[] body = new byte[100];
+    send(connection, "POST", body).await();
+    return new WeakReference<>(body);
+  }
+
   @DataProvider
   public Object[][] endsWithinHead() {
     return new Object[][] {
