--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayLog.java
@@ -124,7 +124,7 @@
         Math.round(WORK_MULTIPLE_DIGITS * call.lastDispatch().workMultiple())
             / WORK_MULTIPLE_DIGITS,
         call.attempts(),
-        call.framing(),
+        call.response().framing(),
         call.times().firstByteMillis(),
         call.times().elapsedMillis(),
         call.head().promptTokens(),
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/RelayedCall.java
@@ -12,7 +12,6 @@
 import org.toucansaddle.daemon.internal.gateway.relay.UpstreamSelector.Selection;
 import org.toucansaddle.daemon.internal.gateway.routing.Upstream;
 import org.toucansaddle.daemon.internal.problem.RunState;
-import org.toucansaddle.http.ResponseFraming;
 import org.toucansaddle.http.ResponseHead;
 import org.xnio.XnioExecutor;
 
@@ -117,11 +116,6 @@
     return lastDispatch;
   }
 
-  /** Returns the framing of the last response of an upstream. */
-  ResponseFraming framing() {
-    return response.framing();
-  }
-
   double expectedFirstTokenMillis() {
     return expectedFirstTokenMillis;
   }
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
@@ -27,9 +27,8 @@
  * connection.send("GET", "/", fields, new byte[0], exchange);
  * }</pre>
  *
- * <p>Carries one exchange at a time, and fails it where its response is not valid, while Undertow's
- * client reads past what it does not understand. Keeps nothing of a request that is written.
- * Confined to the connection's I/O thread.
+ * <p>Carries one exchange at a time, and fails it where its response is not valid (RFC 9110, RFC
+ * 9112). Keeps nothing of a request that is written. Confined to the connection's I/O thread.
  */
 public final class HttpConnection implements AutoCloseable {
 
