Start gateway and scripted upstreams of usage tests in one place

The two new usage tests repeated the start and stop that nine others had. ScriptedGatewayFixture holds it for all eleven; BrokenAnswerUsageTest takes chunks and EarlyAnswerUsageTest connections from KeptConnection.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
@@ -10,8 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.RawCaller.RawResponse;
@@ -23,7 +21,7 @@
  * <p>A path {@code /ROUTE/ANSWER/DELIVERY/NUMBER} names the answer and how it is written. Each
  * answer is sealed and names its request.
  */
-public class BrokenAnswerUsageTest {
+public class BrokenAnswerUsageTest extends ScriptedGatewayFixture {
 
   private static final List<String> ROUTES = List.of("once", "repeatable", "stream-once", "stream");
 
@@ -31,7 +29,9 @@
   private static final String BODY = EVENT + "id: 2\ndata: b\n\n";
   private static final String LENGTH = "Content-Length: " + BODY.length();
   private static final String CHUNKED = "Transfer-Encoding: chunked";
-  private static final String CHUNKS = chunk(EVENT) + chunk(BODY.substring(EVENT.length()));
+  private static final String CHUNKS =
+      KeptConnection.chunk(EVENT) + KeptConnection.chunk(BODY.substring(EVENT.length()));
+  private static final String LAST_CHUNK = KeptConnection.chunk("");
   private static final String OK = "HTTP/1.1 200 OK";
   private static final String SEAL = "X-Answer-Seal: seal";
 
@@ -87,13 +87,13 @@
   private static void addCodings() {
     for (String coding : List.of("chunke", "xchunked", "gzip", "chunked, gzip", "gzip, chunked")) {
       String field = "Transfer-Encoding: " + coding;
-      brokenHead("coding-" + coding.hashCode(), OK, field, CHUNKS + chunk(""));
+      brokenHead("coding-" + coding.hashCode(), OK, field, CHUNKS + LAST_CHUNK);
     }
-    brokenHead("length-and-coding", OK, LENGTH + "\r\n" + CHUNKED, CHUNKS + chunk(""));
-    brokenHead("coding-without-name", OK, "Transfer-Encoding:", CHUNKS + chunk(""));
-    brokenHead("coding-with-parameter", OK, CHUNKED + ";q=1", CHUNKS + chunk(""));
-    brokenHead("two-codings", OK, CHUNKED + "\r\n" + CHUNKED, CHUNKS + chunk(""));
-    brokenHead("coding-in-version-1.0", "HTTP/1.0 200 OK", CHUNKED, CHUNKS + chunk(""));
+    brokenHead("length-and-coding", OK, LENGTH + "\r\n" + CHUNKED, CHUNKS + LAST_CHUNK);
+    brokenHead("coding-without-name", OK, "Transfer-Encoding:", CHUNKS + LAST_CHUNK);
+    brokenHead("coding-with-parameter", OK, CHUNKED + ";q=1", CHUNKS + LAST_CHUNK);
+    brokenHead("two-codings", OK, CHUNKED + "\r\n" + CHUNKED, CHUNKS + LAST_CHUNK);
+    brokenHead("coding-in-version-1.0", "HTTP/1.0 200 OK", CHUNKED, CHUNKS + LAST_CHUNK);
   }
 
   private static void addFieldLines() {
@@ -116,23 +116,23 @@
   }
 
   private static void addChunks() {
-    brokenChunks("chunk-without-line-end", "f\r\n" + EVENT + chunk(""));
-    brokenChunks("chunk-with-other-end", "f\r\n" + EVENT + "xx" + chunk(""));
-    brokenChunks("chunk-longer-than-its-size", "5\r\n" + EVENT + "\r\n" + chunk(""));
-    brokenChunks("chunk-end-without-line-feed", "f\r\n" + EVENT + "\rx" + chunk(""));
+    brokenChunks("chunk-without-line-end", "f\r\n" + EVENT + LAST_CHUNK);
+    brokenChunks("chunk-with-other-end", "f\r\n" + EVENT + "xx" + LAST_CHUNK);
+    brokenChunks("chunk-longer-than-its-size", "5\r\n" + EVENT + "\r\n" + LAST_CHUNK);
+    brokenChunks("chunk-end-without-line-feed", "f\r\n" + EVENT + "\rx" + LAST_CHUNK);
     for (String size : List.of("zz", "-5", "+f", " f", "f ", "", "0xf", "f\u0000", "f\t", "f x")) {
-      brokenChunks("size-" + size.hashCode(), size + "\r\n" + EVENT + "\r\n" + chunk(""));
+      brokenChunks("size-" + size.hashCode(), size + "\r\n" + EVENT + "\r\n" + LAST_CHUNK);
     }
-    brokenChunks("size-beyond-64-bits", "1000000000000000f\r\n" + EVENT + "\r\n" + chunk(""));
-    brokenChunks("size-without-carriage-return", "f\n" + EVENT + "\r\n" + chunk(""));
+    brokenChunks("size-beyond-64-bits", "1000000000000000f\r\n" + EVENT + "\r\n" + LAST_CHUNK);
+    brokenChunks("size-without-carriage-return", "f\n" + EVENT + "\r\n" + LAST_CHUNK);
     brokenChunks("trailer-that-is-no-field", CHUNKS + "0\r\nno field\r\n\r\n");
     brokenChunks("trailer-with-control-byte", CHUNKS + "0\r\nX-Field: \u0000");
   }
 
   private static void addSoundAnswers() {
     sound("length", OK, LENGTH, BODY);
-    sound("chunks", OK, CHUNKED, CHUNKS + chunk(""));
-    sound("coding-in-capitals", OK, "Transfer-Encoding: CHUNKED", CHUNKS + chunk(""));
+    sound("chunks", OK, CHUNKED, CHUNKS + LAST_CHUNK);
+    sound("coding-in-capitals", OK, "Transfer-Encoding: CHUNKED", CHUNKS + LAST_CHUNK);
     sound("same-length-twice", OK, LENGTH + "\r\n" + LENGTH, BODY);
     sound("length-with-zeros", OK, "Content-Length: 0" + BODY.length(), BODY);
     sound("length-between-blanks", OK, "Content-Length: \t" + BODY.length() + " \t", BODY);
@@ -140,7 +140,7 @@
     sound("no-reason", "HTTP/1.1 200 ", LENGTH, BODY);
     sound("field-without-value", OK, "X-Field:\r\n" + LENGTH, BODY);
     sound("all-bytes-of-a-name", OK, "!#$%&'*+-.^_`|~09azAZ: a\r\n" + LENGTH, BODY);
-    String secondChunk = chunk(BODY.substring(EVENT.length()));
+    String secondChunk = KeptConnection.chunk(BODY.substring(EVENT.length()));
     sound(
         "chunk-extension",
         OK,
@@ -166,42 +166,32 @@
     SOUND_ANSWERS.put(name, new Answer(statusLine, fields, content));
   }
 
-  private static String chunk(String content) {
-    return Integer.toHexString(content.length()) + "\r\n" + content + "\r\n";
-  }
-
   private final Set<String> answered = ConcurrentHashMap.newKeySet();
   private final AtomicInteger requests = new AtomicInteger();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
 
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 4, this::answer);
-    LocalGateway.await(() -> getUnique("/once/length/whole").status() == 200);
+  public BrokenAnswerUsageTest() {
+    super(4);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  boolean isServing() {
+    return isServing("/once/length/whole");
   }
 
   /** Sends a request that is equal to no other, so that no other adds to its strikes. */
   private RawResponse getUnique(String path) {
     String unique = path + "/" + requests.incrementAndGet();
     try {
-      RawResponse response = RawCaller.get(gateway.callerAddress(0), unique, "1.1");
-      assertThat(response.status() == 503 || answered.contains(unique)).as(unique).isTrue();
+      RawResponse response = RawCaller.get(gateway().callerAddress(0), unique, "1.1");
+      assertThat(answered).as("requests that an upstream answered").contains(unique);
       return response;
     } catch (IOException e) {
       throw new AssertionError("no response to " + unique, e);
     }
   }
 
-  private void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     answered.add(exchange.path());
     String[] path = exchange.path().split("/");
     Answer answer = BROKEN_HEADS.getOrDefault(path[2], BROKEN_CHUNKS.get(path[2]));
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CancelledRequestUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CancelledRequestUsageTest.java
@@ -8,14 +8,12 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
 /** Usage tests of requests whose callers leave while the upstream is silent. */
-public class CancelledRequestUsageTest {
+public class CancelledRequestUsageTest extends ScriptedGatewayFixture {
 
   /** Time within which an upstream must see that the caller has left. */
   private static final int MAX_NOTICE_MILLIS = 500;
@@ -24,32 +22,18 @@
 
   private final Map<String, Long> arrivalTimes = new ConcurrentHashMap<>();
   private final Map<String, Long> closeTimes = new ConcurrentHashMap<>();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
 
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 2, this::answer);
-    LocalGateway.await(this::isServing);
+  public CancelledRequestUsageTest() {
+    super(2);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  boolean isServing() {
+    return isServing("/once/answer");
   }
 
-  private boolean isServing() {
-    try {
-      return RawCaller.get(gateway.callerAddress(0), "/once/answer", "1.1").status() == 200;
-    } catch (IOException e) {
-      throw new AssertionError("no response", e);
-    }
-  }
-
-  private void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     if (exchange.path().endsWith("/answer")) {
       exchange.writeAnswer(200, "ok");
       return;
@@ -84,7 +68,7 @@
   public void shouldCloseConnectionOfSilentUpstreamAtOnceWhenTheCallerLeaves(String path)
       throws Exception {
     long leftAt;
-    String[] hostAndPort = gateway.callerAddress(0).split(":");
+    String[] hostAndPort = gateway().callerAddress(0).split(":");
     try (Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]))) {
       String head =
           "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: r%d\r\nX-Api-Key: %s\r\n\r\n"
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CutHeadUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/CutHeadUsageTest.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.RawCaller.RawResponse;
@@ -21,32 +19,25 @@
  * <p>A path {@code /ROUTE/FRAMING/END/BYTES} names how the answer is framed, how its connection
  * ends and after how many bytes.
  */
-public class CutHeadUsageTest {
+public class CutHeadUsageTest extends ScriptedGatewayFixture {
 
   private static final String EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
   private final Set<String> answered = ConcurrentHashMap.newKeySet();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
 
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 4, this::answer);
-    LocalGateway.await(() -> get("/once/length/close/10000").status() == 200);
+  public CutHeadUsageTest() {
+    super(4);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  boolean isServing() {
+    return get("/once/length/close/10000").status() == 200;
   }
 
   /** Returns a response with status 0 if the connection ended without one. */
   private RawResponse get(String path) {
     try {
-      return RawCaller.get(gateway.callerAddress(0), path, "1.1");
+      return RawCaller.get(gateway().callerAddress(0), path, "1.1");
     } catch (IOException e) {
       return new RawResponse(0, Map.of(), "", false);
     }
@@ -66,7 +57,8 @@
         + "\r\n";
   }
 
-  private void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     String[] path = exchange.path().split("/");
     answered.add(exchange.path());
     String answer = head(path[2], exchange.header("X-Request-Id")) + EVENTS;
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/EarlyAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/EarlyAnswerUsageTest.java
@@ -2,15 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,9 +19,8 @@
  * <p>A path {@code /ROUTE/FRAMING/BYTES/DELAY/NUMBER} names the framing, the size of the part that
  * is sent, and the milliseconds until the reset.
  */
-public class EarlyAnswerUsageTest {
+public class EarlyAnswerUsageTest extends ScriptedGatewayFixture {
 
-  private static final int TIMEOUT_MILLIS = 20_000;
   private static final int SMALL_BUFFER_BYTES = 4 << 10;
   private static final int LONG_BODY_BYTES = 4_000_000;
 
@@ -36,33 +30,23 @@
   private static final int READER_PAUSE_MILLIS = 1_500;
 
   private final AtomicInteger requests = new AtomicInteger();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
+
+  public EarlyAnswerUsageTest() {
+    super(4);
+  }
 
   @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 4, EarlyAnswerUsageTest::answer);
-    upstreams.answerBeforeBody();
-    LocalGateway.await(
-        () -> {
-          try {
-            return RawCaller.get(gateway.callerAddress(0), "/once/whole/0/0", "1.1").status()
-                == 200;
-          } catch (IOException e) {
-            return false;
-          }
-        });
+  public void answerBeforeBody() {
+    upstreams().answerBeforeBody();
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  boolean isServing() {
+    return isServing("/once/whole");
   }
 
-  private static void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     String[] path = exchange.path().split("/");
     if (path[2].equals("whole")) {
       exchange.writeAnswer(200, "whole");
@@ -98,16 +82,12 @@
   /** Sends a long request, pauses, and reads the response. */
   private RawResponse post(String path, int bodyBytes, int pauseMillis) throws Exception {
     String unique = path + "/" + requests.incrementAndGet();
-    String[] hostAndPort = gateway.callerAddress(0).split(":");
-    try (Socket socket = new Socket()) {
-      socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
-      socket.setSoTimeout(TIMEOUT_MILLIS);
-      socket.connect(new InetSocketAddress(hostAndPort[0], Integer.parseInt(hostAndPort[1])));
-      String head = KeptConnection.postHead(unique, "r" + unique.hashCode(), bodyBytes);
-      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-      socket.getOutputStream().write(new byte[bodyBytes]);
+    String address = gateway().callerAddress(0);
+    try (KeptConnection connection = new KeptConnection(address, SMALL_BUFFER_BYTES)) {
+      connection.send(KeptConnection.postHead(unique, "r" + unique.hashCode(), bodyBytes));
+      connection.send("x".repeat(bodyBytes));
       Thread.sleep(pauseMillis);
-      return RawCaller.readResponse(new BufferedInputStream(socket.getInputStream()));
+      return connection.receive();
     }
   }
 
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GroupedChunksUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/GroupedChunksUsageTest.java
@@ -11,8 +11,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,7 +22,7 @@
  *
  * <p>A path {@code /ROUTE/SCENARIO/NUMBER} names what the upstream does.
  */
-public class GroupedChunksUsageTest {
+public class GroupedChunksUsageTest extends ScriptedGatewayFixture {
 
   private static final int PAUSE_MILLIS = 1_500;
   private static final int MAX_DELAY_MILLIS = 750;
@@ -32,23 +30,13 @@
       List.of("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n");
 
   private final AtomicInteger requests = new AtomicInteger();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
-
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 2, GroupedChunksUsageTest::answer);
-  }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  public GroupedChunksUsageTest() {
+    super(2);
   }
 
-  private boolean isServing() {
+  @Override
+  boolean isServing() {
     try {
       return get("once", "together").status() == 200;
     } catch (IOException e) {
@@ -56,7 +44,8 @@
     }
   }
 
-  private static void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     exchange.writeHead(200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream");
     switch (exchange.path().split("/")[2]) {
       case "together" -> exchange.write(chunks(EVENTS) + "0\r\n\r\n");
@@ -83,7 +72,7 @@
   }
 
   private RawResponse get(String route, String scenario) throws IOException {
-    return RawCaller.get(gateway.callerAddress(0), path(route, scenario), "1.1");
+    return RawCaller.get(gateway().callerAddress(0), path(route, scenario), "1.1");
   }
 
   /** Waits until the router is no longer behind, as one that is refuses requests. */
@@ -94,7 +83,7 @@
 
   /** Reads the chunks of a response as they were written, with the last one, which is empty. */
   private List<String> readChunks(String path, List<Long> arrivalNanos) throws IOException {
-    String[] hostAndPort = gateway.callerAddress(0).split(":");
+    String[] hostAndPort = gateway().callerAddress(0).split(":");
     try (Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]))) {
       String head =
           "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: r%d\r\nX-Api-Key: %s\r\n\r\n"
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/KeptConnection.java
@@ -20,8 +20,20 @@
   private final InputStream in;
 
   KeptConnection(String address) throws IOException {
+    this(address, 0);
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param receiveBufferBytes size of the receive buffer; 0 for the default
+   */
+  KeptConnection(String address, int receiveBufferBytes) throws IOException {
     String[] hostAndPort = address.split(":");
     socket = new Socket();
+    if (receiveBufferBytes > 0) {
+      socket.setReceiveBufferSize(receiveBufferBytes);
+    }
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(TIMEOUT_MILLIS);
     socket.connect(new InetSocketAddress(hostAndPort[0], Integer.parseInt(hostAndPort[1])));
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PipelineUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/PipelineUsageTest.java
@@ -7,8 +7,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -16,7 +14,7 @@
 import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
 /** Usage tests of callers that send a request before they have the response to the one before. */
-public class PipelineUsageTest {
+public class PipelineUsageTest extends ScriptedGatewayFixture {
 
   private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
   private static final String LAST_EVENT = "id: 2\ndata: b\n\n";
@@ -28,21 +26,14 @@
   private final Semaphore firstEventReceived = new Semaphore(0);
 
   private final BlockingQueue<Boolean> receivedInTime = new LinkedBlockingQueue<>();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
-
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 1, this::answer);
-    LocalGateway.await(() -> isServing(0) && isServing(1));
+
+  public PipelineUsageTest() {
+    super(1);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  boolean isServing() {
+    return isServing(0) && isServing(1);
   }
 
   @BeforeMethod
@@ -53,13 +44,14 @@
 
   private boolean isServing(int router) {
     try {
-      return RawCaller.get(gateway.callerAddress(router), "/once/x", "1.1").status() == 200;
+      return RawCaller.get(gateway().callerAddress(router), "/once/x", "1.1").status() == 200;
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
   }
 
-  private void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     if (exchange.path().startsWith("/once/")) {
       exchange.writeAnswer(200, "answer");
       return;
@@ -96,7 +88,7 @@
   /** Guards against events that are held back until the response ends. */
   @Test(dataProvider = "streamRoutes")
   public void shouldDeliverEventsWhileNextRequestWaits(String path) throws Exception {
-    try (KeptConnection connection = new KeptConnection(gateway.callerAddress(0))) {
+    try (KeptConnection connection = new KeptConnection(gateway().callerAddress(0))) {
       connection.send(KeptConnection.get(path, "r1") + KeptConnection.get("/once/x", "r2"));
       connection.receiveUntil(FIRST_EVENT);
       firstEventReceived.release();
@@ -108,7 +100,7 @@
 
   @Test(dataProvider = "streamRoutes")
   public void shouldDeliverEventsAfterPipelinedRequests(String path) throws Exception {
-    try (KeptConnection connection = new KeptConnection(gateway.callerAddress(0))) {
+    try (KeptConnection connection = new KeptConnection(gateway().callerAddress(0))) {
       connection.send(KeptConnection.get("/once/x", "r3") + KeptConnection.get("/once/x", "r4"));
       assertThat(connection.receive().body()).isEqualTo("answer");
       assertThat(connection.receive().body()).isEqualTo("answer");
@@ -124,14 +116,14 @@
   @Test
   public void shouldAnswerPipelinedRequestsDuringShutdown() throws Exception {
     int shutdownMillis = 5_000;
-    String address = gateway.callerAddress(1);
+    String address = gateway().callerAddress(1);
     try (KeptConnection underWay = new KeptConnection(address);
         KeptConnection accepted = new KeptConnection(address);
         KeptConnection refused = new KeptConnection(address)) {
       underWay.send(KeptConnection.get("/slow/" + shutdownMillis, "r10"));
-      Thread shutdown = new Thread(gateway.router(1)::shutDown);
+      Thread shutdown = new Thread(gateway().router(1)::shutDown);
       shutdown.start();
-      LocalGateway.await(() -> !gateway.router(1).isReady());
+      LocalGateway.await(() -> !gateway().router(1).isReady());
       accepted.send(KeptConnection.get("/slow/500", "r11") + KeptConnection.get("/once/x", "r12"));
       assertThat(accepted.receive().body()).isEqualTo("slow answer");
       RawResponse last = accepted.receive();
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QueryUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/QueryUsageTest.java
@@ -3,39 +3,21 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.RawCaller.RawResponse;
+import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
 /** Usage tests of the target of a request, which reaches an upstream as the caller sent it. */
-public class QueryUsageTest {
+public class QueryUsageTest extends ScriptedGatewayFixture {
 
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
-
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams =
-        new ScriptedUpstreams(gateway, 1, exchange -> exchange.writeAnswer(200, exchange.path()));
-    LocalGateway.await(this::isServing);
-  }
-
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  public QueryUsageTest() {
+    super(1);
   }
 
-  private boolean isServing() {
-    try {
-      return RawCaller.get(gateway.callerAddress(0), "/once/x", "1.1").status() == 200;
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
-    }
+  @Override
+  void answer(Exchange exchange) throws IOException {
+    exchange.writeAnswer(200, exchange.path());
   }
 
   @DataProvider
@@ -70,7 +52,7 @@
   /** Guards against a query that begins with a question mark and loses it. */
   @Test(dataProvider = "targets")
   public void shouldSendTargetAsReceived(String target) throws IOException {
-    RawResponse response = RawCaller.get(gateway.callerAddress(0), target, "1.1");
+    RawResponse response = RawCaller.get(gateway().callerAddress(0), target, "1.1");
     assertThat(response.status()).isEqualTo(200);
     assertThat(response.body()).isEqualTo(target);
   }
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RequestSizeUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/RequestSizeUsageTest.java
@@ -3,42 +3,36 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.daemon.gateway.CallerLimits;
 import org.toucansaddle.usage.RawCaller.RawResponse;
+import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
 /** Usage tests of requests whose bodies are as long as the configuration allows. */
-public class RequestSizeUsageTest {
+public class RequestSizeUsageTest extends ScriptedGatewayFixture {
 
   private static final int MAX_BODY_BYTES = CallerLimits.defaults().maxBodyBytes();
   private static final int CHUNK_BYTES = 16 << 10;
 
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
+  public RequestSizeUsageTest() {
+    super(1);
+  }
 
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams =
-        new ScriptedUpstreams(
-            gateway, 1, exchange -> exchange.writeAnswer(200, "" + exchange.body().length()));
-    LocalGateway.await(() -> post(1, false).status() == 200);
+  @Override
+  boolean isServing() {
+    return post(1, false).status() == 200;
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  void answer(Exchange exchange) throws IOException {
+    exchange.writeAnswer(200, "" + exchange.body().length());
   }
 
   /** Sends a request with a body of this size and returns the response. */
   private RawResponse post(int bytes, boolean inChunks) {
     String body = "x".repeat(bytes);
-    try (KeptConnection connection = new KeptConnection(gateway.callerAddress(0))) {
+    try (KeptConnection connection = new KeptConnection(gateway().callerAddress(0))) {
       if (inChunks) {
         connection.send(KeptConnection.chunkedPostHead("/once/x", "r1"));
         for (int start = 0; start < bytes; start += CHUNK_BYTES) {
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ResumedStreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ResumedStreamUsageTest.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.RawCaller.RawResponse;
@@ -19,7 +17,7 @@
  *
  * <p>A path {@code /stream/CASE/NUMBER} names what the next upstream answers.
  */
-public class ResumedStreamUsageTest {
+public class ResumedStreamUsageTest extends ScriptedGatewayFixture {
 
   private static final String EVENT_STREAM = "Content-Type: text/event-stream";
   private static final String FIRST_EVENTS =
@@ -61,33 +59,27 @@
           "fields", new Answer(200, EVENT_STREAM, "x-weights: 2\n" + LAST_EVENTS));
 
   private final AtomicInteger requests = new AtomicInteger();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
-
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 6, ResumedStreamUsageTest::answer);
-    LocalGateway.await(() -> get("next").complete());
+
+  public ResumedStreamUsageTest() {
+    super(6);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  boolean isServing() {
+    return get("next").complete();
   }
 
   private RawResponse get(String answer) {
     String path = "/stream/" + answer + "/" + requests.incrementAndGet();
     try {
-      return RawCaller.get(gateway.callerAddress(0), path, "1.1");
+      return RawCaller.get(gateway().callerAddress(0), path, "1.1");
     } catch (IOException e) {
       throw new AssertionError("no response to " + path, e);
     }
   }
 
-  private static void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     String name = exchange.path().split("/")[2];
     if (exchange.header("Last-Event-Id").isEmpty()) {
       exchange.writeHead(200, EVENT_STREAM, "Transfer-Encoding: chunked");
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/SlowCallerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/SlowCallerUsageTest.java
@@ -4,15 +4,13 @@
 
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.RawCaller.RawResponse;
 import org.toucansaddle.usage.ScriptedUpstreams.Exchange;
 
 /** Usage tests of callers that read nothing for a while. */
-public class SlowCallerUsageTest {
+public class SlowCallerUsageTest extends ScriptedGatewayFixture {
 
   private static final int EVENTS = 400;
   private static final int EVENT_BYTES = 50_000;
@@ -20,32 +18,13 @@
   private static final int PAUSE_MILLIS = 2_500;
 
   private final AtomicInteger runs = new AtomicInteger();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
 
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 2, this::answer);
-    LocalGateway.await(() -> isServing());
+  public SlowCallerUsageTest() {
+    super(2);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
-  }
-
-  private boolean isServing() {
-    try {
-      return RawCaller.get(gateway.callerAddress(0), "/once/x", "1.1").status() == 200;
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
-  private void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     if (exchange.path().startsWith("/once/")) {
       exchange.writeAnswer(200, "answer");
       return;
@@ -69,7 +48,7 @@
   @Test(dataProvider = "routes")
   public void shouldCompleteStreamWhoseCallerPausesReading(String route) throws Exception {
     runs.set(0);
-    try (KeptConnection connection = new KeptConnection(gateway.callerAddress(0))) {
+    try (KeptConnection connection = new KeptConnection(gateway().callerAddress(0))) {
       connection.send(KeptConnection.get("/" + route + "/x", "r-" + route));
       Thread.sleep(PAUSE_MILLIS);
       RawResponse response = connection.receive();
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TruncatedStreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/TruncatedStreamUsageTest.java
@@ -6,8 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.toucansaddle.usage.RawCaller.RawResponse;
@@ -18,7 +16,7 @@
  *
  * <p>A path {@code /ROUTE/FRAMING/END/CONTENT} names the framing, end and content of the answer.
  */
-public class TruncatedStreamUsageTest {
+public class TruncatedStreamUsageTest extends ScriptedGatewayFixture {
 
   private static final String FIRST_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
   private static final String LAST_EVENT = "id: 3\ndata: c\n\n";
@@ -41,21 +39,14 @@
   }
 
   private final AtomicInteger requests = new AtomicInteger();
-  private LocalGateway gateway;
-  private ScriptedUpstreams upstreams;
 
-  @BeforeClass
-  public void startGateway() throws Exception {
-    gateway = new LocalGateway();
-    gateway.awaitServing();
-    upstreams = new ScriptedUpstreams(gateway, 4, TruncatedStreamUsageTest::answer);
-    LocalGateway.await(() -> get("/once/LENGTH/PROPER/whole").status() == 200);
+  public TruncatedStreamUsageTest() {
+    super(4);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopGateway() throws Exception {
-    upstreams.close();
-    gateway.close();
+  @Override
+  boolean isServing() {
+    return get("/once/LENGTH/PROPER/whole").status() == 200;
   }
 
   private RawResponse get(String path) {
@@ -73,13 +64,14 @@
 
   private RawResponse get(String path, String httpVersion) {
     try {
-      return RawCaller.get(gateway.callerAddress(0), path, httpVersion);
+      return RawCaller.get(gateway().callerAddress(0), path, httpVersion);
     } catch (IOException e) {
       throw new AssertionError("no response to " + path, e);
     }
   }
 
-  private static void answer(Exchange exchange) throws IOException {
+  @Override
+  void answer(Exchange exchange) throws IOException {
     String[] path = exchange.path().split("/");
     if (exchange.header("Last-Event-Id").equals("2")) {
       exchange.writeAnswer(200, LAST_EVENT);
