Use the library's buffer and text methods, and one plain server in the tests of the HTTP client

XNIO's Buffers copies and asks for the rest, and String.strip removes what surrounds a value: lines hold no control byte but the tab.

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpConnection.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.toucansaddle.http.internal.ResponseBody;
 import org.toucansaddle.http.internal.ResponseHeadReader;
+import org.xnio.Buffers;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -36,7 +37,7 @@
   private static final ThreadLocal<ByteBuffer> BUFFER =
       ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(BUFFER_BYTES));
   private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
-  private static final ByteBuffer[] NOTHING = {EMPTY};
+  private static final ByteBuffer[] NOTHING = {};
   private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
   /** Receives the response to one request. */
@@ -68,7 +69,7 @@
   private ResponseBody body;
   private boolean endsWithConnection;
 
-  /** Bytes that arrived together with what was wanted before them. */
+  /** Bytes that were read but not delivered: content, or what follows the response. */
   private ByteBuffer received = EMPTY;
 
   private HttpConnection(StreamConnection connection) {
@@ -164,8 +165,7 @@
       return;
     }
     try {
-      ByteBuffer last = unsent[unsent.length - 1];
-      while (unsent[0].hasRemaining() || last.hasRemaining()) {
+      while (Buffers.hasRemaining(unsent)) {
         if (sink.write(unsent) == 0) {
           sink.setWriteListener(channel -> writeRequest());
           sink.resumeWrites();
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/BodyLength.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/BodyLength.java
@@ -54,7 +54,7 @@
   private static long parseLength(HeaderValues lengths) throws MalformedResponseException {
     long length = -1;
     for (String text : String.join(",", lengths).split(",", -1)) {
-      String digits = FieldLines.trimmed(text);
+      String digits = text.strip();
       if (!DIGITS.matcher(digits).matches()) {
         throw new MalformedResponseException(
             "length '%s', expected a number of bytes".formatted(shown(lengths)));
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/FieldLines.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/FieldLines.java
@@ -38,24 +38,7 @@
       }
     }
     HttpString name = HttpString.tryFromString(line.substring(0, colon));
-    fields.add(name, trimmed(line.substring(colon + 1)));
-  }
-
-  /** Removes blanks and tabs around a value. */
-  static String trimmed(String value) {
-    int start = 0;
-    int end = value.length();
-    while (start < end && isBlank(value.charAt(start))) {
-      start++;
-    }
-    while (end > start && isBlank(value.charAt(end - 1))) {
-      end--;
-    }
-    return value.substring(start, end);
-  }
-
-  private static boolean isBlank(char c) {
-    return c == ' ' || c == '\t';
+    fields.add(name, line.substring(colon + 1).strip());
   }
 
   /** Returns the start of a text from outside, for messages. */
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseBody.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseBody.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.toucansaddle.http.MalformedResponseException;
+import org.xnio.Buffers;
 
 /** Finds the content of one response in the bytes of its connection. Not thread-safe. */
 public interface ResponseBody {
@@ -36,10 +37,7 @@
 
   /** Moves as many bytes as both buffers have room for, up to a maximum; returns their number. */
   static int move(ByteBuffer from, ByteBuffer to, long maxBytes) {
-    int count = (int) Math.min(maxBytes, Math.min(from.remaining(), to.remaining()));
-    to.put(from.slice().limit(count));
-    from.position(from.position() + count);
-    return count;
+    return Buffers.copy((int) Math.min(maxBytes, Integer.MAX_VALUE), to, from);
   }
 
   /** A body of known length. */
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseHeadReader.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseHeadReader.java
@@ -77,7 +77,7 @@
       return false;
     }
     for (String value : String.join(",", values).toLowerCase(Locale.ROOT).split(",")) {
-      if (FieldLines.trimmed(value).equals(option)) {
+      if (value.strip().equals(option)) {
         return true;
       }
     }
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/PooledHttpClientTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/PooledHttpClientTest.java
@@ -6,7 +6,6 @@
 
 import io.undertow.Undertow;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -19,8 +18,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.Test;
@@ -69,29 +66,31 @@
   /** Guards against a response without end that is read on although nobody waits for it. */
   @Test
   public void shouldCloseConnectionOfResponseThatIsTooLong() throws Exception {
-    try (EndlessServer server = new EndlessServer();
+    CountDownLatch closedConnection = new CountDownLatch(1);
+    try (RawServer server = new RawServer(socket -> writeWithoutEnd(socket, closedConnection));
         HttpClient client = HttpClient.create(SMALL_RESPONSES)) {
-      assertThatThrownBy(() -> client.send(server.request(), TIMEOUT).join())
+      assertThatThrownBy(() -> client.send(HttpRequest.get(server.address(), "/"), TIMEOUT).join())
           .hasMessageContaining("longer than");
-      assertThat(server.awaitClosedConnection()).isTrue();
+      assertThat(await(closedConnection)).isTrue();
     }
   }
 
   /** Guards against a response without end that keeps the I/O thread from all other exchanges. */
   @Test
   public void shouldServeOtherExchangesWhileResponsesHaveNoEnd() throws Exception {
+    CountDownLatch closedConnection = new CountDownLatch(1);
     Undertow server = startServer();
-    try (EndlessServer endless = new EndlessServer();
+    try (RawServer endless = new RawServer(socket -> writeWithoutEnd(socket, closedConnection));
         HttpClient client = HttpClient.create(SMALL_RESPONSES)) {
       List<HttpExchange> exchanges = new ArrayList<>();
       for (int i = 0; i < 4; i++) {
-        exchanges.add(client.stream(endless.request(), new SlowHandler()));
+        exchanges.add(client.stream(HttpRequest.get(endless.address(), "/"), new SlowHandler()));
       }
       for (int i = 0; i < 20; i++) {
         assertThat(client.send(request(server), TIMEOUT).get().text()).isEqualTo("ok");
       }
       exchanges.forEach(HttpExchange::cancel);
-      assertThat(endless.awaitClosedConnection()).isTrue();
+      assertThat(await(closedConnection)).isTrue();
     } finally {
       server.stop();
     }
@@ -106,21 +105,13 @@
       HttpExchange exchange = client.stream(request, new SlowHandler());
       try (Socket socket = listener.accept()) {
         socket.setSoTimeout((int) TIMEOUT.toMillis());
-        readHead(socket.getInputStream());
+        RawServer.readHead(socket.getInputStream());
         exchange.cancel();
         assertThat(socket.getInputStream().read()).isNegative();
       }
     }
   }
 
-  private static void readHead(InputStream in) throws IOException {
-    int emptyLineBytes = 0;
-    while (emptyLineBytes < 4) {
-      int next = in.read();
-      emptyLineBytes = next == '\r' || next == '\n' ? emptyLineBytes + 1 : 0;
-    }
-  }
-
   /** Takes longer to process content than a server takes to send it, and keeps nothing of it. */
   private static final class SlowHandler implements HttpStreamHandler {
     @Override
@@ -138,53 +129,22 @@
     public void onFailure(HttpException failure) {}
   }
 
-  /** Server whose responses have no end; a thread for each connection writes until it is closed. */
-  private static final class EndlessServer implements AutoCloseable {
-    private final ServerSocket listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
-    private final CountDownLatch closedConnection = new CountDownLatch(1);
-    private final ExecutorService threads = Executors.newCachedThreadPool();
-
-    EndlessServer() throws IOException {
-      threads.execute(this::accept);
-    }
-
-    HttpRequest request() {
-      return HttpRequest.get("127.0.0.1:" + listener.getLocalPort(), "/");
-    }
-
-    boolean awaitClosedConnection() throws InterruptedException {
-      return closedConnection.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
-    }
-
-    private void accept() {
-      try {
-        while (true) {
-          Socket socket = listener.accept();
-          threads.execute(() -> writeWithoutEnd(socket));
-        }
-      } catch (IOException e) {
-        closedConnection.countDown();
-      }
-    }
-
-    private void writeWithoutEnd(Socket socket) {
-      byte[] content = new byte[64 * 1024];
-      try (socket) {
-        OutputStream out = socket.getOutputStream();
-        out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-        while (true) {
-          out.write(content);
-        }
-      } catch (IOException e) {
-        closedConnection.countDown();
+  /** Writes a response without end until its connection is closed. */
+  private static void writeWithoutEnd(Socket socket, CountDownLatch closedConnection) {
+    byte[] content = new byte[64 * 1024];
+    try {
+      OutputStream out = socket.getOutputStream();
+      out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      while (true) {
+        out.write(content);
       }
+    } catch (IOException e) {
+      closedConnection.countDown();
     }
+  }
 
-    @Override
-    public void close() throws IOException {
-      listener.close();
-      threads.shutdownNow();
-    }
+  private static boolean await(CountDownLatch closedConnection) throws InterruptedException {
+    return closedConnection.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
   }
 
   private static Undertow startServer() {
