Refuse responses that also name another request

Callers saw: an answer that named their request first and another one after it, as their own. Cause: the first of several values of a field counted, as it did for lengths. Change: a response must carry no other id; it ends as `crossed`, its connection is closed.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/relay/HeaderCodec.java
@@ -211,10 +211,10 @@
     return status == MISDIRECTED_REQUEST || headers.contains(notExecuted);
   }
 
-  /** Returns whether a response carries the id of the request or no id. */
+  /** Returns whether a response carries no id of another request. */
   boolean matchesRequestId(String id, HeaderMap headers) {
-    String responseId = headers.getFirst(requestId);
-    return responseId == null || responseId.equals(id);
+    HeaderValues responseIds = headers.get(requestId);
+    return responseIds == null || responseIds.stream().allMatch(id::equals);
   }
 
   /** Returns whether a response carries the id of the request; none if the request has none. */
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
@@ -100,6 +100,7 @@
     brokenHead("line-without-colon", OK, "no field\r\n" + LENGTH, BODY);
     brokenHead("line-without-name", OK, ": value\r\n" + LENGTH, BODY);
     brokenHead("length-without-colon", OK, LENGTH.replace(":", ""), BODY);
+    brokenHead("id-of-another-request-too", OK, "X-Request-Id: other\r\n" + LENGTH, BODY);
     brokenHead("folded-line", OK, "X-Field: a\r\n b\r\n" + LENGTH, BODY);
     brokenHead("line-that-starts-with-blank", OK, " X-Field: a\r\n" + LENGTH, BODY);
     brokenHead("bare-carriage-return", OK, "X-Field: a\rb\r\n" + LENGTH, BODY);
