Return all values of a field of a response from the HTTP client

The fleet of classes of work took a response for its own when only the first of several attempt ids was its own: the client returned the first value of each field. Values are joined by commas (RFC 9110, section 5.3), so that two ids are no id of an attempt.

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpResponse.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpResponse.java
@@ -10,7 +10,7 @@
  * {@code body}.
  *
  * @param status HTTP status code
- * @param headers first value of each header field; names are case-insensitive
+ * @param headers values of each header field, joined by commas; names are case-insensitive
  * @param body content, empty if there is none
  */
 public record HttpResponse(int status, Map<String, String> headers, byte[] body) {
@@ -27,7 +27,7 @@
     return new String(body, StandardCharsets.UTF_8);
   }
 
-  /** Returns the first value of a header field, or empty if the field is absent. */
+  /** Returns the values of a header field, joined by commas; empty if the field is absent. */
   public Optional<String> header(String name) {
     return Optional.ofNullable(headers.get(name));
   }
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpStreamHandler.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/HttpStreamHandler.java
@@ -12,7 +12,7 @@
  */
 public interface HttpStreamHandler {
 
-  /** Called with the status and the first value of each header field. */
+  /** Called with the status and the values of each header field, joined by commas. */
   void onHead(int status, Map<String, String> headers);
 
   /** Called with a part of the content; the buffer is only valid during the call. */
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ClientExchangeDriver.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ClientExchangeDriver.java
@@ -89,7 +89,7 @@
   public void onHead(ResponseHead head) {
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     for (HeaderValues values : head.fields()) {
-      headers.put(values.getHeaderName().toString(), values.getFirst());
+      headers.put(values.getHeaderName().toString(), String.join(", ", values));
     }
     if (ended.get()) {
       return;
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/PooledHttpClientTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/PooledHttpClientTest.java
@@ -112,6 +112,22 @@
     }
   }
 
+  /** Guards against a response that is taken for the one that only the first of its ids names. */
+  @Test
+  public void shouldReturnAllValuesOfField() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: a\r\nx-id: b\r\n\r\n";
+    RawServer.Script script =
+        socket -> {
+          RawServer.readHead(socket.getInputStream());
+          socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+        };
+    try (RawServer server = new RawServer(script);
+        HttpClient client = HttpClient.create(HttpClientSettings.defaults())) {
+      HttpRequest request = HttpRequest.get(server.address(), "/");
+      assertThat(client.send(request, TIMEOUT).get().header("X-Id")).contains("a, b");
+    }
+  }
+
   /** Takes longer to process content than a server takes to send it, and keeps nothing of it. */
   private static final class SlowHandler implements HttpStreamHandler {
     @Override
