Refuse a 204 that declares content

Callers saw: a complete 204 without a body for an answer that declared a body, and sent it; one spoilt byte makes a 204 of a 200. Cause: the status alone decided that there is no content, and a length or a coding beside it was passed over. A server must not send either with a 204 (RFC 9110, section 8.6; RFC 9112, section 6.1). Change: such a head is malformed, so that the attempt fails and its connection is closed. A length of 0, which servers do send, stays valid, and so does a 304, which may bear the length of what it stands for. StrictResponse, the reference of SpoiltResponseTest, is as strict. Why it works: the framing is known with the head, before anything is relayed.

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/BodyLength.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/BodyLength.java
@@ -44,6 +44,11 @@
     return new BodyLength(ResponseFraming.LENGTH, bytes);
   }
 
+  /** Returns whether the fields say that there is content. */
+  boolean declaresContent() {
+    return framing == ResponseFraming.CHUNKED || bytes > 0;
+  }
+
   private static void checkCoding(HeaderValues codings) throws MalformedResponseException {
     if (codings.size() != 1 || !codings.getFirst().equalsIgnoreCase(CHUNKED)) {
       throw new MalformedResponseException(
--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseHeadReader.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/ResponseHeadReader.java
@@ -45,12 +45,21 @@
         fields = new HeaderMap();
       } else {
         bodyLength = BodyLength.of(statusLine.version11(), fields);
+        checkContentAllowed();
         return new ResponseHead(statusLine.status(), fields, bodyLength.framing(), isPersistent());
       }
     }
     return null;
   }
 
+  /** Fails if the fields declare content that the status rules out (RFC 9110, section 8.6). */
+  private void checkContentAllowed() throws MalformedResponseException {
+    if (statusLine.status() == StatusCodes.NO_CONTENT && bodyLength.declaresContent()) {
+      throw new MalformedResponseException(
+          "status 204 with content (%s), expected none".formatted(bodyLength.framing()));
+    }
+  }
+
   /**
    * Creates the body of the response whose head was read.
    *
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/HttpConnectionTest.java
@@ -192,6 +192,7 @@
         "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", "a", true
       },
       {"GET", "HTTP/1.1 204 No Content\r\n\r\n", "", true},
+      {"GET", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", "", true},
       {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "", true},
       {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "", true},
       {"HEAD", "HTTP/1.1 200 OK\r\n\r\n", "", true},
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/StrictResponse.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/StrictResponse.java
@@ -34,6 +34,11 @@
     }
     List<String> codings = values(head.group(3), "transfer-encoding");
     List<String> lengths = values(head.group(3), "content-length");
+    boolean declaresContent =
+        !codings.isEmpty() || lengths.stream().anyMatch(length -> !length.matches("0+"));
+    if (status == 204 && declaresContent) {
+      return Optional.empty();
+    }
     Optional<String> body;
     if (!codings.isEmpty()) {
       boolean chunked = codings.equals(List.of("chunked")) && lengths.isEmpty();
--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/BrokenAnswerUsageTest.java
@@ -33,6 +33,7 @@
       KeptConnection.chunk(EVENT) + KeptConnection.chunk(BODY.substring(EVENT.length()));
   private static final String LAST_CHUNK = KeptConnection.chunk("");
   private static final String OK = "HTTP/1.1 200 OK";
+  private static final String NO_CONTENT = "HTTP/1.1 204 No Content";
   private static final String SEAL = "X-Answer-Seal: seal";
 
   private static final Map<String, Answer> BROKEN_HEADS = new LinkedHashMap<>();
@@ -78,6 +79,7 @@
       brokenHead("length-" + value.hashCode(), OK, "Content-Length: " + value, BODY);
     }
     brokenHead("length-beyond-64-bits", OK, "Content-Length: 18446744073709551646", BODY);
+    brokenHead("length-of-no-content", NO_CONTENT, LENGTH, BODY);
     brokenHead("two-lengths", OK, "Content-Length: 5\r\n" + LENGTH, BODY);
     brokenHead("two-lengths-reversed", OK, LENGTH + "\r\nContent-Length: 5", BODY);
     brokenHead("two-lengths-in-one-line", OK, LENGTH + ", 5", BODY);
@@ -90,6 +92,7 @@
       brokenHead("coding-" + coding.hashCode(), OK, field, CHUNKS + LAST_CHUNK);
     }
     brokenHead("length-and-coding", OK, LENGTH + "\r\n" + CHUNKED, CHUNKS + LAST_CHUNK);
+    brokenHead("coding-of-no-content", NO_CONTENT, CHUNKED, CHUNKS + LAST_CHUNK);
     brokenHead("coding-without-name", OK, "Transfer-Encoding:", CHUNKS + LAST_CHUNK);
     brokenHead("coding-with-parameter", OK, CHUNKED + ";q=1", CHUNKS + LAST_CHUNK);
     brokenHead("two-codings", OK, CHUNKED + "\r\n" + CHUNKED, CHUNKS + LAST_CHUNK);
