Close no connection as idle that a request is sent on

Callers of the HTTP client (fleet of classes of work, orders, command line) saw: a request to a sound server that failed as broken, which counts as a strike against the request; since also one that ended only at its timeout, as a closed HttpConnection tells nothing to its exchange. Cause: closeIdleConnections iterated over a queue from which another thread may take a connection between the step of the iterator and the close. Change: the queue is polled, so that each connection has one owner.

--- a/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledHttpClient.java
+++ b/toucansaddle-http/src/main/java/org/toucansaddle/http/internal/PooledHttpClient.java
@@ -214,8 +214,12 @@
 
   private void closeIdleConnections(IdleKey key) {
     Deque<PooledConnection> connections = idleConnections.remove(key);
-    if (connections != null) {
-      connections.forEach(PooledConnection::close);
+    if (connections == null) {
+      return;
+    }
+    // Polled rather than iterated over: one that another thread polls belongs to its exchange.
+    for (PooledConnection c = connections.pollFirst(); c != null; c = connections.pollFirst()) {
+      c.close();
     }
   }
 
--- a/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/PooledHttpClientTest.java
+++ b/toucansaddle-http/src/test/java/org/toucansaddle/http/internal/PooledHttpClientTest.java
@@ -17,8 +17,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.Test;
 import org.toucansaddle.http.HttpClient;
@@ -37,6 +41,9 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+  private static final int SENDERS = 6;
+  private static final int REQUESTS = 2_000;
+
   private static final long PROCESSING_NANOS = TimeUnit.MICROSECONDS.toNanos(100);
 
   /** One I/O thread and responses of up to 1 MB. */
@@ -112,6 +119,44 @@
     }
   }
 
+  /** Guards against a request that is lost since its connection is closed as an idle one. */
+  @Test
+  public void shouldAnswerAllRequestsWhileIdleConnectionsAreClosed() throws Exception {
+    AtomicBoolean done = new AtomicBoolean();
+    ExecutorService threads = Executors.newFixedThreadPool(SENDERS + 1);
+    Undertow server = startServer();
+    try (HttpClient client = HttpClient.create(HttpClientSettings.defaults().withIoThreads(2))) {
+      HttpRequest request = request(server);
+      CompletableFuture<Void> closing =
+          CompletableFuture.runAsync(
+              () -> closeIdleConnections(client, request.target(), done), threads);
+      List<CompletableFuture<Void>> senders = new ArrayList<>();
+      for (int i = 0; i < SENDERS; i++) {
+        senders.add(CompletableFuture.runAsync(() -> sendMany(client, request), threads));
+      }
+      for (CompletableFuture<Void> sender : senders) {
+        assertThatCode(sender::join).doesNotThrowAnyException();
+      }
+      done.set(true);
+      closing.join();
+    } finally {
+      threads.shutdownNow();
+      server.stop();
+    }
+  }
+
+  private static void closeIdleConnections(HttpClient client, String target, AtomicBoolean done) {
+    while (!done.get() && !Thread.interrupted()) {
+      client.closeIdleConnections(target);
+    }
+  }
+
+  private static void sendMany(HttpClient client, HttpRequest request) {
+    for (int i = 0; i < REQUESTS; i++) {
+      assertThat(client.send(request, TIMEOUT).join().text()).isEqualTo("ok");
+    }
+  }
+
   /** Guards against a response that is taken for the one that only the first of its ids names. */
   @Test
   public void shouldReturnAllValuesOfField() throws Exception {
