Test broken answers in the middle of a resumable stream

A stream that is resumed at an upstream whose answer has a bad status, length, coding, field or chunk ends incomplete after the events before it. No code changed.

--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ResumedStreamUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/ResumedStreamUsageTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -29,6 +30,15 @@
   /** Answers of a status, with a type and a body of a length. Immutable. */
   private record Answer(int status, String type, String body) {}
 
+  /** Parts of an answer that may break the grammar. Immutable. */
+  private record BrokenAnswer(String status, String fields, String content) {
+
+    String bytes(String requestId) {
+      String own = EVENT_STREAM + "\r\nX-Answer-Seal: seal\r\nX-Request-Id: " + requestId;
+      return "HTTP/1.1 " + status + "\r\n" + own + "\r\n" + fields + "\r\n\r\n" + content;
+    }
+  }
+
   private static final Map<String, Answer> FAILURES =
       Map.ofEntries(
           Map.entry("text", new Answer(200, "Content-Type: text/plain", ERROR_TEXT)),
@@ -50,6 +60,22 @@
           Map.entry("failed", new Answer(500, EVENT_STREAM, "id: 4\ndata: failure\n\n")),
           Map.entry("full", new Answer(503, "X-Not-Run: 1", ERROR_TEXT)));
 
+  private static final String LENGTH = "Content-Length: " + LAST_EVENTS.length();
+  private static final String CHUNKED = "Transfer-Encoding: chunked";
+
+  /** Answers that are no valid HTTP responses. */
+  private static final Map<String, BrokenAnswer> BROKEN_ANSWERS =
+      Map.ofEntries(
+          Map.entry("status-000", new BrokenAnswer("000 Status", LENGTH, LAST_EVENTS)),
+          Map.entry("status-999", new BrokenAnswer("999 Status", LENGTH, LAST_EVENTS)),
+          Map.entry("bad-length", new BrokenAnswer("200 OK", LENGTH + "x", LAST_EVENTS)),
+          Map.entry("two-lengths", new BrokenAnswer("200 OK", LENGTH + ", 5", LAST_EVENTS)),
+          Map.entry("no-field", new BrokenAnswer("200 OK", "no field\r\n" + LENGTH, LAST_EVENTS)),
+          Map.entry("bad-name", new BrokenAnswer("200 OK", "X\u0001: a\r\n" + LENGTH, LAST_EVENTS)),
+          Map.entry(
+              "bad-coding", new BrokenAnswer("200 OK", "Transfer-Encoding: chunke", LAST_EVENTS)),
+          Map.entry("bad-chunk", new BrokenAnswer("200 OK", CHUNKED, "zz\r\n")));
+
   private static final Map<String, Answer> CONTINUATIONS =
       Map.of(
           "next", new Answer(200, EVENT_STREAM, LAST_EVENTS),
@@ -82,7 +108,7 @@
   void answer(Exchange exchange) throws IOException {
     String name = exchange.path().split("/")[2];
     if (exchange.header("Last-Event-Id").isEmpty()) {
-      exchange.writeHead(200, EVENT_STREAM, "Transfer-Encoding: chunked");
+      exchange.writeHead(200, EVENT_STREAM, CHUNKED);
       exchange.writeChunk(name.equals("unnumbered-before") ? "data: a\n\n" : FIRST_EVENTS);
       exchange.resetAfterDelivery();
     } else if (name.equals("no-answer")) {
@@ -92,6 +118,8 @@
       exchange.write(
           "HTTP/1.1 200 OK\r\n" + EVENT_STREAM + "\r\nContent-Length: " + LAST_EVENTS.length());
       exchange.write("\r\n\r\n" + LAST_EVENTS);
+    } else if (BROKEN_ANSWERS.containsKey(name)) {
+      exchange.write(BROKEN_ANSWERS.get(name).bytes(exchange.header("X-Request-Id")));
     } else {
       Answer answer = FAILURES.getOrDefault(name, CONTINUATIONS.get(name));
       exchange.writeHead(
@@ -102,7 +130,8 @@
 
   @DataProvider
   public Object[][] failures() {
-    return Stream.concat(FAILURES.keySet().stream().sorted(), Stream.of("no-answer", "unsealed"))
+    return Stream.of(FAILURES.keySet(), BROKEN_ANSWERS.keySet(), Set.of("no-answer", "unsealed"))
+        .flatMap(names -> names.stream().sorted())
         .map(name -> new Object[] {name})
         .toArray(Object[][]::new);
   }
