--- a/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
+++ b/toucansaddle-standins/src/test/java/org/toucansaddle/usage/FailureUsageTest.java
@@ -79,7 +79,8 @@
     startEngines();
     List<CompletableFuture<Caller.Result>> results = sendMany(8, 60);
     fleet.daemon(2).close();
-    results.forEach(r -> assertThat(r.join().outcome()).isEqualTo(Outcome.WHOLE));
+    results.forEach(
+        r -> assertThat(r.join().outcome()).as(r.join().text()).isEqualTo(Outcome.WHOLE));
     fleet.await(() -> fleet.sendModelRequest(0, "after the stop").outcome() == Outcome.WHOLE);
     fleet.await(() -> fleet.sendModelRequest(1, "after the stop").outcome() == Outcome.WHOLE);
   }
