--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/GatewayControl.java
@@ -197,6 +197,10 @@
         "toucansaddle_gateway_whole_voters", "Voters that hold all.", replicaSet::inSyncVoters);
     metrics.registerGauge(
         "toucansaddle_gateway_followers", "Routers that follow.", followers::routerCount);
+    metrics.registerGauge(
+        "toucansaddle_gateway_reporting_routers",
+        "Routers that follow whose counts are in the sums of this daemon.",
+        followers::reportingRouterCount);
     metrics.registerGauge(
         "toucansaddle_gateway_configuration",
         "Version applied.",
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -113,6 +113,11 @@
     return (int) followers.stream().filter(follower -> !follower.observer).count();
   }
 
+  /** Returns the number of connected routers whose newest report has counts to sum. */
+  public int reportingRouterCount() {
+    return (int) followers.stream().filter(Follower::reportsCounts).count();
+  }
+
   /** Sends pending changes to all routers. */
   public void pushChanges() {
     recordDocumentTime(document().version());
@@ -179,7 +184,7 @@
   private LimitParts limitParts() {
     return new LimitParts(
         followers.stream()
-            .filter(follower -> follower.wantsSums && !follower.observer)
+            .filter(Follower::reportsCounts)
             .map(follower -> follower.demands)
             .toList(),
         routerCount());
@@ -277,6 +282,11 @@
       sendPermits(report);
     }
 
+    /** Returns whether this is a router that takes this daemon for the one that sums. */
+    private boolean reportsCounts() {
+      return wantsSums && !observer;
+    }
+
     /** Answers a report that asks for permits at once, since they do not last. */
     private void sendPermits(FollowerReport report) {
       if (report.getColdAsksCount() == 0) {
