--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/routing/AccountSharesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -211,6 +212,35 @@
     assertThat(admitted[0]).isGreaterThan(admitted[1] / 2);
   }
 
+  /**
+   * Guards against an account that is refused altogether for seconds, since it used more than its
+   * share is now while nobody else asked for it.
+   */
+  @Test
+  public void shouldAdmitShareOfAccountWhoseShareHasBecomeSmaller() {
+    run(150);
+    double[] requestsPerSecond = new double[8];
+    Arrays.fill(requestsPerSecond, 150);
+    runFor(100, requestsPerSecond);
+    int[] admitted = runFor(1_000, requestsPerSecond);
+    int all = Arrays.stream(admitted).sum();
+    assertThat(admitted[0]).as("admitted of all %d", all).isGreaterThan(all / 8 / 2);
+  }
+
+  /** Guards against a share that is exceeded more with each fall and rise of it. */
+  @Test
+  public void shouldNotExceedShareWhileItRisesAndFalls() {
+    run(300, 300);
+    int[] admitted = new int[2];
+    for (int second = 0; second < 8; second++) {
+      int[] alone = runFor(500, 300, 300);
+      int[] beside = runFor(500, 300, 300, 300, 300);
+      admitted[0] += alone[0] + beside[0];
+      admitted[1] += alone[1] + beside[1];
+    }
+    assertThat(admitted[0] + admitted[1]).isLessThan(8 * 100);
+  }
+
   /** Guards against a demand that seems to end when the callers of an account change routers. */
   @Test
   public void shouldCountDemandThatHasMovedToOtherRouters() {
