Send no sums before nearly all routers have reported

Cause: routers turn to another control daemon for sums one by one, within a report interval. Its heartbeat sent the sums of those that had reported until then, and the one that they left the sums of the others. Change: a control daemon sends sums only while all but one in eight of its routers report their counts to it, or after the others have had three report intervals; until then routers decide on the last whole sums. The sums of work at upstreams and the parts in limits are in the same message. Routers need no change.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/FollowServer.java
@@ -66,6 +66,7 @@
   private final RequestQuarantine quarantine;
   private final OriginTable origins;
   private final ColdPermitIssuer permitIssuer;
+  private final SumCoverage coverage = new SumCoverage();
 
   /**
    * Creates a server without followers.
@@ -149,15 +150,23 @@
       if (now - follower.lastReportNanos > REPORT_TIMEOUT_NANOS) {
         LOG.info("dependency lost: router {} is silent", follower.router);
         follower.close();
-      } else {
-        follower.sendHeartbeat();
       }
     }
+    boolean sums = sumsEnoughRouters();
+    followers.forEach(follower -> follower.sendHeartbeat(sums));
   }
 
   /** Sends the sums to the routers that want them, between two heartbeats. */
   public void sendSums() {
-    followers.stream().filter(follower -> follower.wantsSums).forEach(Follower::sendHeartbeat);
+    if (sumsEnoughRouters()) {
+      followers.stream()
+          .filter(follower -> follower.wantsSums)
+          .forEach(follower -> follower.sendHeartbeat(true));
+    }
+  }
+
+  private boolean sumsEnoughRouters() {
+    return coverage.isSufficient(reportingRouterCount(), routerCount(), clock.getAsLong());
   }
 
   private Collection<UpstreamWork> sumWorkOfOthers(Follower excluded) {
@@ -340,13 +349,13 @@
       return current.version() > routerVersion && (wantsDocument || isOverdue(routerVersion));
     }
 
-    synchronized void sendHeartbeat() {
+    synchronized void sendHeartbeat(boolean withSums) {
       FleetUpdate.Builder update =
           FleetUpdate.newBuilder()
               .addAllControlAddresses(sources.controlAddresses().get())
               .setRouters(routerCount());
       addZoneState(update);
-      if (wantsSums) {
+      if (withSums && wantsSums) {
         update.setSums(true);
         update.addAllWork(sumWorkOfOthers(this));
         update.addAllAccounts(sumAccountsOfOthers(this).values());
