Do not hold against an account what it got while its share was larger

Cause: use above the share is refused until the window of 2 s has forgotten it, whatever the share was when it was admitted. Change: when the share falls, use between the new and the old share stops counting, and counts again as far as the share rises. Only use that has lasted: demand of twice its mean rate or more is the start of a burst, which exceeds the share until all routers know of it. AccountSharesTest.shouldAdmitShareOfAccountWhoseShareHasBecomeSmaller failed before and passes.

--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -8,10 +8,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
-import java.util.stream.Stream;
 import org.toucansaddle.coordination.sharing.MaxMinShare;
 import org.toucansaddle.coordination.sharing.SharedThroughput;
 import org.toucansaddle.coordination.sharing.SharedThroughput.Load;
+import org.toucansaddle.daemon.internal.gateway.routing.FormerShares.Use;
 import org.toucansaddle.protocol.generated.AccountUse;
 import org.toucansaddle.protocol.generated.FleetUpdate;
 
@@ -71,6 +71,7 @@
   private Map<String, AccountUse> remoteUsage = Map.of();
   private long remoteUsageAt;
   private SharedThroughput throughput = new SharedThroughput();
+  private FormerShares formerShares = new FormerShares(NANOS_PER_SECOND * DECAY_SECONDS);
   private double fairShare = Double.MAX_VALUE;
   private double fairShareCapacity;
   private long fairShareAt;
@@ -98,6 +99,7 @@
     copy.remoteUsage = remoteUsage;
     copy.remoteUsageAt = remoteUsageAt;
     copy.throughput = throughput.copy();
+    copy.formerShares = formerShares.copy();
     copy.fairShare = fairShare;
     copy.fairShareCapacity = fairShareCapacity;
     copy.fairShareAt = fairShareAt;
@@ -305,7 +307,7 @@
    * What a router knows of an account, in recent tokens at all routers. Immutable.
    *
    * @param demandedTokens tokens that it demands in the window of the shares
-   * @param admittedTokens tokens of those that were admitted
+   * @param admittedTokens tokens of those that were admitted and count towards its share
    * @param fairShareTokens its fair share; {@link Double#MAX_VALUE} if all demands fit
    * @param remoteUsageAgeMillis age of the other routers' usage; -1 if none was reported
    */
@@ -336,8 +338,8 @@
     local.decay(now);
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
     long ageMillis = remoteUsageAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - remoteUsageAt);
-    return new AccountState(
-        demandAtAllRouters(account), local.admitted + remote.getAdmitted(), share, ageMillis);
+    double admitted = local.admitted + remote.getAdmitted() - formerShares.of(account, now);
+    return new AccountState(demandAtAllRouters(account), Math.max(0, admitted), share, ageMillis);
   }
 
   /**
@@ -399,13 +401,11 @@
         || now - fairShareAt > FAIR_SHARE_MAX_AGE_NANOS) {
       localUsage.values().forEach(usage -> usage.decay(now));
       localUsage.values().removeIf(LocalUsage::isForgotten);
-      double[] amounts =
-          Stream.concat(
-                  localUsage.keySet().stream(),
-                  remoteUsage.keySet().stream().filter(name -> !localUsage.containsKey(name)))
-              .mapToDouble(this::demandAtAllRouters)
-              .toArray();
-      fairShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
+      Map<String, Use> uses = usesAtAllRouters();
+      double[] amounts = uses.keySet().stream().mapToDouble(this::demandAtAllRouters).toArray();
+      double newShare = MaxMinShare.compute(amounts, throughput.update(load(capacity), now));
+      formerShares.update(fairShare, newShare, uses, now);
+      fairShare = newShare;
       fairShareCapacity = capacity;
       fairShareAt = now;
       fairShareKnown = true;
@@ -413,6 +413,23 @@
     return fairShare;
   }
 
+  private Map<String, Use> usesAtAllRouters() {
+    Map<String, Use> uses = new HashMap<>();
+    localUsage.keySet().forEach(account -> uses.put(account, useAtAllRouters(account)));
+    remoteUsage.keySet().forEach(account -> uses.putIfAbsent(account, useAtAllRouters(account)));
+    return uses;
+  }
+
+  /** Demand at twice its mean rate of the window, or more, has not lasted yet. */
+  private Use useAtAllRouters(String account) {
+    LocalUsage local = localUsage.getOrDefault(account, new LocalUsage());
+    AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
+    double demanded = Math.max(1, local.demanded + remote.getAsked());
+    double atPresentRate = WINDOW_PER_RECENT * (local.recentlyDemanded + recentlyAsked(remote));
+    double lastingPart = Math.max(0, Math.min(1, 2 - atPresentRate / demanded));
+    return new Use(local.admitted + remote.getAdmitted(), lastingPart);
+  }
+
   private Load load(double capacity) {
     double admitted = 0;
     double work = 0;
