--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/SumCoverage.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/control/SumCoverage.java
@@ -12,8 +12,8 @@
  */
 final class SumCoverage {
 
-  /** Routers per router whose counts may be missing, as of one that has just connected. */
-  private static final int ROUTERS_PER_MISSING = 8;
+  /** The counts of one in so many routers may be missing, as of one that has just connected. */
+  private static final int ROUTERS_PER_MISSING_ONE = 8;
 
   /**
    * Time after which the other routers are taken to stay with another daemon, which happens while
@@ -34,7 +34,7 @@
    */
   synchronized boolean isSufficient(int reporting, int routers, long nowNanos) {
     int missing = routers - reporting;
-    if (reporting == 0 || missing <= routers / ROUTERS_PER_MISSING) {
+    if (reporting == 0 || missing <= routers / ROUTERS_PER_MISSING_ONE) {
       waiting = false;
       return reporting > 0;
     }
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/AccountShares.java
@@ -420,7 +420,7 @@
     return uses;
   }
 
-  /** Demand at twice its mean rate of the window, or more, has not lasted yet. */
+  /** Demand at twice its mean rate in the window, or more, is the start of a burst. */
   private Use useAtAllRouters(String account) {
     LocalUsage local = localUsage.getOrDefault(account, new LocalUsage());
     AccountUse remote = remoteUsage.getOrDefault(account, AccountUse.getDefaultInstance());
--- a/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FormerShares.java
+++ b/toucansaddle-daemon/src/main/java/org/toucansaddle/daemon/internal/gateway/routing/FormerShares.java
@@ -10,7 +10,8 @@
  * smaller, and what the account had until then must not count as use above the share: it would be
  * refused altogether until that is forgotten, while the others start without any use. This holds
  * for use that has lasted: what an account gets in the first moments of a burst, until all routers
- * know of it, is more than it may have. The amounts decay like the use itself. Not thread-safe.
+ * know of it, is more than it may have. The amounts decay like the use itself, and accounts without
+ * use are dropped. Not thread-safe.
  */
 final class FormerShares {
 
--- a/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/SumUpdatesTest.java
+++ b/toucansaddle-daemon/src/test/java/org/toucansaddle/daemon/internal/gateway/control/SumUpdatesTest.java
@@ -60,7 +60,7 @@
   }
 
   /** Connects routers that follow another daemon for sums; the first one gets the updates. */
-  private List<StreamObserver<FollowerReport>> followForOther() {
+  private List<StreamObserver<FollowerReport>> followAnotherDaemonForSums() {
     List<StreamObserver<FollowerReport>> routers = new ArrayList<>();
     for (int router = 0; router < ROUTERS; router++) {
       routers.add(follow("r" + router, false, router == 0 ? updates : new ArrayList<>()));
@@ -96,10 +96,10 @@
     assertThat(updates).isEmpty();
   }
 
-  /** Guards against sums of half of the routers, which all took for those of an idle fleet. */
+  /** Guards against sums of some routers, which are taken for those of the whole fleet. */
   @Test
   public void shouldSendNoSumsBeforeNearlyAllRoutersHaveReported() {
-    List<StreamObserver<FollowerReport>> routers = followForOther();
+    List<StreamObserver<FollowerReport>> routers = followAnotherDaemonForSums();
     switchOver(routers, 0, ROUTERS / 2, true);
     server.sendHeartbeats();
     server.sendSums();
@@ -117,7 +117,7 @@
   /** Guards against a previous daemon that sums the routers which have not left it yet. */
   @Test
   public void shouldSendNoSumsWhileRoutersLeaveForAnotherDaemon() {
-    List<StreamObserver<FollowerReport>> routers = followForOther();
+    List<StreamObserver<FollowerReport>> routers = followAnotherDaemonForSums();
     switchOver(routers, 0, ROUTERS, true);
     server.sendHeartbeats();
     assertThat(sums()).hasSize(1);
@@ -130,7 +130,7 @@
   /** Guards against routers without any sums while the others stay with another daemon. */
   @Test
   public void shouldSendSumsOfFewRoutersOnceTheOthersHaveHadTimeToReport() {
-    List<StreamObserver<FollowerReport>> routers = followForOther();
+    List<StreamObserver<FollowerReport>> routers = followAnotherDaemonForSums();
     switchOver(routers, 0, 3, true);
     for (int millis = 0; millis < 2_000; millis += 400) {
       server.sendHeartbeats();
@@ -143,7 +143,7 @@
 
   @Test
   public void shouldSendSumsWhileOneRouterOfManyHasJustConnected() {
-    switchOver(followForOther(), 0, ROUTERS, true);
+    switchOver(followAnotherDaemonForSums(), 0, ROUTERS, true);
     follow("late", false, new ArrayList<>());
     server.sendHeartbeats();
     assertThat(sums()).hasSize(1);
